--- /dev/null
+++ b/Makefile
@@ -0,0 +1,38 @@
+# Every target makes its own virtual environment first.
+VENV ?= .venv
+PYTHON = $(VENV)/bin/python
+STAMP = $(VENV)/installed.stamp
+SEED ?= 1
+COUNT ?= 1000
+export PYTHONPATH = $(CURDIR)
+
+.PHONY: demo test lint format types docs check clean
+
+demo: $(STAMP)
+	$(PYTHON) -m devtools.demo
+
+test: $(STAMP)
+	$(PYTHON) -m devtools.run_tests
+
+lint: $(STAMP)
+	$(VENV)/bin/ruff check --select I burdocklead devtools tests
+	$(VENV)/bin/ruff format --check burdocklead devtools tests
+	$(VENV)/bin/flake8 burdocklead devtools tests
+
+format: $(STAMP)
+	$(VENV)/bin/ruff check --select I --fix burdocklead devtools tests
+	$(VENV)/bin/ruff format burdocklead devtools tests
+
+types: $(STAMP)
+	$(VENV)/bin/mypy
+
+docs: $(STAMP)
+	$(VENV)/bin/sphinx-build -q -W -b html docs docs/_build
+
+$(STAMP): pyproject.toml constraints.txt
+	test -x $(PYTHON) || python3.11 -m venv $(VENV)
+	$(VENV)/bin/pip install -q -c constraints.txt -e '.[dev]'
+	touch $(STAMP)
+
+clean:
+	rm -rf $(VENV) docs/_build
--- /dev/null
+++ b/burdocklead/clock.py
@@ -0,0 +1,45 @@
+"""Clocks: monotonic time for decisions, a hybrid logical clock for events."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import msgspec
+
+NS_PER_MS = 1_000_000
+
+
+class HybridTime(msgspec.Struct, frozen=True, array_like=True, order=True):
+    """A time stamp that respects causal order.
+
+    Attributes:
+        wall_ns: Wall clock in ns, never behind any stamp seen before.
+        count: Orders stamps of the same wall time.
+    """
+
+    wall_ns: int
+    count: int
+
+
+@dataclass(slots=True)
+class HybridClock:
+    """Issues stamps later than all that were issued or observed."""
+
+    wall_ns: Callable[[], int] = time.time_ns
+    last: HybridTime = field(default_factory=lambda: HybridTime(0, 0))
+
+    def issue(self) -> HybridTime:
+        """Return a stamp for a local event."""
+        now_ns = self.wall_ns()
+        if now_ns > self.last.wall_ns:
+            self.last = HybridTime(now_ns, 0)
+        else:
+            self.last = HybridTime(self.last.wall_ns, self.last.count + 1)
+        return self.last
+
+    def observe(self, stamp: HybridTime) -> None:
+        """Take note of a stamp received from another process."""
+        if stamp > self.last:
+            self.last = stamp
--- /dev/null
+++ b/burdocklead/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The functions behind the operator subcommands."""
--- /dev/null
+++ b/burdocklead/connection/control_client.py
@@ -0,0 +1,134 @@
+"""Requests to one control replica over pynng."""
+
+from __future__ import annotations
+
+import asyncio
+
+import msgspec
+import pynng
+
+from burdocklead.connection.control_messages import (
+    ControlReply,
+    ControlRequest,
+    Failure,
+    message_encoder,
+    reply_decoder,
+)
+from burdocklead.exceptions import ControlError, QuorumError
+from burdocklead.values import Address
+
+MS_PER_S = 1000
+
+
+class ControlClient:
+    """Sends requests to one replica; a silent socket is replaced.
+
+    Attributes:
+        name: Name of the replica.
+        address: Its control address.
+        bytes_sent: Bytes of requests.
+        bytes_received: Bytes of replies.
+        messages: Requests sent.
+    """
+
+    def __init__(self, name: str, address: Address) -> None:
+        """Prepare a client; the socket is opened by the first request."""
+        self.name = name
+        self.address = address
+        self.bytes_sent = 0
+        self.bytes_received = 0
+        self.messages = 0
+        self.socket: pynng.Req0 | None = None
+
+    async def request(
+        self, message: ControlRequest, timeout: float
+    ) -> ControlReply:
+        """Return the reply of the replica.
+
+        Args:
+            message: The request.
+            timeout: Time limit in s.
+
+        Raises:
+            ControlError: If the replica did not answer or failed the step.
+            QuorumError: If the replica found no quorum.
+        """
+        step = type(message).__name__.lower()
+        payload = message_encoder.encode(message)
+        try:
+            async with asyncio.timeout(timeout):
+                received = await self._exchange(payload)
+        except (TimeoutError, pynng.NNGException) as error:
+            self.close()
+            reason = str(error) or 'no answer in time'
+            raise ControlError(reason, step=step, peer=self.name) from error
+        return self._checked(received, step)
+
+    def close(self) -> None:
+        """Close the socket; the next request opens a new one."""
+        if self.socket is not None:
+            self.socket.close()
+            self.socket = None
+
+    def _checked(self, received: bytes, step: str) -> ControlReply:
+        self.bytes_received += len(received)
+        try:
+            reply = reply_decoder.decode(received)
+        except msgspec.DecodeError as error:
+            raise ControlError(str(error), step=step, peer=self.name) from error
+        if isinstance(reply, Failure):
+            kind = QuorumError if reply.no_quorum else ControlError
+            raise kind(reply.reason, step=reply.step, peer=self.name)
+        return reply
+
+    async def _exchange(self, payload: bytes) -> bytes:
+        if self.socket is None:
+            self.socket = pynng.Req0(resend_time=-1)
+            self.socket.dial(f'tcp://{self.address}', block=False)
+        self.messages += 1
+        self.bytes_sent += len(payload)
+        context = self.socket.new_context()
+        try:
+            await context.asend(payload)
+            return bytes(await context.arecv())
+        finally:
+            context.close()
+
+
+class ControlGroup:
+    """Clients of all replicas; requests stay with one that answers."""
+
+    def __init__(self, replicas: tuple[tuple[str, Address], ...]) -> None:
+        """Prepare a client for each replica."""
+        self.clients = [ControlClient(*named) for named in replicas]
+        self.preferred = 0
+
+    @property
+    def client(self) -> ControlClient:
+        """Return the client of the preferred replica."""
+        return self.clients[self.preferred]
+
+    def leave_replica(self) -> None:
+        """Prefer the next replica from now on."""
+        self.preferred = (self.preferred + 1) % len(self.clients)
+
+    async def request(
+        self, message: ControlRequest, timeout: float
+    ) -> ControlReply:
+        """Return the reply of the first replica that answers.
+
+        Raises:
+            ControlError: If no replica answered.
+        """
+        limit = timeout / len(self.clients)
+        for _ in self.clients[1:]:
+            try:
+                return await self.client.request(message, limit)
+            except ControlError:
+                self.leave_replica()
+        return await self.client.request(message, limit)
+
+    def close(self) -> None:
+        """Close all sockets."""
+        for client in self.clients:
+            client.close()
--- /dev/null
+++ b/burdocklead/connection/control_messages.py
@@ -0,0 +1,113 @@
+"""Messages between daemons and control replicas, and among replicas."""
+
+from __future__ import annotations
+
+import msgspec
+
+from burdocklead.clock import HybridTime
+from burdocklead.durable.claims import ClaimFinish, ClaimReply, ClaimStart
+from burdocklead.durable.configuration import AcceptedFile
+from burdocklead.durable.register import (
+    Accept,
+    Accepted,
+    Conflict,
+    Prepare,
+    Promise,
+)
+from burdocklead.values import Member
+
+
+class Cursor(msgspec.Struct, frozen=True, array_like=True):
+    """A place in one replica's order of membership changes.
+
+    Attributes:
+        replica_id: Replica that numbers the changes.
+        incarnation: Start time in ns of that replica process.
+        change: Number of the last change known; 0 asks for all.
+    """
+
+    replica_id: str = ''
+    incarnation: int = 0
+    change: int = 0
+
+
+class MemberUpdate(msgspec.Struct, frozen=True, array_like=True):
+    """What a replica knows of one daemon.
+
+    Attributes:
+        member: The daemon as it last described itself.
+        gone: True if the daemon left or its lease ran out.
+        age_ms: Time since the daemon was last heard of.
+    """
+
+    member: Member
+    gone: bool
+    age_ms: float
+
+
+class Heartbeat(msgspec.Struct, frozen=True, tag=True):
+    """A daemon describes itself and asks for what changed."""
+
+    member: Member
+    cursor: Cursor
+    known_version: int
+    time: HybridTime
+
+
+class HeartbeatReply(msgspec.Struct, frozen=True, tag=True):
+    """What changed since the cursor.
+
+    Attributes:
+        cursor: Cursor for the next heartbeat.
+        whole: True if the updates are the whole membership.
+        updates: Daemons that changed.
+        file: Accepted file if newer than the known version.
+        quorum_age_ms: Time since the replica last heard of a quorum.
+        time: Hybrid time of the replica.
+    """
+
+    cursor: Cursor
+    whole: bool
+    updates: tuple[MemberUpdate, ...]
+    file: AcceptedFile | None
+    quorum_age_ms: float
+    time: HybridTime
+
+
+class Exchange(msgspec.Struct, frozen=True, tag=True):
+    """A replica asks another one for what changed."""
+
+    replica_id: str
+    cursor: Cursor
+    known_version: int
+    time: HybridTime
+
+
+class Failure(msgspec.Struct, frozen=True, tag=True):
+    """A request could not be carried out.
+
+    Attributes:
+        step: Step that failed.
+        reason: Why it failed.
+        no_quorum: True if a quorum did not answer.
+    """
+
+    step: str
+    reason: str
+    no_quorum: bool = False
+
+
+ControlRequest = (
+    Prepare | Accept | Heartbeat | Exchange | ClaimStart | ClaimFinish
+)
+ControlReply = (
+    Promise | Accepted | Conflict | HeartbeatReply | ClaimReply | Failure
+)
+
+message_encoder = msgspec.msgpack.Encoder()
+request_decoder: msgspec.msgpack.Decoder[ControlRequest] = (
+    msgspec.msgpack.Decoder(ControlRequest)
+)
+reply_decoder: msgspec.msgpack.Decoder[ControlReply] = msgspec.msgpack.Decoder(
+    ControlReply
+)
--- /dev/null
+++ b/burdocklead/connection/frames.py
@@ -0,0 +1,205 @@
+"""Frames of the link between daemons, and their encoding."""
+
+from __future__ import annotations
+
+import enum
+import struct
+
+import msgspec
+
+from burdocklead.exceptions import LinkError
+from burdocklead.values import LoadReport, RefusalCause
+from burdocklead.version.deployment import Priority
+
+LENGTH = struct.Struct('>I')
+MAX_FRAME_BYTES = 80 * 1024 * 1024
+Headers = tuple[tuple[str, str], ...]
+
+
+class AttemptState(enum.StrEnum):
+    """What the daemon beside an upstream knows of an attempt."""
+
+    never_seen = 'never-seen'
+    running = 'running'
+    done = 'done'
+
+
+class Hello(msgspec.Struct, frozen=True, tag='hello', array_like=True):
+    """First frame of each side: who is speaking."""
+
+    daemon_id: str
+    incarnation: int
+
+
+class Attempt(msgspec.Struct, frozen=True, tag='attempt', array_like=True):
+    """Run one attempt of a call at the upstream.
+
+    Attributes:
+        attempt_id: Unique over all daemons and incarnations.
+        call_id: Call that the attempt belongs to.
+        incarnation: Incarnation of the daemon that is meant.
+        service: Service called.
+        route: Name of the route.
+        method: HTTP method.
+        path: Path and query at the upstream.
+        headers: Headers in order.
+        body: Whole body.
+        remaining_ms: Time left until the deadline in ms.
+        idempotent: True if the call may run more than once.
+        priority: Order in which calls are shed.
+        cost_ms: Declared service time in ms.
+        number: Number of the attempt, from 1.
+        queue_limit: Calls that may wait beside the upstream.
+    """
+
+    attempt_id: str
+    call_id: str
+    incarnation: int
+    service: str
+    route: str
+    method: str
+    path: str
+    headers: Headers
+    body: bytes
+    remaining_ms: float
+    idempotent: bool
+    priority: Priority
+    cost_ms: float
+    number: int
+    queue_limit: int
+
+
+class Answer(msgspec.Struct, frozen=True, tag='answer', array_like=True):
+    """The upstream answered."""
+
+    attempt_id: str
+    status: int
+    headers: Headers
+    body: bytes
+    load: LoadReport
+
+
+class Refusal(msgspec.Struct, frozen=True, tag='refusal', array_like=True):
+    """The attempt did not run and never will."""
+
+    attempt_id: str
+    cause: RefusalCause
+    load: LoadReport
+
+
+class Lost(msgspec.Struct, frozen=True, tag='lost', array_like=True):
+    """The attempt was sent to the upstream and no answer came.
+
+    Attributes:
+        attempt_id: The attempt.
+        reason: What was seen, in a few words.
+        crash_suspected: True if the upstream closed without an answer.
+    """
+
+    attempt_id: str
+    reason: str
+    crash_suspected: bool
+    load: LoadReport
+
+
+class Cancel(msgspec.Struct, frozen=True, tag='cancel', array_like=True):
+    """The answer of an attempt is no longer wanted."""
+
+    attempt_id: str
+
+
+class Query(msgspec.Struct, frozen=True, tag='query', array_like=True):
+    """Ask what became of an attempt; an unseen one is fenced."""
+
+    attempt_id: str
+    incarnation: int
+
+
+class Verdict(msgspec.Struct, frozen=True, tag='verdict', array_like=True):
+    """Reply to a query.
+
+    Attributes:
+        attempt_id: The attempt asked for.
+        incarnation: Incarnation of the daemon that replies.
+        state: What it knows; ``never_seen`` means fenced from now on.
+        result: The result if the attempt is done.
+    """
+
+    attempt_id: str
+    incarnation: int
+    state: AttemptState
+    result: Answer | Refusal | Lost | None = None
+
+
+class Ping(msgspec.Struct, frozen=True, tag='ping', array_like=True):
+    """Ask for a sign of life and the load."""
+
+    number: int
+
+
+class Pong(msgspec.Struct, frozen=True, tag='pong', array_like=True):
+    """Reply to a ping."""
+
+    number: int
+    load: LoadReport
+
+
+AttemptResult = Answer | Refusal | Lost
+Frame = (
+    Hello
+    | Attempt
+    | Answer
+    | Refusal
+    | Lost
+    | Cancel
+    | Query
+    | Verdict
+    | Ping
+    | Pong
+)
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder: msgspec.msgpack.Decoder[Frame] = msgspec.msgpack.Decoder(Frame)
+
+
+def encode_frame(frame: Frame) -> bytes:
+    """Return a frame with its length before it."""
+    payload = _encoder.encode(frame)
+    return LENGTH.pack(len(payload)) + payload
+
+
+class FrameBuffer:
+    """Cuts a byte stream into frames."""
+
+    def __init__(self, max_bytes: int = MAX_FRAME_BYTES) -> None:
+        """Start empty."""
+        self.max_bytes = max_bytes
+        self.received = bytearray()
+
+    def feed(self, chunk: bytes) -> list[Frame]:
+        """Return the frames completed by a chunk.
+
+        Raises:
+            LinkError: If a frame is too large or can't be decoded.
+        """
+        self.received += chunk
+        frames: list[Frame] = []
+        position = 0
+        while len(self.received) - position >= LENGTH.size:
+            length = LENGTH.unpack_from(self.received, position)[0]
+            if length > self.max_bytes:
+                raise LinkError('frame is too large', step='receive')
+            start = position + LENGTH.size
+            if len(self.received) < start + length:
+                break
+            frames.append(_decode(bytes(self.received[start : start + length])))
+            position = start + length
+        del self.received[:position]
+        return frames
+
+
+def _decode(payload: bytes) -> Frame:
+    try:
+        return _decoder.decode(payload)
+    except msgspec.DecodeError as error:
+        raise LinkError(str(error), step='receive') from None
--- /dev/null
+++ b/burdocklead/durable/__init__.py
@@ -0,0 +1,1 @@
+"""What outlives a process: registers, their file, claims, replica set."""
--- /dev/null
+++ b/burdocklead/events.py
@@ -0,0 +1,94 @@
+"""The bounded ring of typed events that each process keeps."""
+
+from __future__ import annotations
+
+import enum
+from collections import deque
+from dataclasses import dataclass, field
+
+import msgspec
+
+from burdocklead.clock import HybridClock, HybridTime
+
+RING_SIZE = 4096
+
+
+class EventKind(enum.StrEnum):
+    """Kinds of events on the time line."""
+
+    state_change = 'state-change'
+    version_in_force = 'version-in-force'
+    version_accepted = 'version-accepted'
+    version_refused = 'version-refused'
+    upstream_announced = 'upstream-announced'
+    upstream_left = 'upstream-left'
+    member_joined = 'member-joined'
+    member_left = 'member-left'
+    member_draining = 'member-draining'
+    call_refused = 'call-refused'
+    call_answered = 'call-answered'
+    call_unknown = 'call-unknown'
+    attempt_started = 'attempt-started'
+    attempt_finished = 'attempt-finished'
+    attempt_retried = 'attempt-retried'
+    attempt_fenced = 'attempt-fenced'
+    link_opened = 'link-opened'
+    link_closed = 'link-closed'
+    signal_dead = 'signal-dead'
+    request_blocked = 'request-blocked'
+    replica_changed = 'replica-changed'
+    quorum_lost = 'quorum-lost'
+    quorum_gained = 'quorum-gained'
+
+
+class Event(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """One event of the time line.
+
+    Attributes:
+        time: Hybrid logical time.
+        process: Name of the process that recorded the event.
+        kind: Kind of event.
+        call_id: Call concerned, empty if none.
+        service: Service concerned, empty if none.
+        peer: Other process concerned, empty if none.
+        detail: Short plain text.
+    """
+
+    time: HybridTime
+    process: str
+    kind: EventKind
+    call_id: str = ''
+    service: str = ''
+    peer: str = ''
+    detail: str = ''
+
+
+@dataclass(slots=True)
+class EventRing:
+    """Keeps the latest events of one process."""
+
+    process: str
+    clock: HybridClock
+    ring: deque[Event] = field(default_factory=lambda: deque(maxlen=RING_SIZE))
+
+    def record(
+        self,
+        kind: EventKind,
+        *,
+        call_id: str = '',
+        service: str = '',
+        peer: str = '',
+        detail: str = '',
+    ) -> None:
+        """Append an event with the present time."""
+        self.ring.append(
+            Event(
+                time=self.clock.issue(),
+                process=self.process,
+                kind=kind,
+                call_id=call_id,
+                service=service,
+                peer=peer,
+                detail=detail,
+            )
+        )
--- /dev/null
+++ b/burdocklead/options.py
@@ -0,0 +1,224 @@
+"""Typed options of a process, read from flags and environment variables."""
+
+from __future__ import annotations
+
+import argparse
+import dataclasses
+import ipaddress
+from collections.abc import Mapping, Sequence
+from pathlib import Path
+from typing import Any, Protocol, TypeVar
+
+from burdocklead.exceptions import SettingsError
+from burdocklead.values import Address
+
+MAX_PORT = 65535
+ENV_PREFIX = 'BURDOCKLEAD_'
+METADATA_KEY = 'option'
+
+SettingsT = TypeVar('SettingsT')
+
+
+class OptionKind(Protocol):
+    """Parses the text of one option or raises ValueError."""
+
+    def parse(self, text: str) -> Any:
+        """Return the typed value of the text."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Text:
+    """A text without white space around it."""
+
+    allow_empty: bool = False
+
+    def parse(self, text: str) -> str:
+        """Return the stripped text."""
+        stripped = text.strip()
+        if not stripped and not self.allow_empty:
+            raise ValueError('must not be empty')
+        return stripped
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Choice:
+    """One of a few words."""
+
+    words: tuple[str, ...]
+
+    def parse(self, text: str) -> str:
+        """Return the word if it is one of the choices."""
+        if text not in self.words:
+            raise ValueError(f'must be one of {", ".join(self.words)}')
+        return text
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Number:
+    """A number within bounds, both included."""
+
+    low: float
+    high: float
+    whole: bool = False
+
+    def parse(self, text: str) -> float:
+        """Return the number, an int if whole numbers are asked for."""
+        try:
+            number = int(text) if self.whole else float(text)
+        except ValueError:
+            raise ValueError('must be a number') from None
+        if not self.low <= number <= self.high:
+            raise ValueError(f'must be from {self.low} to {self.high}')
+        return number
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SocketAddress:
+    """An IP number and a port, as ``127.0.0.1:8080``."""
+
+    def parse(self, text: str) -> Address:
+        """Return the address."""
+        host, separator, port = text.rpartition(':')
+        if not separator or not port.isdigit() or int(port) > MAX_PORT:
+            raise ValueError('must be IP:PORT')
+        try:
+            ipaddress.ip_address(host.strip('[]'))
+        except ValueError:
+            raise ValueError('must start with an IP number') from None
+        return Address(host.strip('[]'), int(port))
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NamedAddresses:
+    """Names and addresses, as ``a=127.0.0.1:1,b=127.0.0.1:2``."""
+
+    def parse(self, text: str) -> tuple[tuple[str, Address], ...]:
+        """Return pairs of name and address in the order given."""
+        pairs = []
+        for part in filter(None, text.split(',')):
+            name, separator, address = part.strip().partition('=')
+            if not separator or not name:
+                raise ValueError('must be NAME=IP:PORT,...')
+            pairs.append((name, SocketAddress().parse(address)))
+        if len({name for name, _ in pairs}) != len(pairs):
+            raise ValueError('names a replica twice')
+        return tuple(pairs)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FilePath:
+    """A path; optionally it must exist."""
+
+    must_exist: bool = False
+
+    def parse(self, text: str) -> Path | None:
+        """Return the path, None for an empty text."""
+        if not text:
+            return None
+        path = Path(text)
+        if self.must_exist and not path.exists():
+            raise ValueError(f'{path} does not exist')
+        return path
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Option:
+    """One declared option.
+
+    Attributes:
+        kind: Parses and checks the text.
+        default: Text used if neither flag nor variable is given; None
+            makes the option required.
+        help: What the option sets, with its unit.
+    """
+
+    kind: OptionKind
+    default: str | None
+    help: str
+
+
+def option(kind: OptionKind, default: str | None, help_text: str) -> Any:
+    """Declare one option as a data class field."""
+    declared = Option(kind, default, help_text)
+    return dataclasses.field(metadata={METADATA_KEY: declared})
+
+
+def flag_of(name: str) -> str:
+    """Return the flag of a field name."""
+    return f'--{name.replace("_", "-")}'
+
+
+def variable_of(name: str) -> str:
+    """Return the environment variable of a field name."""
+    return f'{ENV_PREFIX}{name.upper()}'
+
+
+def declared_options(settings_class: type[Any]) -> dict[str, Option]:
+    """Return the options of a settings class by field name."""
+    return {
+        field.name: field.metadata[METADATA_KEY]
+        for field in dataclasses.fields(settings_class)
+    }
+
+
+def add_options(
+    parser: argparse.ArgumentParser, settings_class: type[Any]
+) -> None:
+    """Add a flag to the parser for each option of the settings class."""
+    for name, declared in declared_options(settings_class).items():
+        default = 'required' if declared.default is None else declared.default
+        parser.add_argument(
+            flag_of(name),
+            dest=name,
+            metavar='VALUE',
+            help=f'{declared.help} [{variable_of(name)}; {default or "unset"}]',
+        )
+
+
+def read_settings(
+    settings_class: type[SettingsT],
+    flags: Mapping[str, str | None],
+    environment: Mapping[str, str],
+) -> SettingsT:
+    """Return checked settings.
+
+    Args:
+        settings_class: Data class whose fields were made by ``option``.
+        flags: Text of each flag by field name, None if not given.
+        environment: Environment variables.
+
+    Raises:
+        SettingsError: Names every flag with a bad or missing value.
+    """
+    parsed: dict[str, Any] = {}
+    problems = []
+    for name, declared in declared_options(settings_class).items():
+        text = flags.get(name)
+        if text is None:
+            text = environment.get(variable_of(name), declared.default)
+        try:
+            parsed[name] = _parse_option(declared, text)
+        except ValueError as error:
+            problems.append(f'{flag_of(name)} {error}')
+    if problems:
+        raise SettingsError('; '.join(problems), step='settings')
+    return settings_class(**parsed)
+
+
+def _parse_option(declared: Option, text: str | None) -> Any:
+    if text is None:
+        raise ValueError('is required')
+    return declared.kind.parse(text)
+
+
+def parse_command_line(
+    settings_class: type[SettingsT],
+    description: str,
+    arguments: Sequence[str],
+    environment: Mapping[str, str],
+) -> SettingsT:
+    """Return the settings of a program from its command line."""
+    parser = argparse.ArgumentParser(description=description)
+    add_options(parser, settings_class)
+    namespace = parser.parse_args(arguments)
+    return read_settings(settings_class, namespace.__dict__, environment)
--- /dev/null
+++ b/burdocklead/process/admin_http.py
@@ -0,0 +1,76 @@
+"""HTTP pages that every process serves to operators and upstreams."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+
+import msgspec
+from aiohttp import web
+
+from burdocklead.events import EventRing
+from burdocklead.exceptions import BurdockleadError
+from burdocklead.values import Address
+
+JSON = 'application/json'
+BAD_REQUEST = 400
+UNAVAILABLE = 503
+
+
+def json_response(content: object, status: int = 200) -> web.Response:
+    """Return a response whose body is the content as JSON."""
+    return web.Response(
+        body=msgspec.json.encode(content), status=status, content_type=JSON
+    )
+
+
+def error_response(error: BurdockleadError, status: int) -> web.Response:
+    """Return an error with its step and its peer."""
+    content = {'error': error.reason, 'step': error.step, 'peer': error.peer}
+    return json_response(content, status)
+
+
+def add_common_pages(
+    application: web.Application,
+    events: EventRing,
+    is_ready: Callable[[], bool],
+) -> None:
+    """Add the pages for health, readiness and events."""
+
+    async def show_health(request: web.Request) -> web.Response:  # noqa: WPS430
+        return json_response({'process': events.process})
+
+    async def show_ready(request: web.Request) -> web.Response:  # noqa: WPS430
+        ready = is_ready()
+        return json_response({'ready': ready}, 200 if ready else UNAVAILABLE)
+
+    async def show_events(request: web.Request) -> web.Response:  # noqa: WPS430
+        return json_response(list(events.ring))
+
+    application.add_routes(
+        [
+            web.get('/healthz', show_health),
+            web.get('/readyz', show_ready),
+            web.get('/v1/events', show_events),
+        ]
+    )
+
+
+async def start_site(
+    application: web.Application, address: Address, shutdown_s: float = 1
+) -> tuple[web.AppRunner, Address]:
+    """Serve an application and return its runner and its address."""
+    runner = web.AppRunner(
+        application,
+        access_log=None,
+        handler_cancellation=True,
+        shutdown_timeout=shutdown_s,
+    )
+    await runner.setup()
+    site = web.TCPSite(runner, address.host, address.port)
+    await site.start()
+    port = _port_of(runner.addresses)
+    return runner, Address(address.host, port)
+
+
+def _port_of(addresses: Iterable[tuple[str, int]]) -> int:
+    return next(iter(addresses))[1]
--- /dev/null
+++ b/burdocklead/process/control_agent.py
@@ -0,0 +1,92 @@
+"""Heartbeats of a daemon and what comes back with them."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+
+import logbook
+
+from burdocklead.clock import HybridClock
+from burdocklead.connection.control_client import ControlGroup
+from burdocklead.connection.control_messages import (
+    Cursor,
+    Heartbeat,
+    HeartbeatReply,
+)
+from burdocklead.exceptions import ControlError
+from burdocklead.process.directory import DaemonDirectory
+from burdocklead.process.own_member import OwnMember
+
+QUORUM_AGE_LIMIT_MS = 2000
+REPLY_TIMEOUT_S = 1.0
+log = logbook.Logger('control-agent')
+
+
+class ControlAgent:
+    """Keeps a daemon known to control and up to date.
+
+    Attributes:
+        connected: True if the last heartbeat was answered.
+    """
+
+    def __init__(
+        self,
+        control: ControlGroup,
+        own: OwnMember,
+        directory: DaemonDirectory,
+        clock: HybridClock,
+        interval: float,
+    ) -> None:
+        """Prepare heartbeats at an interval in s."""
+        self.control = control
+        self.own = own
+        self.directory = directory
+        self.clock = clock
+        self.interval = interval
+        self.cursor = Cursor()
+        self.connected = False
+
+    async def run_forever(self) -> None:
+        """Send heartbeats until cancelled; at once after a change."""
+        while True:
+            await self.beat()
+            self.own.changed.clear()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(self.interval):
+                    await self.own.changed.wait()
+
+    async def beat(self) -> None:
+        """Send one heartbeat and take over what comes back."""
+        member = self.own.describe(self.directory.version)
+        message = Heartbeat(
+            member, self.cursor, self.directory.version, self.clock.issue()
+        )
+        client = self.control.client
+        try:
+            reply = await client.request(message, REPLY_TIMEOUT_S)
+        except ControlError as error:
+            self._leave_replica(client.name, error.reason)
+            return
+        if not isinstance(reply, HeartbeatReply):
+            self._leave_replica(client.name, 'unexpected reply')
+            return
+        self._take(reply)
+        if reply.quorum_age_ms > QUORUM_AGE_LIMIT_MS:
+            self._leave_replica(client.name, 'cut off from its quorum')
+
+    def _take(self, reply: HeartbeatReply) -> None:
+        self.clock.observe(reply.time)
+        self.directory.take_updates(reply.updates, whole=reply.whole)
+        self.cursor = reply.cursor
+        if reply.file is not None:
+            self.directory.take_file(reply.file)
+        if not self.connected:
+            self.connected = True
+            log.info('control reached', replica=reply.cursor.replica_id)
+
+    def _leave_replica(self, name: str, reason: str) -> None:
+        self.control.leave_replica()
+        if self.connected:
+            self.connected = False
+            log.warning('control replica left', replica=name, reason=reason)
--- /dev/null
+++ b/burdocklead/process/control_http.py
@@ -0,0 +1,72 @@
+"""The operators' interface of a control replica."""
+
+from __future__ import annotations
+
+from aiohttp import web
+
+from burdocklead.exceptions import ConfigurationError, QuorumError
+from burdocklead.process.admin_http import (
+    BAD_REQUEST,
+    UNAVAILABLE,
+    add_common_pages,
+    error_response,
+    json_response,
+)
+from burdocklead.process.control_replica import ControlReplica
+
+CONFLICT = 409
+QUORUM_AGE_LIMIT_S = 2
+
+
+class ControlPages:
+    """Pages of one replica for operators."""
+
+    def __init__(self, replica: ControlReplica) -> None:
+        """Prepare the pages of a replica."""
+        self.replica = replica
+
+    def application(self) -> web.Application:
+        """Return the application with all pages."""
+        application = web.Application()
+        add_common_pages(application, self.replica.events, self.is_ready)
+        application.add_routes(
+            [
+                web.put('/v1/configuration', self.apply),
+                web.get('/v1/configuration', self.show),
+                web.get('/v1/status', self.status),
+            ]
+        )
+        return application
+
+    def is_ready(self) -> bool:
+        """Return True while a quorum is heard of."""
+        return self.replica.quorum_age() < QUORUM_AGE_LIMIT_S
+
+    async def apply(self, request: web.Request) -> web.Response:
+        """Decide on a configuration file."""
+        text = await request.read()
+        try:
+            result = await self.replica.apply(text)
+        except ConfigurationError as error:
+            content = {'problems': error.problems, 'step': error.step}
+            return json_response(content, BAD_REQUEST)
+        except QuorumError as error:
+            return error_response(error, UNAVAILABLE)
+        return json_response(result, 200 if result.accepted else CONFLICT)
+
+    async def show(self, request: web.Request) -> web.Response:
+        """Return the accepted configuration file."""
+        file = self.replica.file
+        return web.Response(
+            body=file.text, headers={'Burdocklead-Version': str(file.version)}
+        )
+
+    async def status(self, request: web.Request) -> web.Response:
+        """Return what the replica knows."""
+        content = {
+            'replica': self.replica.settings.replica_id,
+            'version': self.replica.file.version,
+            'quorum': self.is_ready(),
+            'members': self.replica.members.present(),
+        }
+        return json_response(content)
--- /dev/null
+++ b/burdocklead/process/control_process.py
@@ -0,0 +1,43 @@
+"""The control process: starts the parts of a replica and stops them."""
+
+from __future__ import annotations
+
+import asyncio
+
+from burdocklead.connection.control_server import ControlServer
+from burdocklead.process.admin_http import start_site
+from burdocklead.process.control_http import ControlPages
+from burdocklead.process.control_replica import ControlReplica
+from burdocklead.process.lifecycle import Lifecycle, write_ready_file
+from burdocklead.settings import ControlSettings
+
+
+async def run_control(settings: ControlSettings) -> None:
+    """Serve until a signal asks to stop."""
+    replica = ControlReplica(settings)
+    lifecycle = Lifecycle(replica.events)
+    lifecycle.watch_signals()
+    server = ControlServer(replica.handle)
+    control = server.start(settings.listen)
+    pages = ControlPages(replica).application()
+    runner, admin = await start_site(pages, settings.admin_listen)
+    tasks = _start_tasks(replica)
+    lifecycle.start_serving()
+    addresses = {'control': str(control), 'admin': str(admin)}
+    write_ready_file(settings.ready_file, addresses)
+    await lifecycle.stop_requested.wait()
+    lifecycle.start_draining()
+    for task in tasks:
+        task.cancel()
+    await runner.cleanup()
+    server.close()
+    replica.store.close()
+    lifecycle.finish()
+
+
+def _start_tasks(replica: ControlReplica) -> list[asyncio.Task[None]]:
+    tasks = [asyncio.create_task(replica.expire_forever())]
+    tasks.append(asyncio.create_task(replica.recover_file()))
+    for peer in replica.peers:
+        tasks.append(asyncio.create_task(replica.exchange_forever(peer)))
+    return tasks
--- /dev/null
+++ b/burdocklead/process/directory.py
@@ -0,0 +1,127 @@
+"""What a daemon knows of the deployment: members, links, configuration."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+import logbook
+
+from burdocklead.connection.control_messages import MemberUpdate
+from burdocklead.connection.frames import Hello
+from burdocklead.connection.peer_link import LoadHandler, PeerLink
+from burdocklead.durable.configuration import AcceptedFile
+from burdocklead.events import EventKind, EventRing
+from burdocklead.request.dispatch import Link
+from burdocklead.request.execution import AttemptExecutor, LocalLink
+from burdocklead.values import Member
+from burdocklead.version.configuration_file import decode_deployment
+from burdocklead.version.deployment import Deployment
+from burdocklead.version.route_table import RouteTable
+
+log = logbook.Logger('directory')
+
+
+class DaemonDirectory:
+    """Members by name, links to them and the version in force.
+
+    Attributes:
+        members: Present daemons by name.
+        table: Routes of the version in force, None before the first.
+    """
+
+    def __init__(
+        self,
+        own: Hello,
+        executor: AttemptExecutor,
+        events: EventRing,
+        on_load: LoadHandler,
+    ) -> None:
+        """Start without members and without a configuration."""
+        self.own = own
+        self.local_link = LocalLink(executor)
+        self.events = events
+        self.on_load = on_load
+        self.members: dict[str, Member] = {}
+        self.links: dict[str, PeerLink] = {}
+        self.table: RouteTable | None = None
+
+    @property
+    def version(self) -> int:
+        """Return the version in force, 0 before the first."""
+        return self.table.deployment.version if self.table else 0
+
+    def deployment(self) -> Deployment | None:
+        """Return the configuration in force, None before the first."""
+        return self.table.deployment if self.table else None
+
+    def candidates(self, service: str) -> list[Member]:
+        """Return the upstreams of a service that may get new work."""
+        return [
+            member
+            for member in self.members.values()
+            if member.service == service and not member.draining
+        ]
+
+    def find_member(self, daemon_id: str) -> Member | None:
+        """Return a present daemon by name."""
+        return self.members.get(daemon_id)
+
+    def link_to(self, member: Member) -> Link:
+        """Return the link to a daemon."""
+        if member.daemon_id == self.own.daemon_id:
+            return self.local_link
+        link = self.links.get(member.daemon_id)
+        if link is None or link.address != member.link:
+            if link is not None:
+                link.close('address changed')
+            link = PeerLink(
+                self.own, member.daemon_id, member.link, self.on_load
+            )
+            self.links[member.daemon_id] = link
+        return link
+
+    def take_updates(
+        self, updates: Iterable[MemberUpdate], *, whole: bool
+    ) -> None:
+        """Take over changes of the membership."""
+        updates = tuple(updates)
+        if whole:
+            named = {update.member.daemon_id for update in updates}
+            for daemon_id in self.members.keys() - named:
+                self._remove(daemon_id)
+        for update in updates:
+            if update.gone:
+                self._remove(update.member.daemon_id)
+            else:
+                self._add(update.member)
+
+    def take_file(self, file: AcceptedFile) -> None:
+        """Put a newer configuration file in force; never an older one."""
+        if file.version <= self.version:
+            return
+        self.table = RouteTable(decode_deployment(file.text))
+        self.events.record(
+            EventKind.version_in_force, detail=f'version {file.version}'
+        )
+        log.info('configuration in force', version=file.version)
+
+    def close(self) -> None:
+        """Close all links."""
+        for link in self.links.values():
+            link.close('daemon stops')
+
+    def _add(self, member: Member) -> None:
+        known = self.members.get(member.daemon_id)
+        self.members[member.daemon_id] = member
+        if known is None:
+            self.events.record(EventKind.member_joined, peer=member.daemon_id)
+        elif member.draining and not known.draining:
+            self.events.record(EventKind.member_draining, peer=member.daemon_id)
+
+    def _remove(self, daemon_id: str) -> None:
+        if self.members.pop(daemon_id, None) is None:
+            return
+        link = self.links.pop(daemon_id, None)
+        if link is not None:
+            link.close('member left')
+        self.events.record(EventKind.member_left, peer=daemon_id)
--- /dev/null
+++ b/burdocklead/process/lifecycle.py
@@ -0,0 +1,82 @@
+"""The life cycle of a process and its signals."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import logbook
+import msgspec
+from transitions import Machine
+
+from burdocklead.events import EventKind, EventRing
+
+EXIT_AT_ONCE = 1
+STATES = ('starting', 'serving', 'draining', 'stopped')
+TRANSITIONS = (
+    {'trigger': 'start_serving', 'source': 'starting', 'dest': 'serving'},
+    {
+        'trigger': 'start_draining',
+        'source': ['starting', 'serving'],
+        'dest': 'draining',
+    },
+    {'trigger': 'finish', 'source': '*', 'dest': 'stopped'},
+)
+log = logbook.Logger('lifecycle')
+
+
+class Lifecycle:
+    """States of one process; the first signal drains, the second stops.
+
+    Attributes:
+        state: One of ``STATES``.
+        stop_requested: Set by the first signal.
+    """
+
+    state: str
+    start_serving: Callable[[], bool]
+    start_draining: Callable[[], bool]
+    finish: Callable[[], bool]
+
+    def __init__(self, events: EventRing) -> None:
+        """Start in the state ``starting``."""
+        self.events = events
+        self.stop_requested = asyncio.Event()
+        self.machine = Machine(
+            model=self,
+            states=list(STATES),
+            transitions=list(TRANSITIONS),
+            initial='starting',
+            auto_transitions=False,
+            after_state_change='record_state',
+        )
+
+    def record_state(self, *arguments: Any) -> None:
+        """Record the state just entered."""
+        self.events.record(EventKind.state_change, detail=self.state)
+        log.info('state changed', state=self.state)
+
+    def watch_signals(self) -> None:
+        """Handle SIGTERM and SIGINT from now on."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self.handle_signal)
+
+    def handle_signal(self) -> None:
+        """Ask for a graceful stop; stop at once if asked before."""
+        if self.stop_requested.is_set():
+            os._exit(EXIT_AT_ONCE)  # noqa: WPS437
+        self.stop_requested.set()
+
+
+def write_ready_file(path: Path | None, content: object) -> None:
+    """Write the addresses of a process for those that started it."""
+    if path is None:
+        return
+    temporary = path.with_suffix('.tmp')
+    temporary.write_bytes(msgspec.json.encode(content))
+    temporary.replace(path)
--- /dev/null
+++ b/burdocklead/process/membership.py
@@ -0,0 +1,121 @@
+"""The membership view of one control replica, without I/O."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from burdocklead.connection.control_messages import Cursor, MemberUpdate
+from burdocklead.values import Member
+
+MS_PER_S = 1000
+TOMBSTONE_LEASES = 20
+
+
+@dataclass(slots=True)
+class MemberRecord:
+    """What is known of one daemon.
+
+    Attributes:
+        member: The daemon as it last described itself.
+        heard_at: Monotonic time of its last heartbeat in s.
+        gone: True if it left or its lease ran out.
+        change: Number of the last change of this record.
+    """
+
+    member: Member
+    heard_at: float
+    gone: bool
+    change: int
+
+
+@dataclass(slots=True)
+class MembershipView:
+    """Daemons known to one replica, in order of change.
+
+    Attributes:
+        replica_id: Replica that holds the view.
+        incarnation: Start time in ns of the replica process.
+        lease: Time after which a silent daemon is gone in s.
+        records: Records by daemon.
+        last_change: Number of the last change.
+    """
+
+    replica_id: str
+    incarnation: int
+    lease: float
+    records: dict[str, MemberRecord] = field(default_factory=dict)
+    last_change: int = 0
+
+    @property
+    def cursor(self) -> Cursor:
+        """Return the cursor after the last change."""
+        return Cursor(self.replica_id, self.incarnation, self.last_change)
+
+    def observe(self, member: Member, heard_at: float) -> bool:
+        """Take note of a daemon; return True if its record changed."""
+        record = self.records.get(member.daemon_id)
+        if record is None:
+            self._store(MemberRecord(member, heard_at, gone=False, change=0))
+            return True
+        if _order_of(member) < _order_of(record.member):
+            return False
+        changed = record.gone or member != record.member
+        record.heard_at = max(record.heard_at, heard_at)
+        record.member = member
+        record.gone = False
+        if changed:
+            self._store(record)
+        return changed
+
+    def merge(self, updates: Iterable[MemberUpdate], now: float) -> None:
+        """Take over what another replica knows."""
+        for update in updates:
+            heard_at = now - update.age_ms / MS_PER_S
+            if heard_at + self.lease > now and not update.gone:
+                self.observe(update.member, heard_at)
+
+    def expire(self, now: float) -> list[Member]:
+        """Mark daemons whose lease ran out and return them."""
+        expired = []
+        for record in list(self.records.values()):
+            if not record.gone and record.heard_at + self.lease <= now:
+                record.gone = True
+                self._store(record)
+                expired.append(record.member)
+            if record.heard_at + self.lease * TOMBSTONE_LEASES <= now:
+                self.records.pop(record.member.daemon_id)
+        return expired
+
+    def updates_since(
+        self, cursor: Cursor, now: float
+    ) -> tuple[bool, tuple[MemberUpdate, ...]]:
+        """Return whether the updates are the whole view, and the updates."""
+        same_order = (
+            cursor.replica_id == self.replica_id
+            and cursor.incarnation == self.incarnation
+        )
+        since = cursor.change if same_order else 0
+        updates = tuple(
+            MemberUpdate(
+                record.member, record.gone, (now - record.heard_at) * MS_PER_S
+            )
+            for record in self.records.values()
+            if record.change > since
+        )
+        return since == 0, updates
+
+    def present(self) -> list[Member]:
+        """Return the daemons whose lease runs."""
+        return [
+            record.member for record in self.records.values() if not record.gone
+        ]
+
+    def _store(self, record: MemberRecord) -> None:
+        self.last_change += 1
+        record.change = self.last_change
+        self.records[record.member.daemon_id] = record
+
+
+def _order_of(member: Member) -> tuple[int, int]:
+    return member.incarnation, member.revision
--- /dev/null
+++ b/burdocklead/process/own_member.py
@@ -0,0 +1,117 @@
+"""How a daemon describes itself and the upstream beside it."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+
+import msgspec
+
+from burdocklead.events import EventKind, EventRing
+from burdocklead.request.admission import AdmissionQueue
+from burdocklead.request.execution import AttemptExecutor
+from burdocklead.values import Address, Member
+
+DEFAULT_LEASE_S = 3.0
+
+
+class Announcement(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
+    """What an upstream tells the daemon beside it.
+
+    Attributes:
+        service: Service that the upstream provides.
+        address: Address of the upstream on this VM, as IP:PORT.
+        slots: Calls that it may run at the same time.
+        lease_seconds: Time after which a silent upstream is gone in s.
+        draining: True if it wants no new work.
+    """
+
+    service: str
+    address: str
+    slots: int
+    lease_seconds: float = DEFAULT_LEASE_S
+    draining: bool = False
+
+
+@dataclass(slots=True)
+class OwnMember:
+    """The present description of this daemon.
+
+    Attributes:
+        member: Last description sent.
+        executor: Runs attempts at the upstream.
+        events: Ring for announcements.
+        changed: Set when control should be told at once.
+        lease_ends: Loop time at which the upstream's lease ends in s.
+        draining: True if this daemon drains.
+    """
+
+    member: Member
+    executor: AttemptExecutor
+    events: EventRing
+    changed: asyncio.Event = field(default_factory=asyncio.Event)
+    lease_ends: float = 0
+    draining: bool = False
+
+    def announce(
+        self, announcement: Announcement, address: Address, now: float
+    ) -> None:
+        """Take over an announcement of the upstream."""
+        executor = self.executor
+        if executor.upstream != address:
+            executor.queue = AdmissionQueue(announcement.slots)
+            self.events.record(
+                EventKind.upstream_announced,
+                service=announcement.service,
+                peer=str(address),
+            )
+        executor.upstream = address
+        executor.service = announcement.service
+        executor.queue.slots = announcement.slots
+        executor.draining = announcement.draining or self.draining
+        self.lease_ends = now + announcement.lease_seconds
+        self._refresh(self.member.version_in_force)
+
+    def withdraw(self) -> None:
+        """Forget the upstream."""
+        if not self.executor.service:
+            return
+        self.events.record(
+            EventKind.upstream_left, service=self.executor.service
+        )
+        self.executor.upstream = None
+        self.executor.service = ''
+        self._refresh(self.member.version_in_force)
+
+    def expire(self, now: float) -> None:
+        """Forget the upstream if its lease ended."""
+        if self.executor.service and self.lease_ends <= now:
+            self.withdraw()
+
+    def start_draining(self) -> None:
+        """Take no new work from now on."""
+        self.draining = True
+        self.executor.draining = True
+        self._refresh(self.member.version_in_force)
+
+    def describe(self, version: int) -> Member:
+        """Return the present description for control."""
+        self._refresh(version)
+        return self.member
+
+    def _refresh(self, version: int) -> None:
+        following = msgspec.structs.replace(
+            self.member,
+            service=self.executor.service,
+            slots=self.executor.queue.slots,
+            draining=self.executor.draining,
+            version_in_force=version,
+        )
+        if following == self.member:
+            return
+        self.member = msgspec.structs.replace(
+            following, revision=self.member.revision + 1
+        )
+        self.changed.set()
--- /dev/null
+++ b/burdocklead/programs/__init__.py
@@ -0,0 +1,1 @@
+"""Command lines of the three programs; no logic of their own."""
--- /dev/null
+++ b/burdocklead/request/__init__.py
@@ -0,0 +1,1 @@
+"""What lives as long as a request: routing, admission, attempts."""
--- /dev/null
+++ b/burdocklead/request/call.py
@@ -0,0 +1,82 @@
+"""Typed values of one call at its entry daemon."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from burdocklead.connection.frames import Answer, Headers
+from burdocklead.durable.claims import StoredAnswer
+from burdocklead.values import Outcome, RefusalCause
+from burdocklead.version.route_table import RouteMatch
+
+STATUS_BY_CAUSE = {
+    RefusalCause.unknown_service: 404,
+    RefusalCause.unknown_route: 404,
+    RefusalCause.bad_request: 400,
+    RefusalCause.body_too_large: 413,
+    RefusalCause.key_required: 400,
+    RefusalCause.key_reused: 422,
+    RefusalCause.key_in_progress: 409,
+}
+UNAVAILABLE = 503
+GATEWAY_TIMEOUT = 504
+
+
+@dataclass(frozen=True, slots=True)
+class Call:
+    """One call of a client.
+
+    Attributes:
+        call_id: Unique over all daemons and incarnations.
+        match: Rules of the call.
+        method: HTTP method.
+        headers: Headers that travel to the upstream.
+        body: Whole body.
+        key: Idempotency key, empty if none.
+        deadline: Monotonic time of the deadline in s.
+    """
+
+    call_id: str
+    match: RouteMatch
+    method: str
+    headers: Headers
+    body: bytes
+    key: str
+    deadline: float
+
+
+@dataclass(frozen=True, slots=True)
+class CallResult:
+    """What the caller is told.
+
+    Attributes:
+        outcome: Answered, not run or unknown.
+        status: HTTP status.
+        headers: Headers of the upstream's answer.
+        body: Whole body.
+        cause: Why the call was refused or its outcome is unknown.
+    """
+
+    outcome: Outcome
+    status: int
+    headers: Headers = ()
+    body: bytes = b''
+    cause: str = ''
+
+
+def answered(answer: Answer | StoredAnswer) -> CallResult:
+    """Return the result of an answered call."""
+    return CallResult(
+        Outcome.answered, answer.status, answer.headers, answer.body
+    )
+
+
+def not_run(cause: RefusalCause) -> CallResult:
+    """Return the result of a call that did not run."""
+    status = STATUS_BY_CAUSE.get(cause, UNAVAILABLE)
+    return CallResult(Outcome.not_run, status, cause=cause.value)
+
+
+def unknown(cause: str) -> CallResult:
+    """Return the result of a call that may have run."""
+    return CallResult(Outcome.unknown, GATEWAY_TIMEOUT, cause=cause)
--- /dev/null
+++ b/burdocklead/request/dispatch.py
@@ -0,0 +1,212 @@
+"""Carrying a call to an upstream: choice, attempts, outcome."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import random
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from typing import Protocol
+
+from burdocklead.connection.frames import (
+    Answer,
+    Attempt,
+    AttemptResult,
+    AttemptState,
+    Lost,
+    Query,
+    Refusal,
+    Verdict,
+)
+from burdocklead.exceptions import LinkError
+from burdocklead.request.call import (
+    Call,
+    CallResult,
+    answered,
+    not_run,
+    unknown,
+)
+from burdocklead.request.retries import RetryBudget, backoff_s, may_repeat
+from burdocklead.request.routing import Router
+from burdocklead.values import LoadReport, Member, RefusalCause
+
+MS_PER_S = 1000
+RUNNING_POLL_S = 0.05
+NO_LOAD = LoadReport(0, 0, 0)
+
+
+class Link(Protocol):
+    """The way to one daemon beside an upstream."""
+
+    async def run_attempt(self, attempt: Attempt) -> AttemptResult:
+        """Return the result of an attempt or raise LinkError."""
+
+    async def query(self, query: Query) -> Verdict:
+        """Return what is known of an attempt or raise LinkError."""
+
+    def cancel(self, attempt_id: str) -> None:
+        """Cancel an attempt."""
+
+
+class Directory(Protocol):
+    """The upstreams that may get work and the links to them."""
+
+    def candidates(self, service: str) -> Sequence[Member]:
+        """Return the upstreams of a service that may get new work."""
+
+    def link_to(self, member: Member) -> Link:
+        """Return the link to a daemon."""
+
+
+@dataclass(slots=True)
+class Dispatcher:
+    """Carries calls of this entry daemon to upstreams.
+
+    Attributes:
+        prefix: Start of all attempt ids of this process.
+        directory: Upstreams and links.
+        router: Chooses the upstream.
+        rng: Source of jitter.
+        budgets: Retry budgets by service.
+    """
+
+    prefix: str
+    directory: Directory
+    router: Router
+    rng: random.Random
+    budgets: dict[str, RetryBudget] = field(default_factory=dict)
+    numbers: itertools.count[int] = field(default_factory=itertools.count)
+
+    def new_id(self) -> str:
+        """Return an id that no other process or call uses."""
+        return f'{self.prefix}.{next(self.numbers):x}'
+
+    def choose(self, call: Call, tried: set[str]) -> Member | None:
+        """Return the upstream for the next attempt, None if there is none."""
+        candidates = self.directory.candidates(call.match.service_name)
+        untried = [one for one in candidates if one.daemon_id not in tried]
+        now = asyncio.get_running_loop().time()
+        if not (untried or candidates):
+            return None
+        return self.router.choose(untried or candidates, now)
+
+    async def run(self, call: Call) -> CallResult:
+        """Return the result of a call without a key."""
+        self.budget_of(call).earn()
+        tried: set[str] = set()
+        for number in itertools.count(1):
+            member = self.choose(call, tried)
+            if member is None:
+                return not_run(RefusalCause.no_upstream)
+            attempt = self.attempt_of(call, member, self.new_id(), number)
+            result = await self.run_attempt(call, member, attempt)
+            if not await self.repeat_allowed(call, result, number):
+                return result_of(result)
+            tried.add(member.daemon_id)
+        raise AssertionError('unreachable')
+
+    async def repeat_allowed(
+        self, call: Call, result: AttemptResult, number: int
+    ) -> bool:
+        """Return True after the backoff if the call may be attempted again."""
+        service = call.match.service
+        if not may_repeat(call, result) or number >= service.max_attempts:
+            return False
+        loop = asyncio.get_running_loop()
+        pause = backoff_s(number, self.rng)
+        if loop.time() + pause >= call.deadline:
+            return False
+        if not self.budget_of(call).spend():
+            return False
+        await asyncio.sleep(pause)
+        return True
+
+    def budget_of(self, call: Call) -> RetryBudget:
+        """Return the retry budget of the call's service."""
+        name = call.match.service_name
+        ratio = call.match.service.retry_ratio
+        budget = self.budgets.get(name)
+        if budget is None or budget.ratio != ratio:
+            budget = RetryBudget(ratio)
+            self.budgets[name] = budget
+        return budget
+
+    def attempt_of(
+        self, call: Call, member: Member, attempt_id: str, number: int
+    ) -> Attempt:
+        """Return the frame of an attempt at an upstream."""
+        now = asyncio.get_running_loop().time()
+        rules = call.match
+        return Attempt(
+            attempt_id=attempt_id,
+            call_id=call.call_id,
+            incarnation=member.incarnation,
+            service=rules.service_name,
+            route=rules.route.name,
+            method=call.method,
+            path=rules.path,
+            headers=call.headers,
+            body=call.body,
+            remaining_ms=max((call.deadline - now) * MS_PER_S, 0),
+            idempotent=rules.route.idempotent,
+            priority=rules.route.priority,
+            cost_ms=rules.route.cost_ms,
+            number=number,
+            queue_limit=rules.service.queue_limit,
+        )
+
+    async def run_attempt(
+        self, call: Call, member: Member, attempt: Attempt
+    ) -> AttemptResult:
+        """Return the result of one attempt, resolved as far as possible."""
+        link = self.directory.link_to(member)
+        self.router.start_attempt(member.daemon_id)
+        try:
+            async with asyncio.timeout_at(call.deadline):
+                return await self._run_on_link(link, attempt)
+        except TimeoutError:
+            link.cancel(attempt.attempt_id)
+            return Lost(attempt.attempt_id, 'deadline passed', False, NO_LOAD)
+        finally:
+            self.router.finish_attempt(member.daemon_id)
+
+    async def _run_on_link(self, link: Link, attempt: Attempt) -> AttemptResult:
+        try:
+            return await link.run_attempt(attempt)
+        except LinkError as error:
+            if error.step == 'connect':
+                cause = RefusalCause.link_failed
+                return Refusal(attempt.attempt_id, cause, NO_LOAD)
+        return await self.resolve(link, attempt.attempt_id, attempt.incarnation)
+
+    async def resolve(
+        self, link: Link, attempt_id: str, incarnation: int
+    ) -> AttemptResult:
+        """Return what became of an attempt whose link failed."""
+        query = Query(attempt_id, incarnation)
+        while True:
+            try:
+                verdict = await link.query(query)
+            except LinkError as error:
+                return Lost(attempt_id, error.reason, False, NO_LOAD)
+            if verdict.incarnation != incarnation:
+                return Lost(attempt_id, 'daemon restarted', False, NO_LOAD)
+            match verdict.state:
+                case AttemptState.never_seen:
+                    cause = RefusalCause.fenced
+                    return Refusal(attempt_id, cause, NO_LOAD)
+                case AttemptState.done if verdict.result is not None:
+                    return verdict.result
+            await asyncio.sleep(RUNNING_POLL_S)
+
+
+def result_of(result: AttemptResult) -> CallResult:
+    """Return what the caller is told of the last attempt."""
+    match result:
+        case Answer():
+            return answered(result)
+        case Refusal():
+            return not_run(result.cause)
+        case Lost():
+            return unknown(result.reason)
--- /dev/null
+++ b/burdocklead/settings.py
@@ -0,0 +1,103 @@
+"""Settings of each program: one typed option a line."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from pathlib import Path
+
+from burdocklead.options import (
+    Choice,
+    FilePath,
+    NamedAddresses,
+    Number,
+    SocketAddress,
+    Text,
+    option,
+)
+from burdocklead.values import Address
+
+MEBIBYTE = 1048576
+LOG_FORMS = ('text', 'json')
+LOG_LEVELS = ('debug', 'info', 'warning', 'error')
+ANY_PORT = '127.0.0.1:0'
+
+
+@dataclass(frozen=True, slots=True)
+class DaemonSettings:
+    """Settings of one ``burdocklead-daemon`` process."""
+
+    daemon_id: str = option(Text(), None, 'name of this daemon')
+    zone: str = option(Text(), None, 'availability zone of this VM')
+    listen: Address = option(
+        SocketAddress(), '127.0.0.1:8080', 'address for callers'
+    )
+    link_listen: Address = option(
+        SocketAddress(), '127.0.0.1:8081', 'address for other daemons'
+    )
+    admin_listen: Address = option(
+        SocketAddress(), '127.0.0.1:8082', 'address for upstream and metrics'
+    )
+    control: tuple[tuple[str, Address], ...] = option(
+        NamedAddresses(), None, 'control replicas as NAME=IP:PORT,...'
+    )
+    heartbeat_interval: float = option(
+        Number(0.05, 10), '0.5', 'time between heartbeats in s'
+    )
+    max_body_bytes: int = option(
+        Number(1, 64 * MEBIBYTE, whole=True), '1048576', 'largest body in bytes'
+    )
+    cluster_key_file: Path | None = option(
+        FilePath(must_exist=True), '', 'file with the shared cluster key'
+    )
+    ready_file: Path | None = option(
+        FilePath(), '', 'file to write the addresses to once serving'
+    )
+    log_form: str = option(Choice(LOG_FORMS), 'text', 'form of log lines')
+    log_level: str = option(Choice(LOG_LEVELS), 'info', 'lowest log level')
+
+
+@dataclass(frozen=True, slots=True)
+class ControlSettings:
+    """Settings of one ``burdocklead-control`` process."""
+
+    replica_id: str = option(Text(), None, 'name of this replica')
+    zone: str = option(Text(), None, 'availability zone of this VM')
+    listen: Address = option(
+        SocketAddress(), '127.0.0.1:8090', 'address for daemons and replicas'
+    )
+    admin_listen: Address = option(
+        SocketAddress(), '127.0.0.1:8091', 'address for operators and metrics'
+    )
+    data_folder: Path = option(FilePath(), None, 'folder for durable state')
+    replicas: tuple[tuple[str, Address], ...] = option(
+        NamedAddresses(), None, 'first replica set as NAME=IP:PORT,...'
+    )
+    member_lease: float = option(
+        Number(0.2, 60), '3', 'time after which a silent daemon is gone in s'
+    )
+    exchange_interval: float = option(
+        Number(0.05, 10), '0.25', 'time between exchanges of replicas in s'
+    )
+    cluster_key_file: Path | None = option(
+        FilePath(must_exist=True), '', 'file with the shared cluster key'
+    )
+    ready_file: Path | None = option(
+        FilePath(), '', 'file to write the addresses to once serving'
+    )
+    log_form: str = option(Choice(LOG_FORMS), 'text', 'form of log lines')
+    log_level: str = option(Choice(LOG_LEVELS), 'info', 'lowest log level')
+
+
+@dataclass(frozen=True, slots=True)
+class OperatorSettings:
+    """Settings shared by all ``burdocklead`` subcommands."""
+
+    control_admin: tuple[tuple[str, Address], ...] = option(
+        NamedAddresses(),
+        'local=127.0.0.1:8091',
+        'control replicas as NAME=IP:PORT,... (their admin addresses)',
+    )
+    timeout: float = option(Number(0.1, 600), '10', 'time limit in s')
+    token_file: Path | None = option(
+        FilePath(must_exist=True), '', 'file with the operator token'
+    )
--- /dev/null
+++ b/burdocklead/values.py
@@ -0,0 +1,101 @@
+"""Small value types shared by all layers."""
+
+from __future__ import annotations
+
+import enum
+
+import msgspec
+
+
+class Address(msgspec.Struct, frozen=True, array_like=True, order=True):
+    """An IP number and a port.
+
+    Attributes:
+        host: IP number.
+        port: TCP port, 0 to let the kernel choose.
+    """
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        """Return ``host:port``."""
+        return f'{self.host}:{self.port}'
+
+
+class Outcome(enum.StrEnum):
+    """What a caller is told about its call."""
+
+    answered = 'answered'
+    not_run = 'not-run'
+    unknown = 'unknown'
+
+
+class RefusalCause(enum.StrEnum):
+    """Why a call was refused; a refused call did not run."""
+
+    unknown_service = 'unknown-service'
+    unknown_route = 'unknown-route'
+    bad_request = 'bad-request'
+    body_too_large = 'body-too-large'
+    key_required = 'key-required'
+    key_reused = 'key-reused'
+    no_upstream = 'no-upstream'
+    queue_full = 'queue-full'
+    shed = 'shed'
+    deadline = 'deadline'
+    draining = 'draining'
+    fenced = 'fenced'
+    duplicate = 'duplicate'
+    wrong_incarnation = 'wrong-incarnation'
+    upstream_refused = 'upstream-refused'
+    upstream_unreachable = 'upstream-unreachable'
+    link_failed = 'link-failed'
+    no_quorum = 'no-quorum'
+    key_in_progress = 'key-in-progress'
+    crash_suspect = 'crash-suspect'
+    overloaded = 'overloaded'
+
+
+class LoadReport(msgspec.Struct, frozen=True, array_like=True):
+    """What the daemon beside an upstream knows of its load.
+
+    Attributes:
+        busy: Calls running at the upstream now.
+        queued: Calls admitted and waiting for a slot.
+        slots: Calls that may run at the same time.
+        expected_wait_ms: Expected queue time of a new short call.
+    """
+
+    busy: int
+    queued: int
+    slots: int
+    expected_wait_ms: float = 0
+
+
+class Member(msgspec.Struct, frozen=True, kw_only=True):
+    """One daemon as the others know it.
+
+    Attributes:
+        daemon_id: Name of the daemon.
+        incarnation: Start time in ns, orders restarts of one daemon.
+        revision: Counts the changes within one incarnation.
+        zone: Availability zone.
+        link: Address of the daemon's link listener.
+        http: Address of the daemon's HTTP listener.
+        service: Service of the upstream beside it; empty if none.
+        slots: Slots that the upstream announced.
+        draining: True if the upstream must get no new work.
+        version_in_force: Configuration version that the daemon serves.
+    """
+
+    daemon_id: str
+    incarnation: int
+    revision: int
+    zone: str
+    link: Address
+    http: Address
+    service: str = ''
+    slots: int = 0
+    draining: bool = False
+    version_in_force: int = 0
--- /dev/null
+++ b/burdocklead/version/__init__.py
@@ -0,0 +1,1 @@
+"""What lives as long as a configuration version: services and routes."""
--- /dev/null
+++ b/devtools/__init__.py
@@ -0,0 +1,1 @@
+"""Development tools: stand-in upstream, local deployment, demo, tests."""
--- /dev/null
+++ b/devtools/demo.py
@@ -0,0 +1,156 @@
+"""Starts a small deployment, sends calls of every kind and checks outcomes."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import sys
+import tempfile
+import time
+from collections import Counter
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import aiohttp
+from hdrh.histogram import HdrHistogram
+
+from burdocklead.request.headers import KEY_HEADER, OUTCOME_HEADER
+from burdocklead.values import Outcome
+from devtools.local_deployment import LocalDeployment
+from devtools.processes import source_root
+
+CALLS_PER_KIND = 200
+CONCURRENCY = 16
+COUNTS = {'job-sheets': 3, 'work-orders': 3, 'archive': 3}
+US_PER_S = 1_000_000
+US_PER_MS = 1000
+HIGHEST_US = 60_000_000
+ROW = '{:<14}{:>10}{:>10}{:>10}{:>10}{:>10}{:>10}'
+
+
+@dataclass(frozen=True, slots=True)
+class CallKind:
+    """One kind of call in the demo."""
+
+    name: str
+    method: str
+    target: str
+    keyed: bool = False
+
+
+@dataclass(slots=True)
+class Tally:
+    """What came back for one kind of call."""
+
+    outcomes: Counter[str] = field(default_factory=Counter)
+    untrue: int = 0
+    latency_us: HdrHistogram = field(
+        default_factory=lambda: HdrHistogram(1, HIGHEST_US, 3)
+    )
+
+
+KINDS = (
+    CallKind('view-sheet', 'GET', '/job-sheets/sheets/17'),
+    CallKind('issue-order', 'POST', '/work-orders/orders', keyed=True),
+    CallKind('look-up', 'GET', '/archive/records/9'),
+)
+
+
+async def send_calls(
+    deployment: LocalDeployment, kind: CallKind, tally: Tally
+) -> None:
+    """Send all calls of one kind through all daemons in turn."""
+    daemons = itertools.cycle(sorted(deployment.daemons))
+    gate = asyncio.Semaphore(CONCURRENCY)
+    async with aiohttp.ClientSession() as session:
+
+        async def send(number: int, daemon: str) -> None:  # noqa: WPS430
+            async with gate:
+                url = deployment.url(daemon, kind.target)
+                await send_call(session, url, kind, number, tally)
+
+        await asyncio.gather(
+            *(send(number, next(daemons)) for number in range(CALLS_PER_KIND))
+        )
+
+
+async def send_call(
+    session: aiohttp.ClientSession,
+    url: str,
+    kind: CallKind,
+    number: int,
+    tally: Tally,
+) -> None:
+    """Send one call and check that the answer is whole and its own."""
+    mark = f'{kind.name}-{number}'
+    headers = {'Mark': mark}
+    if kind.keyed:
+        headers[KEY_HEADER] = mark
+    started = time.perf_counter()
+    async with session.request(kind.method, url, headers=headers) as response:
+        body = await response.text()
+    elapsed = time.perf_counter() - started
+    outcome = response.headers.get(OUTCOME_HEADER, 'none')
+    tally.outcomes[outcome] += 1
+    tally.latency_us.record_value(int(elapsed * US_PER_S))
+    if outcome == Outcome.answered and not body.startswith(f'{mark}\n'):
+        tally.untrue += 1
+
+
+def print_table(tallies: dict[str, Tally], executions: dict[str, int]) -> None:
+    """Write one row for each kind of call."""
+    head = ('kind', 'calls', 'answered', 'not run', 'unknown', 'p50 ms', 'p99')
+    print(ROW.format(*head))
+    for name, tally in tallies.items():
+        row = (
+            tally.outcomes.total(),
+            tally.outcomes[Outcome.answered],
+            tally.outcomes[Outcome.not_run],
+            tally.outcomes[Outcome.unknown],
+            f'{tally.latency_us.get_value_at_percentile(50) / US_PER_MS:.2f}',
+            f'{tally.latency_us.get_value_at_percentile(99) / US_PER_MS:.2f}',
+        )
+        print(ROW.format(name, *row))
+    most = max(executions.values(), default=0)
+    print(f'keys: {len(executions)}, most executions of one key: {most}')
+
+
+def is_true(tallies: dict[str, Tally], executions: dict[str, int]) -> bool:
+    """Return True if every call had one whole true answer."""
+    all_answered = all(
+        tally.outcomes[Outcome.answered] == CALLS_PER_KIND and not tally.untrue
+        for tally in tallies.values()
+    )
+    return all_answered and set(executions.values()) == {1}
+
+
+def main() -> int:
+    """Run the demo and return its exit code."""
+    with tempfile.TemporaryDirectory() as folder:
+        deployment = LocalDeployment(Path(folder))
+        try:
+            return run_demo(deployment)
+        finally:
+            deployment.stop()
+
+
+def run_demo(deployment: LocalDeployment) -> int:
+    """Run the demo on a deployment that is not started yet."""
+    deployment.start_controls()
+    deployment.start_upstreams(COUNTS)
+    deployment.apply(source_root() / 'examples' / 'cedarline.toml')
+    deployment.wait_in_force(1)
+    tallies = {kind.name: Tally() for kind in KINDS}
+    for kind in KINDS:
+        asyncio.run(send_calls(deployment, kind, tallies[kind.name]))
+    executions = deployment.executions('by_key')
+    print_table(tallies, executions)
+    if is_true(tallies, executions):
+        print('every call had one whole, true answer')
+        return 0
+    print('some calls had no whole, true answer')
+    return 1
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/devtools/local_deployment.py
@@ -0,0 +1,248 @@
+"""A small deployment on loopback: control, daemons, stand-in upstreams."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+import time
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+from functools import partial
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import requests
+
+from devtools.processes import (
+    ManagedProcess,
+    free_ports,
+    kill_all,
+    stop_all,
+    use_repository_sources,
+)
+
+ZONES = ('vancouver', 'victoria', 'nanaimo')
+WAIT_LIMIT_S = 20
+POLL_S = 0.02
+HTTP_TIMEOUT_S = 10
+
+
+def wait_until(
+    condition: Callable[[], bool], what: str, limit_s: float = WAIT_LIMIT_S
+) -> None:
+    """Wait until a condition holds.
+
+    Raises:
+        TimeoutError: Names what was waited for.
+    """
+    limit = time.monotonic() + limit_s
+    while not condition():
+        if time.monotonic() > limit:
+            raise TimeoutError(what)
+        time.sleep(POLL_S)
+
+
+@dataclass(slots=True)
+class LocalDeployment:
+    """Processes of one deployment; its folder holds logs and data.
+
+    Attributes:
+        folder: Folder for logs, ready files and control data.
+        daemon_flags: Flags added to each daemon.
+        control_flags: Flags added to each replica.
+        controls: Control replicas by name.
+        daemons: Daemons by name.
+        upstreams: Stand-in upstreams by the name of their daemon.
+    """
+
+    folder: Path
+    daemon_flags: tuple[str, ...] = ()
+    control_flags: tuple[str, ...] = ()
+    controls: dict[str, ManagedProcess] = field(default_factory=dict)
+    daemons: dict[str, ManagedProcess] = field(default_factory=dict)
+    upstreams: dict[str, ManagedProcess] = field(default_factory=dict)
+    replica_list: str = ''
+
+    def start_controls(self, count: int = 3) -> None:
+        """Start control replicas and wait until they serve."""
+        use_repository_sources()
+        names = [f'control-{index}' for index in range(count)]
+        ports = free_ports(count)
+        self.replica_list = ','.join(
+            f'{name}=127.0.0.1:{port}'
+            for name, port in zip(names, ports, strict=True)
+        )
+        for index, name in enumerate(names):
+            arguments = (
+                '--replica-id',
+                name,
+                '--zone',
+                ZONES[index % len(ZONES)],
+                '--listen',
+                f'127.0.0.1:{ports[index]}',
+                '--admin-listen',
+                '127.0.0.1:0',
+                '--data-folder',
+                str(self.folder / name),
+                '--replicas',
+                self.replica_list,
+                *self.control_flags,
+            )
+            process = ManagedProcess(name, 'control', arguments, self.folder)
+            self.controls[name] = process
+            process.start()
+        for process in self.controls.values():
+            process.wait_ready()
+
+    def start_upstreams(
+        self, counts: Mapping[str, int], slots: int = 20
+    ) -> None:
+        """Start daemons with an upstream each and wait until they serve.
+
+        Args:
+            counts: Number of upstreams by service.
+            slots: Slots of each upstream.
+        """
+        names = []
+        for service, count in counts.items():
+            for index in range(count):
+                name = f'{service}-{index}'
+                names.append(name)
+                self.daemons[name] = self._daemon(name, ZONES[index % 3])
+                self.daemons[name].start()
+        for name in names:
+            self.daemons[name].wait_ready()
+            service = name.rpartition('-')[0]
+            self.upstreams[name] = self._upstream(name, service, slots)
+            self.upstreams[name].start()
+        for name in names:
+            self.upstreams[name].wait_ready()
+
+    def _daemon(self, name: str, zone: str) -> ManagedProcess:
+        arguments = (
+            '--daemon-id',
+            name,
+            '--zone',
+            zone,
+            '--listen',
+            '127.0.0.1:0',
+            '--link-listen',
+            '127.0.0.1:0',
+            '--admin-listen',
+            '127.0.0.1:0',
+            '--control',
+            self.replica_list,
+            *self.daemon_flags,
+        )
+        return ManagedProcess(name, 'daemon', arguments, self.folder)
+
+    def _upstream(self, name: str, service: str, slots: int) -> ManagedProcess:
+        arguments = (
+            '--service',
+            service,
+            '--slots',
+            str(slots),
+            '--daemon',
+            self.daemons[name].addresses['admin'],
+        )
+        upstream = f'upstream-{name}'
+        return ManagedProcess(upstream, 'upstream', arguments, self.folder)
+
+    def apply(self, path: Path) -> None:
+        """Apply a file with the operators' program."""
+        completed = self.run_operator('apply', str(path))
+        if completed.returncode:
+            raise RuntimeError(completed.stderr)
+
+    def run_operator(self, *arguments: str) -> subprocess.CompletedProcess[str]:
+        """Run the operators' program and return what it printed."""
+        replicas = ','.join(
+            f'{name}={process.addresses["admin"]}'
+            for name, process in self.controls.items()
+        )
+        launcher = (
+            'import sys; from burdocklead.programs.operator import main; '
+            'sys.exit(main())'
+        )
+        return subprocess.run(
+            [
+                sys.executable,
+                '-c',
+                launcher,
+                '--control-admin',
+                replicas,
+                *arguments,
+            ],
+            capture_output=True,
+            text=True,
+            check=False,
+        )
+
+    def wait_in_force(self, version: int) -> None:
+        """Wait until every daemon serves a version and sees all members."""
+        for name, process in self.daemons.items():
+            wait_until(
+                partial(self._is_in_force, process, version),
+                f'{name} serves version {version}',
+            )
+
+    def _is_in_force(self, process: ManagedProcess, version: int) -> bool:
+        status = self.daemon_status(process)
+        with_upstream = [
+            member for member in status['members'] if member['service']
+        ]
+        return status['version'] >= version and len(with_upstream) >= len(
+            self.upstreams
+        )
+
+    def daemon_status(self, process: ManagedProcess) -> dict[str, Any]:
+        """Return the status page of a daemon."""
+        url = f'http://{process.addresses["admin"]}/v1/status'
+        return msgspec.json.decode(
+            requests.get(url, timeout=HTTP_TIMEOUT_S).content,
+            type=dict[str, Any],
+        )
+
+    def url(self, daemon: str, target: str) -> str:
+        """Return the URL of a call through a daemon."""
+        return f'http://{self.daemons[daemon].addresses["http"]}{target}'
+
+    def set_behaviour(self, name: str, **behaviour: object) -> None:
+        """Change the behaviour of an upstream."""
+        address = self.upstreams[name].addresses['http']
+        requests.put(
+            f'http://{address}/-/behaviour',
+            data=msgspec.json.encode(behaviour),
+            timeout=HTTP_TIMEOUT_S,
+        ).raise_for_status()
+
+    def executions(self, field_name: str) -> dict[str, int]:
+        """Return a count of executions summed over running upstreams."""
+        totals: dict[str, int] = {}
+        for process in self.upstreams.values():
+            if not process.is_running():
+                continue
+            address = process.addresses['http']
+            page = requests.get(
+                f'http://{address}/-/executions', timeout=HTTP_TIMEOUT_S
+            )
+            for key, count in page.json()[field_name].items():
+                totals[key] = totals.get(key, 0) + count
+        return totals
+
+    def processes(self) -> list[ManagedProcess]:
+        """Return all processes, upstreams first."""
+        return [
+            *self.upstreams.values(),
+            *self.daemons.values(),
+            *self.controls.values(),
+        ]
+
+    def stop(self) -> None:
+        """End all processes gracefully."""
+        stop_all(self.processes())
+
+    def kill(self) -> None:
+        """End all processes at once."""
+        kill_all(self.processes())
--- /dev/null
+++ b/devtools/processes.py
@@ -0,0 +1,152 @@
+"""Starting and ending processes of a local deployment."""
+
+from __future__ import annotations
+
+import contextlib
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import msgspec
+
+START_LIMIT_S = 15
+STOP_LIMIT_S = 8
+POLL_S = 0.01
+PROGRAM_MODULES = {
+    'daemon': 'burdocklead.programs.daemon',
+    'control': 'burdocklead.programs.control',
+    'upstream': 'devtools.upstream',
+}
+
+
+def free_ports(count: int) -> list[int]:
+    """Return ports that the kernel gave and that are free again."""
+    with contextlib.ExitStack() as stack:
+        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for reserved in sockets:
+            reserved.bind(('127.0.0.1', 0))
+        return [reserved.getsockname()[1] for reserved in sockets]
+
+
+@dataclass(slots=True)
+class ManagedProcess:
+    """One process that this tool started.
+
+    Attributes:
+        name: Name for logs.
+        program: Key of ``PROGRAM_MODULES``.
+        arguments: Arguments without the ready file.
+        folder: Folder for the log and the ready file.
+        popen: The process, None if not started.
+        addresses: Addresses from the ready file.
+    """
+
+    name: str
+    program: str
+    arguments: tuple[str, ...]
+    folder: Path
+    popen: subprocess.Popen[bytes] | None = None
+    addresses: dict[str, str] = field(default_factory=dict)
+
+    @property
+    def ready_file(self) -> Path:
+        """Return the file that the process writes once it serves."""
+        return self.folder / f'{self.name}.ready'
+
+    @property
+    def log_file(self) -> Path:
+        """Return the file that takes its output."""
+        return self.folder / f'{self.name}.log'
+
+    def start(self) -> None:
+        """Start the process without waiting."""
+        self.ready_file.unlink(missing_ok=True)
+        module = PROGRAM_MODULES[self.program]
+        launcher = f'import sys; from {module} import main; sys.exit(main())'
+        with self.log_file.open('ab') as output:
+            self.popen = subprocess.Popen(
+                [
+                    sys.executable,
+                    '-c',
+                    launcher,
+                    *self.arguments,
+                    '--ready-file',
+                    str(self.ready_file),
+                ],
+                stdin=subprocess.DEVNULL,
+                stdout=output,
+                stderr=output,
+            )
+
+    def wait_ready(self) -> None:
+        """Wait until the process serves and read its addresses."""
+        limit = time.monotonic() + START_LIMIT_S
+        while not self.ready_file.exists():
+            if time.monotonic() > limit or not self.is_running():
+                raise RuntimeError(f'{self.name}: {self.log_text()}')
+            time.sleep(POLL_S)
+        self.addresses = msgspec.json.decode(
+            self.ready_file.read_bytes(), type=dict[str, str]
+        )
+
+    def is_running(self) -> bool:
+        """Return True if the process has not ended."""
+        return self.popen is not None and self.popen.poll() is None
+
+    def send_signal(self, number: signal.Signals) -> None:
+        """Send a signal if the process runs."""
+        if self.popen is not None and self.is_running():
+            self.popen.send_signal(number)
+
+    def kill(self) -> None:
+        """End the process at once."""
+        self.send_signal(signal.SIGKILL)
+        if self.popen is not None:
+            self.popen.wait()
+
+    def stop(self) -> int:
+        """End the process gracefully and return its exit code."""
+        self.send_signal(signal.SIGCONT)
+        self.send_signal(signal.SIGTERM)
+        if self.popen is None:
+            return 0
+        try:
+            return self.popen.wait(STOP_LIMIT_S)
+        except subprocess.TimeoutExpired:
+            self.kill()
+            return -signal.SIGKILL
+
+    def log_text(self) -> str:
+        """Return the output so far."""
+        return self.log_file.read_text() if self.log_file.exists() else ''
+
+
+def stop_all(processes: Sequence[ManagedProcess]) -> None:
+    """End processes: all are asked first, then each is waited for."""
+    for process in processes:
+        process.send_signal(signal.SIGCONT)
+        process.send_signal(signal.SIGTERM)
+    for process in processes:
+        process.stop()
+
+
+def kill_all(processes: Sequence[ManagedProcess]) -> None:
+    """End processes at once."""
+    for process in processes:
+        process.kill()
+
+
+def source_root() -> Path:
+    """Return the folder of the repository."""
+    return Path(__file__).resolve().parent.parent
+
+
+def use_repository_sources() -> None:
+    """Let started processes import from this checkout."""
+    os.environ['PYTHONPATH'] = str(source_root())
--- /dev/null
+++ b/devtools/run_tests.py
@@ -0,0 +1,131 @@
+"""Runs each feature file with behave and closes with one plain line of counts.
+
+Scenarios named in ``KNOWN-RED.txt`` are printed and not counted as failed.
+"""
+
+from __future__ import annotations
+
+import argparse
+import subprocess
+import sys
+import tempfile
+from collections.abc import Iterator, Sequence
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+from pathlib import Path
+
+import msgspec
+
+from devtools.processes import source_root, use_repository_sources
+
+KNOWN_RED_FILE = 'KNOWN-RED.txt'
+RED_PREFIX = 'scenario: '
+JOBS = 4
+
+
+class Scenario(msgspec.Struct, frozen=True):
+    """A scenario in behave's report."""
+
+    name: str
+    type: str
+    location: str
+    status: str = 'untested'
+
+
+class Feature(msgspec.Struct, frozen=True):
+    """A feature in behave's report."""
+
+    name: str
+    elements: tuple[Scenario, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Counts:
+    """Scenarios by result."""
+
+    passed: tuple[Scenario, ...]
+    failed: tuple[Scenario, ...]
+    known_red: tuple[Scenario, ...]
+
+
+def known_red_names() -> frozenset[str]:
+    """Return the names of scenarios that are known to fail."""
+    path = source_root() / KNOWN_RED_FILE
+    if not path.exists():
+        return frozenset()
+    lines = path.read_text().splitlines()
+    return frozenset(
+        line.removeprefix(RED_PREFIX).strip()
+        for line in lines
+        if line.startswith(RED_PREFIX)
+    )
+
+
+def count_scenarios(scenarios: Sequence[Scenario]) -> Counts:
+    """Return scenarios by result."""
+    red_names = known_red_names()
+    failed = [one for one in scenarios if one.status != 'passed']
+    return Counts(
+        tuple(one for one in scenarios if one.status == 'passed'),
+        tuple(one for one in failed if one.name not in red_names),
+        tuple(one for one in failed if one.name in red_names),
+    )
+
+
+def _scenarios_of(features: Sequence[Feature]) -> Iterator[Scenario]:
+    for feature in features:
+        for element in feature.elements:
+            if element.type == 'scenario':
+                yield element
+
+
+def feature_files(paths: Sequence[str]) -> list[Path]:
+    """Return the feature files below the paths, in order of their names."""
+    files: set[Path] = set()
+    for path in map(Path, paths):
+        files.update(path.rglob('*.feature') if path.is_dir() else [path])
+    return sorted(files)
+
+
+def run_feature(path: Path) -> list[Scenario]:
+    """Run one feature file, write its output and return its scenarios."""
+    with tempfile.TemporaryDirectory() as folder:
+        report = Path(folder) / 'report.json'
+        command = ['-m', 'behave', '--format', 'json', '--outfile', str(report)]
+        plain = ['--format', 'progress', '--no-color', str(path)]
+        completed = subprocess.run(
+            [sys.executable, *command, *plain],
+            cwd=source_root(),
+            check=False,
+            capture_output=True,
+            text=True,
+        )
+        if completed.returncode:
+            sys.stdout.write(completed.stdout + completed.stderr)
+        if not report.exists():
+            return [Scenario(str(path), 'scenario', str(path), 'not run')]
+        content = report.read_bytes()
+    features = msgspec.json.decode(content, type=tuple[Feature, ...])
+    return list(_scenarios_of(features))
+
+
+def main() -> int:
+    """Run the tests and return the exit code."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('paths', nargs='*', default=['tests'])
+    parser.add_argument('--jobs', type=int, default=JOBS)
+    flags = parser.parse_args()
+    use_repository_sources()
+    with ThreadPoolExecutor(flags.jobs) as pool:
+        results = pool.map(run_feature, feature_files(flags.paths))
+    counts = count_scenarios([one for result in results for one in result])
+    for scenario in counts.failed:
+        print(f'failed: {scenario.location} {scenario.name}')
+    for red in counts.known_red:
+        print(f'known red: {red.location} {red.name}')
+    print(f'{len(counts.passed)} passed, {len(counts.failed)} failed')
+    return 0 if counts.passed and not counts.failed else 1
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/devtools/upstream.py
@@ -0,0 +1,257 @@
+"""A stand-in upstream: serves calls and misbehaves on request.
+
+It announces itself to the daemon beside it and counts every execution, so
+that tests can compare what ran with what callers were told. Its behaviour is
+set by ``PUT /-/behaviour`` and read by ``GET /-/executions``.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import math
+import os
+import random
+import signal
+from collections import Counter
+from collections.abc import Sequence
+
+import msgspec
+from aiohttp import ClientError, ClientSession, ClientTimeout, web
+
+from burdocklead.options import FilePath, SocketAddress
+from burdocklead.process.admin_http import json_response, start_site
+from burdocklead.process.lifecycle import write_ready_file
+from burdocklead.process.own_member import Announcement
+from burdocklead.request.headers import (
+    ATTEMPT_HEADER,
+    DEADLINE_HEADER,
+    KEY_HEADER,
+    NOT_RUN_HEADER,
+)
+from burdocklead.values import Address
+
+MS_PER_S = 1000
+CRASH_HEADER = 'Crash-Upstream'
+WORK_HEADER = 'Work-Ms'
+MARK = 'Mark'
+CRASH_EXIT_CODE = 70
+
+
+class Behaviour(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """How the stand-in serves calls.
+
+    Attributes:
+        service_ms: Usual service time in ms.
+        long_share: Share of calls that run longer.
+        long_factor: How many times longer those run.
+        cold_ms: Extra time of each call just after the start in ms.
+        cold_calls: Calls that are served cold.
+        shed_share: Share of calls refused as not run.
+        slowdown: Factor on every service time.
+        stalled: True if calls hang until the behaviour changes.
+        reported_slots: Slots announced; 0 announces the true number.
+        draining: True if the upstream wants no new work.
+        answer_bytes: Size of the answer's body.
+    """
+
+    service_ms: float = 5
+    long_share: float = 0
+    long_factor: float = 50
+    cold_ms: float = 0
+    cold_calls: int = 0
+    shed_share: float = 0
+    slowdown: float = 1
+    stalled: bool = False
+    reported_slots: int = 0
+    draining: bool = False
+    answer_bytes: int = 100
+
+
+class Executions(msgspec.Struct, frozen=True):
+    """What the stand-in ran.
+
+    Attributes:
+        by_key: Started executions by idempotency key.
+        by_attempt: Started executions by attempt id.
+        by_mark: Started executions by the caller's ``Mark`` header.
+        cancelled: Executions whose caller went away.
+        shed: Calls refused as not run.
+        late: Executions that ended after their deadline.
+        highest_busy: Most calls that ran at the same time.
+    """
+
+    by_key: dict[str, int]
+    by_attempt: dict[str, int]
+    by_mark: dict[str, int]
+    cancelled: int
+    shed: int
+    late: int
+    highest_busy: int
+
+
+class StandInUpstream:
+    """Serves calls with slots and a set service time."""
+
+    def __init__(self, service: str, slots: int, seed: int) -> None:
+        """Start with the usual behaviour."""
+        self.service = service
+        self.slots = slots
+        self.behaviour = Behaviour()
+        self.rng = random.Random(seed)
+        self.busy = 0
+        self.highest_busy = 0
+        self.cancelled = 0
+        self.shed = 0
+        self.late = 0
+        self.served = 0
+        self.by_key: Counter[str] = Counter()
+        self.by_attempt: Counter[str] = Counter()
+        self.by_mark: Counter[str] = Counter()
+
+    def application(self) -> web.Application:
+        """Return the application that takes every path."""
+        application = web.Application(client_max_size=0)
+        application.add_routes(
+            [
+                web.put('/-/behaviour', self.set_behaviour),
+                web.get('/-/executions', self.show_executions),
+                web.route('*', '/{path:.*}', self.serve),
+            ]
+        )
+        return application
+
+    async def set_behaviour(self, request: web.Request) -> web.Response:
+        """Change the behaviour."""
+        self.behaviour = msgspec.json.decode(
+            await request.read(), type=Behaviour
+        )
+        return json_response(self.behaviour)
+
+    async def show_executions(self, request: web.Request) -> web.Response:
+        """Return the counts of executions."""
+        return json_response(
+            Executions(
+                dict(self.by_key),
+                dict(self.by_attempt),
+                dict(self.by_mark),
+                self.cancelled,
+                self.shed,
+                self.late,
+                self.highest_busy,
+            )
+        )
+
+    async def serve(self, request: web.Request) -> web.Response:
+        """Run one call."""
+        if self.rng.random() < self.behaviour.shed_share:
+            self.shed += 1
+            return web.Response(status=503, headers={NOT_RUN_HEADER: 'true'})
+        body = await request.read()
+        self._count(request)
+        if CRASH_HEADER in request.headers:
+            os._exit(CRASH_EXIT_CODE)
+        self.busy += 1
+        self.highest_busy = max(self.highest_busy, self.busy)
+        try:
+            await self._work(request)
+        except asyncio.CancelledError:
+            self.cancelled += 1
+            raise
+        finally:
+            self.busy -= 1
+        return self._answer(request, body)
+
+    def announcement(self, address: Address) -> Announcement:
+        """Return what the daemon beside is told."""
+        return Announcement(
+            service=self.service,
+            address=str(address),
+            slots=self.behaviour.reported_slots or self.slots,
+            draining=self.behaviour.draining,
+        )
+
+    def _count(self, request: web.Request) -> None:
+        self.served += 1
+        self.by_attempt[request.headers.get(ATTEMPT_HEADER, '')] += 1
+        for counter, name in ((self.by_key, KEY_HEADER), (self.by_mark, MARK)):
+            text = request.headers.get(name, '')
+            if text:
+                counter[text] += 1
+
+    async def _work(self, request: web.Request) -> None:
+        behaviour = self.behaviour
+        work_ms = _number(request, WORK_HEADER, behaviour.service_ms)
+        if self.rng.random() < behaviour.long_share:
+            work_ms *= behaviour.long_factor
+        if self.served <= behaviour.cold_calls:
+            work_ms += behaviour.cold_ms
+        excess = max(self.busy / self.slots, 1)
+        work_ms *= behaviour.slowdown * excess
+        deadline_ms = _number(request, DEADLINE_HEADER, math.inf)
+        self.late += work_ms > deadline_ms
+        await asyncio.sleep(work_ms / MS_PER_S)
+        while self.behaviour.stalled:
+            await asyncio.sleep(0.01)
+
+    def _answer(self, request: web.Request, body: bytes) -> web.Response:
+        mark = request.headers.get(MARK, '')
+        filler = 'x' * max(self.behaviour.answer_bytes - len(mark), 0)
+        return web.Response(
+            text=f'{mark}\n{filler}',
+            headers={MARK: mark, 'Received-Bytes': str(len(body))},
+        )
+
+
+def _number(request: web.Request, name: str, default: float) -> float:
+    text = request.headers.get(name)
+    return default if text is None else float(text)
+
+
+async def announce_forever(
+    upstream: StandInUpstream, daemon: Address, own: Address
+) -> None:
+    """Announce and renew at the daemon beside until cancelled."""
+    url = f'http://{daemon}/v1/upstream'
+    timeout = ClientTimeout(total=1)
+    async with ClientSession(timeout=timeout) as session:
+        while True:
+            text = msgspec.json.encode(upstream.announcement(own))
+            try:
+                async with session.put(url, data=text) as response:
+                    await response.read()
+            except (ClientError, asyncio.TimeoutError):
+                await asyncio.sleep(0.05)
+                continue
+            await asyncio.sleep(0.3)
+
+
+async def run_upstream(flags: argparse.Namespace) -> None:
+    """Serve until SIGTERM."""
+    upstream = StandInUpstream(flags.service, flags.slots, flags.seed)
+    address = SocketAddress().parse(flags.listen)
+    runner, own = await start_site(upstream.application(), address)
+    daemon = SocketAddress().parse(flags.daemon)
+    task = asyncio.create_task(announce_forever(upstream, daemon, own))
+    stop = asyncio.Event()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stop.set)
+    write_ready_file(flags.ready_file, {'http': str(own)})
+    await stop.wait()
+    task.cancel()
+    await runner.cleanup()
+
+
+def main(arguments: Sequence[str] | None = None) -> None:
+    """Run one stand-in upstream."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--service', required=True)
+    parser.add_argument('--slots', type=int, default=20)
+    parser.add_argument('--listen', default='127.0.0.1:0')
+    parser.add_argument('--daemon', required=True)
+    parser.add_argument('--seed', type=int, default=1)
+    parser.add_argument('--ready-file', type=FilePath().parse)
+    asyncio.run(run_upstream(parser.parse_args(arguments)))
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/tests/steps/deployment_steps.py
@@ -0,0 +1,128 @@
+"""Steps that start a local deployment and send calls through it."""
+
+from __future__ import annotations
+
+import msgspec
+import requests
+from behave import given, then, when
+
+from burdocklead.request.headers import KEY_HEADER, OUTCOME_HEADER
+from devtools.local_deployment import LocalDeployment
+
+CALL_TIMEOUT_S = 20
+
+
+@given('a deployment with {counts}')
+def start_deployment(context, counts):
+    """Start control and upstreams, as ``2 job-sheets, 1 archive``."""
+    pairs = [part.strip().split(' ', 1) for part in counts.split(',')]
+    context.deployment = LocalDeployment(context.folder)
+    context.deployment.start_controls()
+    context.deployment.start_upstreams(
+        {service: int(count) for count, service in pairs}
+    )
+
+
+@given('the file "{path}" is in force everywhere')
+def apply_and_wait(context, path):
+    """Apply a file and wait until each daemon serves it."""
+    context.deployment.apply(path)
+    context.deployment.wait_in_force(1)
+
+
+@when('a client sends {method} "{target}" through "{daemon}"')
+def send_call(context, method, target, daemon):
+    """Send one call without a key."""
+    context.response = requests.request(
+        method,
+        context.deployment.url(daemon, target),
+        headers={'Mark': 'own'},
+        timeout=CALL_TIMEOUT_S,
+    )
+
+
+@when(
+    'the key "{key}" and the body "{body}" go as {method} "{target}" '
+    'through "{daemon}"'
+)
+def send_keyed_call(context, key, body, method, target, daemon):
+    """Send one keyed call and keep the answer before it."""
+    context.previous = getattr(context, 'response', None)
+    context.response = requests.request(
+        method,
+        context.deployment.url(daemon, target),
+        headers={KEY_HEADER: key, 'Mark': key},
+        data=body,
+        timeout=CALL_TIMEOUT_S,
+    )
+
+
+@when('the deadline "{deadline}" goes as {method} "{target}"')
+def send_with_deadline(context, deadline, method, target):
+    """Send one call with a deadline header as written."""
+    daemon = next(iter(context.deployment.daemons))
+    context.response = requests.request(
+        method,
+        context.deployment.url(daemon, target),
+        headers={'Burdocklead-Deadline-Ms': deadline},
+        timeout=CALL_TIMEOUT_S,
+    )
+
+
+@then('the call has the outcome "{outcome}" and the status {status:d}')
+def check_outcome(context, outcome, status):
+    """Compare outcome and status with what was expected."""
+    seen = (
+        context.response.headers.get(OUTCOME_HEADER),
+        context.response.status_code,
+    )
+    assert seen == (outcome, status), (seen, context.response.headers)
+
+
+@then('the answer carries the mark "{mark}"')
+def check_mark(context, mark):
+    """Check that the answer belongs to the call."""
+    first_line = context.response.text.partition('\n')[0]
+    assert first_line == mark, first_line
+
+
+@then('both answers are the same')
+def check_same_answer(context):
+    """Check that a resend got the first answer."""
+    assert context.response.content == context.previous.content
+
+
+@then('the key "{key}" ran {times:d} time(s)')
+def check_executions(context, key, times):
+    """Compare the executions of a key with what was expected."""
+    seen = context.deployment.executions('by_key').get(key, 0)
+    assert seen == times, seen
+
+
+@then('no upstream ran any call')
+def check_no_executions(context):
+    """Check that nothing ran."""
+    assert not context.deployment.executions('by_attempt')
+
+
+@when('the operator runs "{command}"')
+def run_operator(context, command):
+    """Run the operators' program."""
+    context.completed = context.deployment.run_operator(*command.split())
+
+
+@then('the operator sees exit code {code:d} and "{text}"')
+def check_operator(context, code, text):
+    """Check the exit code and a part of the output."""
+    completed = context.completed
+    printed = completed.stdout + completed.stderr
+    assert completed.returncode == code, (completed.returncode, printed)
+    assert text in printed, printed
+
+
+@then('the status page of "{daemon}" names {count:d} members')
+def check_members(context, daemon, count):
+    """Check the membership that a daemon sees."""
+    process = context.deployment.daemons[daemon]
+    status = context.deployment.daemon_status(process)
+    assert len(status['members']) == count, msgspec.json.encode(status)
