Show every problem of a file at once; declare keys with bounds and units

Cause: decoding stopped at the first wrong value, so an operator mended a file one error at a time; units and bounds stood nowhere. Change: keys are declared with bounds and meaning; a walk over the file collects unknown, missing and wrong values, then rules that contradict. The attempt runner and the daemon's parts get modules of their own; metrics are declared one a line and served at /metrics.

--- /dev/null
+++ b/burdocklead/metrics.py
@@ -0,0 +1,123 @@
+"""Metrics of a process: one declared metric a line, none unbounded."""
+
+from __future__ import annotations
+
+import enum
+from dataclasses import dataclass
+
+from aioprometheus import Counter, Gauge, Histogram, Registry
+from aioprometheus.renderer import render
+
+LATENCY_BOUNDS_S = (
+    0.0005,
+    0.001,
+    0.002,
+    0.005,
+    0.01,
+    0.02,
+    0.05,
+    0.1,
+    0.2,
+    0.5,
+    1,
+    2,
+    5,
+)
+
+
+class MetricKind(enum.Enum):
+    """How a metric behaves."""
+
+    counter = Counter
+    gauge = Gauge
+    histogram = Histogram
+
+
+@dataclass(frozen=True, slots=True)
+class Metric:
+    """One declared metric.
+
+    Attributes:
+        name: Name by the Prometheus conventions, in base units.
+        kind: Counter, gauge or histogram of seconds.
+        help: What it counts.
+        labels: Names of its labels; each has few values.
+    """
+
+    name: str
+    kind: MetricKind
+    help: str
+    labels: tuple[str, ...] = ()
+
+
+def _counter(name: str, text: str, *labels: str) -> Metric:
+    return Metric(f'burdocklead_{name}_total', MetricKind.counter, text, labels)
+
+
+def _gauge(name: str, text: str, *labels: str) -> Metric:
+    return Metric(f'burdocklead_{name}', MetricKind.gauge, text, labels)
+
+
+def _seconds(name: str, text: str, *labels: str) -> Metric:
+    full_name = f'burdocklead_{name}_seconds'
+    return Metric(full_name, MetricKind.histogram, text, labels)
+
+
+CALLS = _counter('calls', 'Calls of clients.', 'service', 'outcome')
+CALL_SECONDS = _seconds('call', 'Time of calls.', 'service', 'outcome')
+REFUSALS = _counter('refusals', 'Calls refused to clients.', 'cause')
+ATTEMPTS = _counter('attempts', 'Attempts by result.', 'result')
+CONTROL_BYTES = _counter('control_bytes', 'Control traffic.', 'direction')
+VERSION = _gauge('version_in_force', 'Configuration version in force.')
+
+DECLARED = (
+    CALLS,
+    CALL_SECONDS,
+    REFUSALS,
+    ATTEMPTS,
+    CONTROL_BYTES,
+    VERSION,
+)
+
+
+class MetricSet:
+    """The metrics of one process."""
+
+    def __init__(self) -> None:
+        """Register every declared metric."""
+        self.registry = Registry()
+        self.collectors = {
+            metric.name: self._collector_of(metric) for metric in DECLARED
+        }
+
+    def count(self, metric: Metric, *labels: str, amount: float = 1) -> None:
+        """Add to a counter."""
+        named = dict(zip(metric.labels, labels, strict=True))
+        self.collectors[metric.name].add(named, amount)
+
+    def set(self, metric: Metric, number: float, *labels: str) -> None:
+        """Set a gauge."""
+        named = dict(zip(metric.labels, labels, strict=True))
+        self.collectors[metric.name].set(named, number)
+
+    def observe(self, metric: Metric, seconds: float, *labels: str) -> None:
+        """Add a time in s to a histogram."""
+        named = dict(zip(metric.labels, labels, strict=True))
+        self.collectors[metric.name].observe(named, seconds)
+
+    def render(self, accepted: list[str]) -> tuple[bytes, dict[str, str]]:
+        """Return the page for a scraper and its headers."""
+        content, headers = render(self.registry, accepted)
+        return content, headers
+
+    def _collector_of(self, metric: Metric) -> Counter | Gauge | Histogram:
+        if metric.kind is MetricKind.histogram:
+            return Histogram(
+                metric.name,
+                metric.help,
+                registry=self.registry,
+                buckets=list(LATENCY_BOUNDS_S),
+            )
+        return metric.kind.value(
+            metric.name, metric.help, registry=self.registry
+        )
--- a/burdocklead/process/admin_http.py
+++ b/burdocklead/process/admin_http.py
@@ -9,6 +9,7 @@
 
 from burdocklead.events import EventRing
 from burdocklead.exceptions import BurdockleadError
+from burdocklead.metrics import MetricSet
 from burdocklead.values import Address
 
 JSON = 'application/json'
@@ -32,22 +33,30 @@
 def add_common_pages(
     application: web.Application,
     events: EventRing,
+    metrics: MetricSet,
     is_ready: Callable[[], bool],
 ) -> None:
-    """Add the pages for health, readiness and events."""
+    """Add the pages for health, readiness, events and metrics."""
 
-    async def show_health(request: web.Request) -> web.Response:  # noqa: WPS430
+    async def show_health(request: web.Request) -> web.Response:
         return json_response({'process': events.process})
 
-    async def show_ready(request: web.Request) -> web.Response:  # noqa: WPS430
+    async def show_ready(request: web.Request) -> web.Response:
         ready = is_ready()
         return json_response({'ready': ready}, 200 if ready else UNAVAILABLE)
 
-    async def show_events(request: web.Request) -> web.Response:  # noqa: WPS430
+    async def show_events(request: web.Request) -> web.Response:
         return json_response(list(events.ring))
 
+    async def show_metrics(
+        request: web.Request,
+    ) -> web.Response:
+        content, headers = metrics.render(request.headers.getall('Accept', []))
+        return web.Response(body=content, headers=headers)
+
     application.add_routes(
         [
+            web.get('/metrics', show_metrics),
             web.get('/healthz', show_health),
             web.get('/readyz', show_ready),
             web.get('/v1/events', show_events),
--- a/burdocklead/process/caller_http.py
+++ b/burdocklead/process/caller_http.py
@@ -7,6 +7,7 @@
 from aiohttp import web
 
 from burdocklead.events import EventKind, EventRing
+from burdocklead.metrics import CALL_SECONDS, CALLS, REFUSALS, MetricSet
 from burdocklead.process.directory import DaemonDirectory
 from burdocklead.request.call import Call, CallResult, not_run
 from burdocklead.request.dispatch import Dispatcher
@@ -45,6 +46,7 @@
         dispatcher: Dispatcher,
         keyed_calls: KeyedCalls,
         events: EventRing,
+        metrics: MetricSet,
     ) -> None:
         """Prepare the interface of one daemon."""
         self.settings = settings
@@ -52,6 +54,7 @@
         self.dispatcher = dispatcher
         self.keyed_calls = keyed_calls
         self.events = events
+        self.metrics = metrics
         self.in_progress = 0
 
     def application(self) -> web.Application:
@@ -64,12 +67,14 @@
 
     async def take_call(self, request: web.Request) -> web.Response:
         """Return the answer to one call with its outcome."""
+        started = asyncio.get_running_loop().time()
         call_id = self.dispatcher.new_id()
         self.in_progress += 1
         try:
             result = await self._result_of(request, call_id)
         finally:
             self.in_progress -= 1
+        self._count(request, result, started)
         self.events.record(
             EVENT_BY_OUTCOME[result.outcome],
             call_id=call_id,
@@ -77,6 +82,20 @@
         )
         return _response_of(result, call_id)
 
+    def _count(
+        self, request: web.Request, result: CallResult, started: float
+    ) -> None:
+        service = ''
+        if self.directory.table is not None:
+            found = self.directory.table.find_service(request.raw_path)
+            service = found[0] if found else ''
+        elapsed = asyncio.get_running_loop().time() - started
+        outcome = result.outcome.value
+        self.metrics.count(CALLS, service, outcome)
+        self.metrics.observe(CALL_SECONDS, elapsed, service, outcome)
+        if result.outcome is Outcome.not_run:
+            self.metrics.count(REFUSALS, result.cause)
+
     async def _result_of(
         self, request: web.Request, call_id: str
     ) -> CallResult:
--- a/burdocklead/process/control_http.py
+++ b/burdocklead/process/control_http.py
@@ -28,7 +28,12 @@
     def application(self) -> web.Application:
         """Return the application with all pages."""
         application = web.Application()
-        add_common_pages(application, self.replica.events, self.is_ready)
+        add_common_pages(
+            application,
+            self.replica.events,
+            self.replica.metrics,
+            self.is_ready,
+        )
         application.add_routes(
             [
                 web.put('/v1/configuration', self.apply),
--- a/burdocklead/process/control_replica.py
+++ b/burdocklead/process/control_replica.py
@@ -44,6 +44,7 @@
 from burdocklead.durable.store import RegisterStore
 from burdocklead.events import EventKind, EventRing
 from burdocklead.exceptions import ControlError
+from burdocklead.metrics import MetricSet
 from burdocklead.process.membership import MembershipView
 from burdocklead.settings import ControlSettings
 from burdocklead.version.configuration_file import decode_deployment
@@ -87,6 +88,7 @@
         self.settings = settings
         self.clock = HybridClock()
         self.events = EventRing(settings.replica_id, self.clock)
+        self.metrics = MetricSet()
         self.store = RegisterStore(settings.data_folder)
         self.members = MembershipView(
             settings.replica_id, time.time_ns(), settings.member_lease
@@ -129,7 +131,7 @@
         version = decode_deployment(text).version
         results: list[ApplyResult] = []
 
-        def update(value: bytes) -> bytes:  # noqa: WPS430
+        def update(value: bytes) -> bytes:
             following, result = decide_apply(decode_file(value), version, text)
             results.append(result)
             return msgspec.msgpack.encode(following)
@@ -220,7 +222,7 @@
     async def _change_claim(
         self, message: ClaimStart | ClaimFinish
     ) -> ClaimReply:
-        def update(value: bytes) -> bytes:  # noqa: WPS430
+        def update(value: bytes) -> bytes:
             current = decode_claim(value)
             match message:
                 case ClaimStart():
--- a/burdocklead/process/daemon_admin_http.py
+++ b/burdocklead/process/daemon_admin_http.py
@@ -7,6 +7,7 @@
 import msgspec
 from aiohttp import web
 
+from burdocklead.metrics import MetricSet
 from burdocklead.options import SocketAddress
 from burdocklead.process.admin_http import (
     BAD_REQUEST,
@@ -20,15 +21,23 @@
 class DaemonPages:
     """Announcements and the daemon's own view."""
 
-    def __init__(self, own: OwnMember, directory: DaemonDirectory) -> None:
+    def __init__(
+        self,
+        own: OwnMember,
+        directory: DaemonDirectory,
+        metrics: MetricSet,
+    ) -> None:
         """Prepare the pages of a daemon."""
         self.own = own
         self.directory = directory
+        self.metrics = metrics
 
     def application(self) -> web.Application:
         """Return the application with all pages."""
         application = web.Application()
-        add_common_pages(application, self.own.events, self.is_ready)
+        add_common_pages(
+            application, self.own.events, self.metrics, self.is_ready
+        )
         application.add_routes(
             [
                 web.put('/v1/upstream', self.announce),
--- a/burdocklead/process/directory.py
+++ b/burdocklead/process/directory.py
@@ -11,7 +11,7 @@
 from burdocklead.connection.peer_link import LoadHandler, PeerLink
 from burdocklead.durable.configuration import AcceptedFile
 from burdocklead.events import EventKind, EventRing
-from burdocklead.request.dispatch import Link
+from burdocklead.request.attempt_runner import Link
 from burdocklead.request.execution import AttemptExecutor, LocalLink
 from burdocklead.values import Member
 from burdocklead.version.configuration_file import decode_deployment
--- a/burdocklead/request/admission.py
+++ b/burdocklead/request/admission.py
@@ -55,6 +55,19 @@
     verdict: Admitted | Refused
 
 
+@dataclass(frozen=True, slots=True)
+class OfferResult:
+    """The decision on a new call.
+
+    Attributes:
+        verdict: Whether it runs, waits or is refused.
+        displaced: Decisions on calls that had to leave the queue for it.
+    """
+
+    verdict: Admitted | Queued | Refused
+    displaced: tuple[Decision, ...] = ()
+
+
 @dataclass(slots=True)
 class AdmissionQueue:
     """Slots of one upstream and the calls that wait for them.
@@ -69,17 +82,17 @@
     running: dict[str, Ticket] = field(default_factory=dict)
     waiting: deque[Ticket] = field(default_factory=deque)
 
-    def offer(self, ticket: Ticket, now: float) -> Admitted | Queued | Refused:
+    def offer(self, ticket: Ticket, now: float) -> OfferResult:
         """Return whether a new call runs, waits or is refused."""
         if ticket.deadline <= now:
-            return Refused(RefusalCause.deadline)
+            return OfferResult(Refused(RefusalCause.deadline))
         if len(self.running) < self.slots:
             self.running[ticket.attempt_id] = ticket
-            return Admitted()
+            return OfferResult(Admitted())
         if len(self.waiting) >= ticket.queue_limit:
-            return Refused(RefusalCause.queue_full)
+            return OfferResult(Refused(RefusalCause.queue_full))
         self.waiting.append(ticket)
-        return Queued()
+        return OfferResult(Queued())
 
     def release(
         self, attempt_id: str, service_ms: float, now: float
--- a/burdocklead/request/execution.py
+++ b/burdocklead/request/execution.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Sequence
 
 import aiohttp
 
@@ -145,9 +146,10 @@
             deadline=loop.time() + attempt.remaining_ms / MS_PER_S,
             queue_limit=attempt.queue_limit,
         )
-        verdict = self.queue.offer(ticket, loop.time())
-        if not isinstance(verdict, Queued):
-            return verdict
+        offer = self.queue.offer(ticket, loop.time())
+        self._settle(offer.displaced)
+        if not isinstance(offer.verdict, Queued):
+            return offer.verdict
         waiter: asyncio.Future[Admitted | Refused] = loop.create_future()
         self.waiters[attempt.attempt_id] = waiter
         try:
@@ -162,7 +164,7 @@
         finally:
             self.waiters.pop(attempt.attempt_id, None)
 
-    def _settle(self, decisions: list[Decision]) -> None:
+    def _settle(self, decisions: Sequence[Decision]) -> None:
         for decision in decisions:
             waiter = self.waiters.get(decision.ticket.attempt_id)
             if waiter is not None and not waiter.done():
--- a/burdocklead/request/keyed_call.py
+++ b/burdocklead/request/keyed_call.py
@@ -23,6 +23,7 @@
     claim_key,
 )
 from burdocklead.exceptions import ControlError
+from burdocklead.request.attempt_runner import NO_LOAD
 from burdocklead.request.call import (
     Call,
     CallResult,
@@ -30,7 +31,7 @@
     not_run,
     unknown,
 )
-from burdocklead.request.dispatch import NO_LOAD, Dispatcher, result_of
+from burdocklead.request.dispatch import Dispatcher, result_of
 from burdocklead.values import Member, RefusalCause
 
 FINISH_TIMEOUT_S = 2.0
@@ -108,7 +109,7 @@
         attempt = self.dispatcher.attempt_of(
             call, member, claim.attempt_id, number
         )
-        result = await self.dispatcher.run_attempt(call, member, attempt)
+        result = await self.dispatcher.runner.run(call, member, attempt)
         await self._finish(call, claim, result)
         return result
 
@@ -163,7 +164,7 @@
         link = self.dispatcher.directory.link_to(member)
         try:
             async with asyncio.timeout_at(call.deadline):
-                return await self.dispatcher.resolve(
+                return await self.dispatcher.runner.resolve(
                     link, held.attempt_id, held.incarnation
                 )
         except TimeoutError:
--- a/burdocklead/version/configuration_file.py
+++ b/burdocklead/version/configuration_file.py
@@ -4,6 +4,8 @@
 
 import hashlib
 import tomllib
+from collections.abc import Iterator
+from typing import Annotated, Any, get_args, get_origin
 
 import msgspec
 
@@ -32,10 +34,10 @@
         tables = tomllib.loads(text.decode())
     except (UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
         raise ConfigurationError((str(error),), step=STEP, peer=peer) from None
-    try:
-        deployment = msgspec.convert(tables, Deployment)
-    except msgspec.ValidationError as error:
-        raise ConfigurationError((str(error),), step=STEP, peer=peer) from None
+    problems = tuple(_type_problems(tables, Deployment, ''))
+    if problems:
+        raise ConfigurationError(problems, step=STEP, peer=peer)
+    deployment = msgspec.convert(tables, Deployment)
     problems = find_problems(deployment)
     if problems:
         raise ConfigurationError(problems, step=STEP, peer=peer)
@@ -43,36 +45,89 @@
 
 
 def find_problems(deployment: Deployment) -> tuple[str, ...]:
-    """Return every problem that types alone do not show."""
-    problems = []
-    if deployment.version < 1:
-        problems.append('version: must be 1 or more')
-    if not deployment.services:
-        problems.append('services: must name at least one service')
+    """Return every problem that types and bounds alone do not show."""
+    problems: list[str] = []
     for name, service in deployment.services.items():
         problems.extend(_service_problems(f'services.{name}', service))
     return tuple(problems)
 
 
-def _service_problems(place: str, service: Service) -> list[str]:
-    problems = []
+def _service_problems(place: str, service: Service) -> Iterator[str]:
     if not service.routes:
-        problems.append(f'{place}.routes: must name at least one route')
+        yield f'{place}.routes: must name at least one route'
     if service.hedge_after_ms and not service.retry_ratio:
-        problems.append(f'{place}.retry_ratio: must be above 0 to hedge')
+        yield f'{place}.retry_ratio: must be above 0 to hedge'
+    if service.hedge_after_ms and service.max_attempts == 1:
+        yield f'{place}.max_attempts: must be above 1 to hedge'
+    seen_names: set[str] = set()
+    seen_rules: set[tuple[str, str]] = set()
     for index, route in enumerate(service.routes):
-        problems.extend(_route_problems(f'{place}.routes[{index}]', route))
-    return problems
-
-
-def _route_problems(place: str, route: Route) -> list[str]:
-    problems = []
-    if not route.path.startswith('/'):
-        problems.append(f'{place}.path: must start with /')
-    if route.timeout_ms <= 0:
-        problems.append(f'{place}.timeout_ms: must be above 0')
-    if route.cost_ms <= 0:
-        problems.append(f'{place}.cost_ms: must be above 0')
+        route_place = f'{place}.routes[{index}]'
+        if route.name in seen_names:
+            yield f'{route_place}.name: stands twice'
+        if (route.method, route.path) in seen_rules:
+            yield f'{route_place}.path: stands twice for {route.method}'
+        seen_names.add(route.name)
+        seen_rules.add((route.method, route.path))
+        yield from _route_problems(route_place, route)
+
+
+def _route_problems(place: str, route: Route) -> Iterator[str]:
     if route.idempotent and route.key_required:
-        problems.append(f'{place}.key_required: is for non-idempotent routes')
-    return problems
+        yield f'{place}.key_required: is for non-idempotent routes'
+    if route.cost_ms > route.timeout_ms:
+        yield f'{place}.cost_ms: must not be above timeout_ms'
+
+
+def _type_problems(node: Any, kind: Any, place: str) -> Iterator[str]:
+    """Yield every value below a node that its declared type refuses."""
+    declared = get_args(kind)[0] if get_origin(kind) is Annotated else kind
+    if isinstance(declared, type) and issubclass(declared, msgspec.Struct):
+        yield from _table_problems(node, declared, place)
+    elif get_origin(declared) is dict and isinstance(node, dict) and node:
+        yield from _mapping_problems(node, declared, place)
+    elif get_origin(declared) is tuple and isinstance(node, list):
+        yield from _list_problems(node, declared, place)
+    else:
+        yield from _leaf_problems(node, kind, place)
+
+
+def _mapping_problems(
+    node: dict[str, Any], kind: Any, place: str
+) -> Iterator[str]:
+    key_kind, entry_kind = get_args(kind)
+    for key, entry in node.items():
+        yield from _leaf_problems(key, key_kind, f'{place}.{key}')
+        yield from _type_problems(entry, entry_kind, f'{place}.{key}')
+
+
+def _list_problems(node: list[Any], kind: Any, place: str) -> Iterator[str]:
+    entry_kind = get_args(kind)[0]
+    for index, entry in enumerate(node):
+        yield from _type_problems(entry, entry_kind, f'{place}[{index}]')
+
+
+def _table_problems(
+    node: Any, table: type[msgspec.Struct], place: str
+) -> Iterator[str]:
+    if not isinstance(node, dict):
+        yield f'{place}: must be a table'
+        return
+    prefix = f'{place}.' if place else ''
+    fields = {field.name: field for field in msgspec.structs.fields(table)}
+    for name in sorted(node.keys() - fields.keys()):
+        yield f'{prefix}{name}: is not a known key'
+    for name, field in fields.items():
+        entry = node.get(name, msgspec.UNSET)
+        if entry is not msgspec.UNSET:
+            yield from _type_problems(entry, field.type, f'{prefix}{name}')
+        elif field.required:
+            yield f'{prefix}{name}: is missing'
+
+
+def _leaf_problems(node: Any, kind: Any, place: str) -> Iterator[str]:
+    try:
+        msgspec.convert(node, kind)
+    except msgspec.ValidationError as error:
+        reason = str(error).replace('Expected ', 'expected ', 1)
+        yield f'{place}: {reason}'
--- a/devtools/demo.py
+++ b/devtools/demo.py
@@ -64,7 +64,7 @@
     gate = asyncio.Semaphore(CONCURRENCY)
     async with aiohttp.ClientSession() as session:
 
-        async def send(number: int, daemon: str) -> None:  # noqa: WPS430
+        async def send(number: int, daemon: str) -> None:
             async with gate:
                 url = deployment.url(daemon, kind.target)
                 await send_call(session, url, kind, number, tally)
