--- a/burdocklead/version/configuration_file.py
+++ b/burdocklead/version/configuration_file.py
@@ -82,7 +82,7 @@
 def _type_problems(node: Any, kind: Any, place: str) -> Iterator[str]:
     """Yield every value below a node that its declared type refuses."""
     declared = get_args(kind)[0] if get_origin(kind) is Annotated else kind
-    if isinstance(declared, type) and issubclass(declared, msgspec.Struct):
+    if _is_table(declared):
         yield from _table_problems(node, declared, place)
     elif get_origin(declared) is dict and isinstance(node, dict) and node:
         yield from _mapping_problems(node, declared, place)
@@ -92,6 +92,10 @@
         yield from _leaf_problems(node, kind, place)
 
 
+def _is_table(kind: Any) -> bool:
+    return isinstance(kind, type) and issubclass(kind, msgspec.Struct)
+
+
 def _mapping_problems(
     node: dict[str, Any], kind: Any, place: str
 ) -> Iterator[str]:
