Seal control messages with the cluster key; ask operators for a token

Cause: any process that reached a replica's port could propose values, and anybody could apply a file. Change: requests carry a nonce and a proof, replies a proof over the request's nonce; a sender without the key is cut off and counted. Both are settings. Replays of a whole sealed request are possible until TLS is on; every request is idempotent or ordered by incarnation and revision.

--- a/burdocklead/commands/context.py
+++ b/burdocklead/commands/context.py
@@ -9,6 +9,7 @@
 import aiohttp
 
 from burdocklead.exceptions import ControlError
+from burdocklead.process.operator_access import load_access
 from burdocklead.settings import OperatorSettings
 
 EXIT_OK = 0
@@ -61,7 +62,10 @@
     """
     reasons = []
     timeout = aiohttp.ClientTimeout(total=context.settings.timeout)
-    async with aiohttp.ClientSession(timeout=timeout) as session:
+    headers = load_access(context.settings.operator_token_file).header()
+    async with aiohttp.ClientSession(
+        timeout=timeout, headers=headers
+    ) as session:
         for name, address in context.settings.control_admin:
             url = f'http://{address}{path}'
             try:
--- a/burdocklead/connection/control_client.py
+++ b/burdocklead/connection/control_client.py
@@ -7,6 +7,7 @@
 import msgspec
 import pynng
 
+from burdocklead.connection.cluster_key import ClusterKey
 from burdocklead.connection.control_messages import (
     ControlReply,
     ControlRequest,
@@ -14,10 +15,11 @@
     message_encoder,
     reply_decoder,
 )
+from burdocklead.connection.sealing import open_reply, seal_request
 from burdocklead.exceptions import ControlError, QuorumError
 from burdocklead.values import Address
 
-MS_PER_S = 1000
+MAX_MESSAGE_BYTES = 16 * 1024 * 1024
 
 
 class ControlClient:
@@ -31,8 +33,9 @@
         messages: Requests sent.
     """
 
-    def __init__(self, name: str, address: Address) -> None:
+    def __init__(self, name: str, address: Address, key: ClusterKey) -> None:
         """Prepare a client; the socket is opened by the first request."""
+        self.key = key
         self.name = name
         self.address = address
         self.bytes_sent = 0
@@ -54,15 +57,15 @@
             QuorumError: If the replica found no quorum.
         """
         step = type(message).__name__.lower()
-        payload = message_encoder.encode(message)
+        request = seal_request(self.key, message_encoder.encode(message))
         try:
             async with asyncio.timeout(timeout):
-                received = await self._exchange(payload)
+                received = await self._exchange(request.content)
         except (TimeoutError, pynng.NNGException) as error:
             self.close()
             reason = str(error) or 'no answer in time'
             raise ControlError(reason, step=step, peer=self.name) from error
-        return self._checked(received, step)
+        return self._checked(received, request.nonce, step)
 
     def close(self) -> None:
         """Close the socket; the next request opens a new one."""
@@ -70,10 +73,13 @@
             self.socket.close()
             self.socket = None
 
-    def _checked(self, received: bytes, step: str) -> ControlReply:
+    def _checked(
+        self, received: bytes, nonce: bytes, step: str
+    ) -> ControlReply:
         self.bytes_received += len(received)
+        payload = open_reply(self.key, nonce, received)
         try:
-            reply = reply_decoder.decode(received)
+            reply = reply_decoder.decode(payload)
         except msgspec.DecodeError as error:
             raise ControlError(str(error), step=step, peer=self.name) from error
         if isinstance(reply, Failure):
@@ -83,7 +89,9 @@
 
     async def _exchange(self, payload: bytes) -> bytes:
         if self.socket is None:
-            self.socket = pynng.Req0(resend_time=-1)
+            self.socket = pynng.Req0(
+                resend_time=-1, recv_max_size=MAX_MESSAGE_BYTES
+            )
             self.socket.dial(f'tcp://{self.address}', block=False)
         self.messages += 1
         self.bytes_sent += len(payload)
@@ -98,9 +106,13 @@
 class ControlGroup:
     """Clients of all replicas; requests stay with one that answers."""
 
-    def __init__(self, replicas: tuple[tuple[str, Address], ...]) -> None:
+    def __init__(
+        self, replicas: tuple[tuple[str, Address], ...], key: ClusterKey
+    ) -> None:
         """Prepare a client for each replica."""
-        self.clients = [ControlClient(*named) for named in replicas]
+        self.clients = [
+            ControlClient(name, address, key) for name, address in replicas
+        ]
         self.preferred = 0
 
     @property
--- a/burdocklead/connection/control_server.py
+++ b/burdocklead/connection/control_server.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from collections.abc import Awaitable, Callable
 
 import msgspec
 import pynng
 
+from burdocklead.connection.cluster_key import ClusterKey
+from burdocklead.connection.control_client import MAX_MESSAGE_BYTES
 from burdocklead.connection.control_messages import (
     ControlReply,
     ControlRequest,
@@ -15,7 +18,17 @@
     message_encoder,
     request_decoder,
 )
-from burdocklead.exceptions import BurdockleadError, QuorumError
+from burdocklead.connection.sealing import (
+    OpenedRequest,
+    open_request,
+    seal_reply,
+)
+from burdocklead.exceptions import (
+    BurdockleadError,
+    ControlError,
+    QuorumError,
+)
+from burdocklead.metrics import CONTROL_BAD, CONTROL_UNPROVED, MetricSet
 from burdocklead.values import Address
 
 CONCURRENT_REQUESTS = 64
@@ -24,17 +37,16 @@
 
 
 class ControlServer:
-    """Answers requests of daemons and replicas.
+    """Answers requests of daemons and replicas that hold the cluster key."""
 
-    Attributes:
-        bad_messages: Messages that could not be decoded.
-    """
-
-    def __init__(self, handler: RequestHandler) -> None:
+    def __init__(
+        self, handler: RequestHandler, key: ClusterKey, metrics: MetricSet
+    ) -> None:
         """Prepare a server that answers with the handler."""
         self.handler = handler
-        self.bad_messages = 0
-        self.socket = pynng.Rep0()
+        self.key = key
+        self.metrics = metrics
+        self.socket = pynng.Rep0(recv_max_size=MAX_MESSAGE_BYTES)
         self.tasks: list[asyncio.Task[None]] = []
 
     def start(self, address: Address) -> Address:
@@ -54,15 +66,29 @@
     async def _serve(self) -> None:
         with self.socket.new_context() as context:
             while True:
-                payload = await context.arecv()
-                reply = await self._reply_to(payload)
-                await context.asend(message_encoder.encode(reply))
+                message = await context.arecv_msg()
+                try:
+                    request = open_request(self.key, message.bytes)
+                except ControlError:
+                    self.metrics.count(CONTROL_UNPROVED)
+                    message.pipe.close()
+                    continue
+                await self._answer(context, request)
+
+    async def _answer(
+        self, context: pynng.Context, request: OpenedRequest
+    ) -> None:
+        reply = await self._reply_to(request.payload)
+        payload = message_encoder.encode(reply)
+        content = seal_reply(self.key, request.nonce, payload)
+        with contextlib.suppress(pynng.NNGException):
+            await context.asend(content)
 
     async def _reply_to(self, payload: bytes) -> ControlReply:
         try:
             message = request_decoder.decode(payload)
         except msgspec.DecodeError as error:
-            self.bad_messages += 1
+            self.metrics.count(CONTROL_BAD)
             return Failure('decode', str(error))
         try:
             return await self.handler(message)
--- a/burdocklead/metrics.py
+++ b/burdocklead/metrics.py
@@ -68,6 +68,10 @@
 REFUSALS = _counter('refusals', 'Calls refused to clients.', 'cause')
 ATTEMPTS = _counter('attempts', 'Attempts by result.', 'result')
 CONTROL_BYTES = _counter('control_bytes', 'Control traffic.', 'direction')
+CONTROL_UNPROVED = _counter(
+    'control_unproved', 'Control messages without proof of the cluster key.'
+)
+CONTROL_BAD = _counter('control_bad', 'Control messages not decoded.')
 VERSION = _gauge('version_in_force', 'Configuration version in force.')
 
 DECLARED = (
@@ -76,6 +80,8 @@
     REFUSALS,
     ATTEMPTS,
     CONTROL_BYTES,
+    CONTROL_UNPROVED,
+    CONTROL_BAD,
     VERSION,
 )
 
--- a/burdocklead/process/control_http.py
+++ b/burdocklead/process/control_http.py
@@ -13,8 +13,10 @@
     json_response,
 )
 from burdocklead.process.control_replica import ControlReplica
+from burdocklead.process.operator_access import load_access, require_token
 
 CONFLICT = 409
+MAX_FILE_BYTES = 1048576
 QUORUM_AGE_LIMIT_S = 2
 
 
@@ -27,7 +29,10 @@
 
     def application(self) -> web.Application:
         """Return the application with all pages."""
-        application = web.Application()
+        access = load_access(self.replica.settings.operator_token_file)
+        application = web.Application(
+            client_max_size=MAX_FILE_BYTES, middlewares=[require_token(access)]
+        )
         add_common_pages(
             application,
             self.replica.events,
--- a/burdocklead/process/control_process.py
+++ b/burdocklead/process/control_process.py
@@ -17,7 +17,7 @@
     replica = ControlReplica(settings)
     lifecycle = Lifecycle(replica.events)
     lifecycle.watch_signals()
-    server = ControlServer(replica.handle)
+    server = ControlServer(replica.handle, replica.key, replica.metrics)
     control = server.start(settings.listen)
     pages = ControlPages(replica).application()
     runner, admin = await start_site(pages, settings.admin_listen)
--- a/burdocklead/process/control_replica.py
+++ b/burdocklead/process/control_replica.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from burdocklead.clock import HybridClock
+from burdocklead.connection.cluster_key import load_cluster_key
 from burdocklead.connection.control_client import ControlClient
 from burdocklead.connection.control_messages import (
     ControlReply,
@@ -87,6 +88,7 @@
         """Open the store and prepare clients of the other replicas."""
         self.settings = settings
         self.clock = HybridClock()
+        self.key = load_cluster_key(settings.cluster_key_file)
         self.events = EventRing(settings.replica_id, self.clock)
         self.metrics = MetricSet()
         self.store = RegisterStore(settings.data_folder)
@@ -94,7 +96,7 @@
             settings.replica_id, time.time_ns(), settings.member_lease
         )
         self.peers = [
-            ControlClient(name, address)
+            ControlClient(name, address, self.key)
             for name, address in settings.replicas
             if name != settings.replica_id
         ]
--- a/burdocklead/process/daemon_parts.py
+++ b/burdocklead/process/daemon_parts.py
@@ -7,6 +7,7 @@
 import time
 
 from burdocklead.clock import HybridClock
+from burdocklead.connection.cluster_key import load_cluster_key
 from burdocklead.connection.control_client import ControlGroup
 from burdocklead.connection.frames import Hello
 from burdocklead.connection.link_server import LinkServer
@@ -36,7 +37,9 @@
         self.rng = random.Random(self.incarnation)
         self.executor = AttemptExecutor(self.incarnation)
         self.router = Router(settings.zone, self.rng)
-        self.control = ControlGroup(settings.control)
+        self.control = ControlGroup(
+            settings.control, load_cluster_key(settings.cluster_key_file)
+        )
         hello = Hello(settings.daemon_id, self.incarnation)
         self.directory = DaemonDirectory(
             hello, self.executor, self.events, self.observe_load
--- a/burdocklead/settings.py
+++ b/burdocklead/settings.py
@@ -81,6 +81,9 @@
     cluster_key_file: Path | None = option(
         FilePath(must_exist=True), '', 'file with the shared cluster key'
     )
+    operator_token_file: Path | None = option(
+        FilePath(must_exist=True), '', 'file with the operator token'
+    )
     ready_file: Path | None = option(
         FilePath(), '', 'file to write the addresses to once serving'
     )
@@ -98,6 +101,6 @@
         'control replicas as NAME=IP:PORT,... (their admin addresses)',
     )
     timeout: float = option(Number(0.1, 600), '10', 'time limit in s')
-    token_file: Path | None = option(
+    operator_token_file: Path | None = option(
         FilePath(must_exist=True), '', 'file with the operator token'
     )
--- a/devtools/local_deployment.py
+++ b/devtools/local_deployment.py
@@ -51,6 +51,7 @@
         folder: Folder for logs, ready files and control data.
         daemon_flags: Flags added to each daemon.
         control_flags: Flags added to each replica.
+        operator_flags: Flags added to the operators' program.
         controls: Control replicas by name.
         daemons: Daemons by name.
         upstreams: Stand-in upstreams by the name of their daemon.
@@ -59,6 +60,7 @@
     folder: Path
     daemon_flags: tuple[str, ...] = ()
     control_flags: tuple[str, ...] = ()
+    operator_flags: tuple[str, ...] = ()
     controls: dict[str, ManagedProcess] = field(default_factory=dict)
     daemons: dict[str, ManagedProcess] = field(default_factory=dict)
     upstreams: dict[str, ManagedProcess] = field(default_factory=dict)
@@ -172,6 +174,7 @@
                 launcher,
                 '--control-admin',
                 replicas,
+                *self.operator_flags,
                 *arguments,
             ],
             capture_output=True,
