Let a control replica stop without tracebacks

Cause: the socket was closed under 64 waiting contexts, whose cancelled tasks had not ended; each logged two tracebacks at every stop. Change: tasks are cancelled and awaited before the socket closes. Measured: stop.feature failed before the change and passes after it.

--- a/burdocklead/connection/control_server.py
+++ b/burdocklead/connection/control_server.py
@@ -57,10 +57,11 @@
         port = str(listener.local_address).rpartition(':')[2]
         return Address(address.host, int(port))
 
-    def close(self) -> None:
-        """Stop answering."""
+    async def close(self) -> None:
+        """Stop answering; replies not sent yet are dropped."""
         for task in self.tasks:
             task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
         self.socket.close()
 
     async def _serve(self) -> None:
--- a/burdocklead/process/control_process.py
+++ b/burdocklead/process/control_process.py
@@ -30,7 +30,7 @@
     for task in tasks:
         task.cancel()
     await runner.cleanup()
-    server.close()
+    await server.close()
     replica.store.close()
     lifecycle.finish()
 
--- a/tests/steps/deployment_steps.py
+++ b/tests/steps/deployment_steps.py
@@ -126,3 +126,20 @@
     process = context.deployment.daemons[daemon]
     status = context.deployment.daemon_status(process)
     assert len(status['members']) == count, msgspec.json.encode(status)
+
+
+@when('every process is asked to stop')
+def stop_processes(context):
+    """Stop each process and keep its exit code."""
+    context.exit_codes = {
+        process.name: process.stop()
+        for process in context.deployment.processes()
+    }
+
+
+@then('every process ends with exit code 0 and no traceback in its log')
+def check_stop(context):
+    """Check exit codes and logs."""
+    assert set(context.exit_codes.values()) == {0}, context.exit_codes
+    for process in context.deployment.processes():
+        assert 'Traceback' not in process.log_text(), process.name
