Protect control messages and operators' pages with TLS by settings

Cause: the cluster key proves who speaks, but anybody on the path reads. Change: certificate, key and authority files; both ends of a control socket show a certificate; operators' pages speak HTTPS; files that are torn, expired, mismatched or incomplete are named at the start.

--- a/burdocklead/commands/context.py
+++ b/burdocklead/commands/context.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import ssl
 from dataclasses import dataclass
 from typing import TextIO
 
@@ -61,13 +62,9 @@
         ControlError: If none could be reached.
     """
     reasons = []
-    timeout = aiohttp.ClientTimeout(total=context.settings.timeout)
-    headers = load_access(context.settings.operator_token_file).header()
-    async with aiohttp.ClientSession(
-        timeout=timeout, headers=headers
-    ) as session:
+    async with open_session(context.settings) as session:
         for name, address in context.settings.control_admin:
-            url = f'http://{address}{path}'
+            url = f'{scheme_of(context.settings)}://{address}{path}'
             try:
                 async with session.request(method, url, data=body) as response:
                     text = await response.read()
@@ -75,3 +72,24 @@
             except (aiohttp.ClientError, asyncio.TimeoutError) as error:
                 reasons.append(f'{name}: {error or "no answer in time"}')
     raise ControlError('; '.join(reasons), step=path, peer='control')
+
+
+def scheme_of(settings: OperatorSettings) -> str:
+    """Return the URL scheme of the control replicas."""
+    return 'http' if settings.tls_authority is None else 'https'
+
+
+def open_session(settings: OperatorSettings) -> aiohttp.ClientSession:
+    """Return a session with the time limit, the token and TLS."""
+    return aiohttp.ClientSession(
+        connector=_connector(settings),
+        timeout=aiohttp.ClientTimeout(total=settings.timeout),
+        headers=load_access(settings.operator_token_file).header(),
+    )
+
+
+def _connector(settings: OperatorSettings) -> aiohttp.TCPConnector:
+    if settings.tls_authority is None:
+        return aiohttp.TCPConnector()
+    context = ssl.create_default_context(cafile=settings.tls_authority)
+    return aiohttp.TCPConnector(ssl=context)
--- a/burdocklead/connection/control_client.py
+++ b/burdocklead/connection/control_client.py
@@ -7,7 +7,6 @@
 import msgspec
 import pynng
 
-from burdocklead.connection.cluster_key import ClusterKey
 from burdocklead.connection.control_messages import (
     ControlReply,
     ControlRequest,
@@ -15,6 +14,7 @@
     message_encoder,
     reply_decoder,
 )
+from burdocklead.connection.peer_access import PeerAccess
 from burdocklead.connection.sealing import open_reply, seal_request
 from burdocklead.exceptions import ControlError, QuorumError
 from burdocklead.values import Address
@@ -33,9 +33,9 @@
         messages: Requests sent.
     """
 
-    def __init__(self, name: str, address: Address, key: ClusterKey) -> None:
+    def __init__(self, name: str, address: Address, access: PeerAccess) -> None:
         """Prepare a client; the socket is opened by the first request."""
-        self.key = key
+        self.access = access
         self.name = name
         self.address = address
         self.bytes_sent = 0
@@ -57,7 +57,7 @@
             QuorumError: If the replica found no quorum.
         """
         step = type(message).__name__.lower()
-        request = seal_request(self.key, message_encoder.encode(message))
+        request = seal_request(self.access.key, message_encoder.encode(message))
         try:
             async with asyncio.timeout(timeout):
                 received = await self._exchange(request.content)
@@ -77,7 +77,7 @@
         self, received: bytes, nonce: bytes, step: str
     ) -> ControlReply:
         self.bytes_received += len(received)
-        payload = open_reply(self.key, nonce, received)
+        payload = open_reply(self.access.key, nonce, received)
         try:
             reply = reply_decoder.decode(payload)
         except msgspec.DecodeError as error:
@@ -89,10 +89,7 @@
 
     async def _exchange(self, payload: bytes) -> bytes:
         if self.socket is None:
-            self.socket = pynng.Req0(
-                resend_time=-1, recv_max_size=MAX_MESSAGE_BYTES
-            )
-            self.socket.dial(f'tcp://{self.address}', block=False)
+            self.socket = self._open()
         self.messages += 1
         self.bytes_sent += len(payload)
         context = self.socket.new_context()
@@ -102,16 +99,27 @@
         finally:
             context.close()
 
+    def _open(self) -> pynng.Req0:
+        tls = self.access.tls
+        socket = pynng.Req0(
+            resend_time=-1,
+            recv_max_size=MAX_MESSAGE_BYTES,
+            tls_config=tls.control_client_config() if tls else None,
+        )
+        scheme = 'tls+tcp' if tls else 'tcp'
+        socket.dial(f'{scheme}://{self.address}', block=False)
+        return socket
+
 
 class ControlGroup:
     """Clients of all replicas; requests stay with one that answers."""
 
     def __init__(
-        self, replicas: tuple[tuple[str, Address], ...], key: ClusterKey
+        self, replicas: tuple[tuple[str, Address], ...], access: PeerAccess
     ) -> None:
         """Prepare a client for each replica."""
         self.clients = [
-            ControlClient(name, address, key) for name, address in replicas
+            ControlClient(name, address, access) for name, address in replicas
         ]
         self.preferred = 0
 
--- a/burdocklead/connection/control_server.py
+++ b/burdocklead/connection/control_server.py
@@ -9,7 +9,6 @@
 import msgspec
 import pynng
 
-from burdocklead.connection.cluster_key import ClusterKey
 from burdocklead.connection.control_client import MAX_MESSAGE_BYTES
 from burdocklead.connection.control_messages import (
     ControlReply,
@@ -18,6 +17,7 @@
     message_encoder,
     request_decoder,
 )
+from burdocklead.connection.peer_access import PeerAccess
 from burdocklead.connection.sealing import (
     OpenedRequest,
     open_request,
@@ -40,18 +40,23 @@
     """Answers requests of daemons and replicas that hold the cluster key."""
 
     def __init__(
-        self, handler: RequestHandler, key: ClusterKey, metrics: MetricSet
+        self, handler: RequestHandler, access: PeerAccess, metrics: MetricSet
     ) -> None:
         """Prepare a server that answers with the handler."""
         self.handler = handler
-        self.key = key
+        self.access = access
         self.metrics = metrics
-        self.socket = pynng.Rep0(recv_max_size=MAX_MESSAGE_BYTES)
+        tls = access.tls
+        self.scheme = 'tls+tcp' if tls else 'tcp'
+        self.socket = pynng.Rep0(
+            recv_max_size=MAX_MESSAGE_BYTES,
+            tls_config=tls.control_server_config() if tls else None,
+        )
         self.tasks: list[asyncio.Task[None]] = []
 
     def start(self, address: Address) -> Address:
         """Listen and return the address with the port in use."""
-        listener = self.socket.listen(f'tcp://{address}')
+        listener = self.socket.listen(f'{self.scheme}://{address}')
         for _ in range(CONCURRENT_REQUESTS):
             self.tasks.append(asyncio.create_task(self._serve()))
         port = str(listener.local_address).rpartition(':')[2]
@@ -69,7 +74,7 @@
             while True:
                 message = await context.arecv_msg()
                 try:
-                    request = open_request(self.key, message.bytes)
+                    request = open_request(self.access.key, message.bytes)
                 except ControlError:
                     self.metrics.count(CONTROL_UNPROVED)
                     message.pipe.close()
@@ -81,7 +86,7 @@
     ) -> None:
         reply = await self._reply_to(request.payload)
         payload = message_encoder.encode(reply)
-        content = seal_reply(self.key, request.nonce, payload)
+        content = seal_reply(self.access.key, request.nonce, payload)
         with contextlib.suppress(pynng.NNGException):
             await context.asend(content)
 
--- a/burdocklead/process/admin_http.py
+++ b/burdocklead/process/admin_http.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import ssl
 from collections.abc import Callable, Iterable
 
 import msgspec
@@ -65,7 +66,10 @@
 
 
 async def start_site(
-    application: web.Application, address: Address, shutdown_s: float = 1
+    application: web.Application,
+    address: Address,
+    shutdown_s: float = 1,
+    tls: ssl.SSLContext | None = None,
 ) -> tuple[web.AppRunner, Address]:
     """Serve an application and return its runner and its address."""
     runner = web.AppRunner(
@@ -75,7 +79,7 @@
         shutdown_timeout=shutdown_s,
     )
     await runner.setup()
-    site = web.TCPSite(runner, address.host, address.port)
+    site = web.TCPSite(runner, address.host, address.port, ssl_context=tls)
     await site.start()
     port = _port_of(runner.addresses)
     return runner, Address(address.host, port)
--- a/burdocklead/process/control_process.py
+++ b/burdocklead/process/control_process.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import ssl
 
 from burdocklead.connection.control_server import ControlServer
 from burdocklead.process.admin_http import start_site
@@ -17,10 +18,12 @@
     replica = ControlReplica(settings)
     lifecycle = Lifecycle(replica.events)
     lifecycle.watch_signals()
-    server = ControlServer(replica.handle, replica.key, replica.metrics)
+    server = ControlServer(replica.handle, replica.access, replica.metrics)
     control = server.start(settings.listen)
     pages = ControlPages(replica).application()
-    runner, admin = await start_site(pages, settings.admin_listen)
+    runner, admin = await start_site(
+        pages, settings.admin_listen, tls=_admin_context(replica)
+    )
     tasks = _start_tasks(replica)
     lifecycle.start_serving()
     addresses = {'control': str(control), 'admin': str(admin)}
@@ -41,3 +44,8 @@
     for peer in replica.peers:
         tasks.append(asyncio.create_task(replica.exchange_forever(peer)))
     return tasks
+
+
+def _admin_context(replica: ControlReplica) -> ssl.SSLContext | None:
+    tls = replica.access.tls
+    return tls.server_context(verify_peer=False) if tls else None
--- a/burdocklead/process/control_replica.py
+++ b/burdocklead/process/control_replica.py
@@ -10,7 +10,6 @@
 import msgspec
 
 from burdocklead.clock import HybridClock
-from burdocklead.connection.cluster_key import load_cluster_key
 from burdocklead.connection.control_client import ControlClient
 from burdocklead.connection.control_messages import (
     ControlReply,
@@ -19,6 +18,7 @@
     Heartbeat,
     HeartbeatReply,
 )
+from burdocklead.connection.peer_access import load_peer_access
 from burdocklead.durable.claims import (
     ClaimFinish,
     ClaimReply,
@@ -88,7 +88,7 @@
         """Open the store and prepare clients of the other replicas."""
         self.settings = settings
         self.clock = HybridClock()
-        self.key = load_cluster_key(settings.cluster_key_file)
+        self.access = load_peer_access(settings)
         self.events = EventRing(settings.replica_id, self.clock)
         self.metrics = MetricSet()
         self.store = RegisterStore(settings.data_folder)
@@ -96,7 +96,7 @@
             settings.replica_id, time.time_ns(), settings.member_lease
         )
         self.peers = [
-            ControlClient(name, address, self.key)
+            ControlClient(name, address, self.access)
             for name, address in settings.replicas
             if name != settings.replica_id
         ]
--- a/burdocklead/process/daemon_parts.py
+++ b/burdocklead/process/daemon_parts.py
@@ -7,10 +7,10 @@
 import time
 
 from burdocklead.clock import HybridClock
-from burdocklead.connection.cluster_key import load_cluster_key
 from burdocklead.connection.control_client import ControlGroup
 from burdocklead.connection.frames import Hello
 from burdocklead.connection.link_server import LinkServer
+from burdocklead.connection.peer_access import load_peer_access
 from burdocklead.events import EventRing
 from burdocklead.metrics import MetricSet
 from burdocklead.process.caller_http import CallerPages
@@ -37,9 +37,8 @@
         self.rng = random.Random(self.incarnation)
         self.executor = AttemptExecutor(self.incarnation)
         self.router = Router(settings.zone, self.rng)
-        self.control = ControlGroup(
-            settings.control, load_cluster_key(settings.cluster_key_file)
-        )
+        self.access = load_peer_access(settings)
+        self.control = ControlGroup(settings.control, self.access)
         hello = Hello(settings.daemon_id, self.incarnation)
         self.directory = DaemonDirectory(
             hello, self.executor, self.events, self.observe_load
--- a/burdocklead/settings.py
+++ b/burdocklead/settings.py
@@ -49,6 +49,15 @@
     cluster_key_file: Path | None = option(
         FilePath(must_exist=True), '', 'file with the shared cluster key'
     )
+    tls_certificate: Path | None = option(
+        FilePath(must_exist=True), '', 'file with the certificate chain'
+    )
+    tls_key: Path | None = option(
+        FilePath(must_exist=True), '', 'file with the private key'
+    )
+    tls_authority: Path | None = option(
+        FilePath(must_exist=True), '', 'file with the authorities'
+    )
     ready_file: Path | None = option(
         FilePath(), '', 'file to write the addresses to once serving'
     )
@@ -84,6 +93,15 @@
     operator_token_file: Path | None = option(
         FilePath(must_exist=True), '', 'file with the operator token'
     )
+    tls_certificate: Path | None = option(
+        FilePath(must_exist=True), '', 'file with the certificate chain'
+    )
+    tls_key: Path | None = option(
+        FilePath(must_exist=True), '', 'file with the private key'
+    )
+    tls_authority: Path | None = option(
+        FilePath(must_exist=True), '', 'file with the authorities'
+    )
     ready_file: Path | None = option(
         FilePath(), '', 'file to write the addresses to once serving'
     )
@@ -104,3 +122,6 @@
     operator_token_file: Path | None = option(
         FilePath(must_exist=True), '', 'file with the operator token'
     )
+    tls_authority: Path | None = option(
+        FilePath(must_exist=True), '', 'file with the authorities'
+    )
--- a/tests/process/access.feature
+++ b/tests/process/access.feature
@@ -13,7 +13,7 @@
     And a reply to one request does not open as the reply to another
 
   Scenario: A deployment with a key and a token takes only their holders
-    Given a deployment with a key and a token, and 1 job-sheets
+    Given a key and a token protect 1 job-sheets
     And the file "examples/cedarline.toml" is in force everywhere
     When a client sends GET "/job-sheets/sheets/1" through "job-sheets-0"
     Then the call has the outcome "answered" and the status 200
--- a/tests/steps/access_steps.py
+++ b/tests/steps/access_steps.py
@@ -11,6 +11,7 @@
 from burdocklead.connection.cluster_key import ClusterKey, load_cluster_key
 from burdocklead.connection.control_client import ControlClient
 from burdocklead.connection.control_messages import Cursor, Exchange
+from burdocklead.connection.peer_access import PeerAccess
 from burdocklead.connection.sealing import (
     open_reply,
     open_request,
@@ -101,7 +102,7 @@
     return False
 
 
-@given('a deployment with a key and a token, and {count:d} job-sheets')
+@given('a key and a token protect {count:d} job-sheets')
 def start_protected(context, count):
     """Start a deployment whose processes hold a key and a token."""
     secret_file = context.folder / 'secret'
@@ -140,7 +141,9 @@
     """Send an exchange sealed with another key."""
     address = context.deployment.controls['control-0'].addresses['control']
     client = ControlClient(
-        'control-0', SocketAddress().parse(address), ClusterKey(b'')
+        'control-0',
+        SocketAddress().parse(address),
+        PeerAccess(ClusterKey(b'')),
     )
     message = Exchange('stranger', Cursor(), 0, HybridTime(0, 0))
     context.error = asyncio.run(ask(client, message))
--- /dev/null
+++ b/tests/steps/tls_steps.py
@@ -0,0 +1,129 @@
+"""Steps for TLS files and a deployment that uses them."""
+
+from __future__ import annotations
+
+import asyncio
+import datetime
+
+import trustme
+from behave import given, then, when
+
+from burdocklead.clock import HybridTime
+from burdocklead.connection.cluster_key import ClusterKey
+from burdocklead.connection.control_client import ControlClient
+from burdocklead.connection.control_messages import Cursor, Exchange
+from burdocklead.connection.peer_access import PeerAccess
+from burdocklead.connection.tls import load_tls
+from burdocklead.exceptions import ControlError, SettingsError
+from burdocklead.options import SocketAddress
+from devtools.local_deployment import LocalDeployment
+
+EXPIRY = datetime.datetime(2020, 1, 2, tzinfo=datetime.UTC)
+NAMES = ('burdocklead', '127.0.0.1')
+
+
+def write_tls_files(folder, leaf, authority):
+    """Write certificate, key and authority and return their paths."""
+    files = {
+        'certificate': folder / 'certificate.pem',
+        'key': folder / 'key.pem',
+        'authority': folder / 'authority.pem',
+    }
+    chain = b''.join(blob.bytes() for blob in leaf.cert_chain_pems)
+    files['certificate'].write_bytes(chain)
+    files['key'].write_bytes(leaf.private_key_pem.bytes())
+    files['authority'].write_bytes(authority.cert_pem.bytes())
+    return files
+
+
+@when('TLS is set up with {fault}')
+def set_up_tls(context, fault):
+    """Load TLS files of which one has a fault."""
+    authority = trustme.CA()
+    leaf = authority.issue_cert(*NAMES)
+    if fault == 'an expired certificate':
+        leaf = authority.issue_cert(*NAMES, not_after=EXPIRY)
+    files = write_tls_files(context.folder, leaf, authority)
+    if fault == 'the key of another':
+        other = authority.issue_cert(*NAMES)
+        files['key'].write_bytes(other.private_key_pem.bytes())
+    if fault == 'a torn certificate':
+        torn = files['certificate'].read_bytes()[:200]
+        files['certificate'].write_bytes(torn)
+    context.tls_files = dict(files)
+    if fault == 'no authority':
+        files['authority'] = None
+    context.tls_error = None
+    try:
+        load_tls(**files)
+    except SettingsError as error:
+        context.tls_error = error
+
+
+@then('setting it up names the {name} and fails with "{reason}"')
+def check_tls_error(context, name, reason):
+    """Compare the reason and the file."""
+    assert context.tls_error is not None, 'accepted'
+    assert reason in context.tls_error.reason, context.tls_error
+    assert context.tls_error.peer == str(context.tls_files[name])
+
+
+@then('setting it up fails with "{reason}" and no file')
+def check_tls_error_without_file(context, reason):
+    """Compare the reason of an error that concerns no single file."""
+    assert context.tls_error is not None, 'accepted'
+    assert reason in context.tls_error.reason, context.tls_error
+    assert not context.tls_error.peer, context.tls_error
+
+
+@given('TLS files protect {count:d} job-sheets')
+def start_with_tls(context, count):
+    """Start a deployment whose processes hold certificates."""
+    authority = trustme.CA()
+    leaf = authority.issue_cert(*NAMES)
+    files = write_tls_files(context.folder, leaf, authority)
+    flags = tuple(
+        part
+        for name, path in files.items()
+        for part in (f'--tls-{name}', str(path))
+    )
+    context.deployment = LocalDeployment(
+        context.folder,
+        daemon_flags=flags,
+        control_flags=flags,
+        operator_flags=('--tls-authority', str(files['authority'])),
+    )
+    context.deployment.start_controls()
+    context.deployment.start_upstreams({'job-sheets': count})
+
+
+@then('a control client without a certificate gets no answer')
+def check_without_certificate(context):
+    """Send an exchange without TLS."""
+    address = context.deployment.controls['control-0'].addresses['control']
+    client = ControlClient(
+        'control-0',
+        SocketAddress().parse(address),
+        PeerAccess(ClusterKey(b'')),
+    )
+    assert asyncio.run(gets_no_answer(client))
+
+
+async def gets_no_answer(client):
+    """Return True if a replica does not answer."""
+    message = Exchange('stranger', Cursor(), 0, HybridTime(0, 0))
+    try:
+        await client.request(message, 1)
+    except ControlError:
+        return True
+    finally:
+        client.close()
+    return False
+
+
+@then('an operator without the authority can not reach control')
+def check_operator_without_authority(context):
+    """Run the operators' program without its TLS flags."""
+    context.deployment.operator_flags = ()
+    completed = context.deployment.run_operator('status')
+    assert completed.returncode == 3, completed
