--- a/devtools/run_tests.py
+++ b/devtools/run_tests.py
@@ -92,7 +92,7 @@
     with tempfile.TemporaryDirectory() as folder:
         report = Path(folder) / 'report.json'
         command = ['-m', 'behave', '--format', 'json', '--outfile', str(report)]
-        plain = ['--format', 'progress', '--no-color', str(path)]
+        plain = ['--format', 'plain', '--no-color', str(path)]
         completed = subprocess.run(
             [sys.executable, *command, *plain],
             cwd=source_root(),
--- a/tests/connection/tls.feature
+++ b/tests/connection/tls.feature
@@ -20,4 +20,5 @@
     When a client sends GET "/job-sheets/sheets/1" through "job-sheets-0"
     Then the call has the outcome "answered" and the status 200
     And a control client without a certificate gets no answer
+    And a control client with an authority but no certificate gets no answer
     And an operator without the authority can not reach control
--- a/tests/steps/tls_steps.py
+++ b/tests/steps/tls_steps.py
@@ -5,6 +5,7 @@
 import asyncio
 import datetime
 
+import pynng
 import trustme
 from behave import given, then, when
 
@@ -13,6 +14,7 @@
 from burdocklead.connection.control_client import ControlClient
 from burdocklead.connection.control_messages import Cursor, Exchange
 from burdocklead.connection.peer_access import PeerAccess
+from burdocklead.connection.sealing import seal_request
 from burdocklead.connection.tls import load_tls
 from burdocklead.exceptions import ControlError, SettingsError
 from burdocklead.options import SocketAddress
@@ -93,6 +95,7 @@
         control_flags=flags,
         operator_flags=('--tls-authority', str(files['authority'])),
     )
+    context.authority_file = files['authority']
     context.deployment.start_controls()
     context.deployment.start_upstreams({'job-sheets': count})
 
@@ -127,3 +130,33 @@
     context.deployment.operator_flags = ()
     completed = context.deployment.run_operator('status')
     assert completed.returncode == 3, completed
+
+
+@then('a control client with an authority but no certificate gets no answer')
+def check_authority_only(context):
+    """Send an exchange over TLS from a holder of no certificate."""
+    address = context.deployment.controls['control-0'].addresses['control']
+    answered = asyncio.run(
+        answers_stranger(address, context.authority_file.read_text())
+    )
+    assert not answered
+
+
+async def answers_stranger(address, authority):
+    """Return True if a replica answers a peer without a certificate."""
+    config = pynng.TLSConfig(
+        pynng.TLSConfig.MODE_CLIENT,
+        server_name='burdocklead',
+        ca_string=authority,
+        auth_mode=pynng.TLSConfig.AUTH_MODE_REQUIRED,
+    )
+    sealed = seal_request(ClusterKey(b''), b'any')
+    with pynng.Req0(tls_config=config) as socket:
+        socket.dial(f'tls+tcp://{address}', block=False)
+        try:
+            async with asyncio.timeout(1):
+                await socket.asend(sealed.content)
+                await socket.arecv()
+        except (TimeoutError, pynng.NNGException):
+            return False
+    return True
