Let claims share syncs and messages; skip the first phase where safe

Cause: each phase of each claim had its own message and its own sync on the loop; ballots started again at 1 after a restart, so one could be used twice. Change: group commit (writes that arrive during a sync share the next one), one message for the phases that wait for a replica, accepts that carry the promise of the next round, first ballots that need an empty register at every replica, ballots with the durable number of the start.

--- a/burdocklead/connection/control_messages.py
+++ b/burdocklead/connection/control_messages.py
@@ -7,16 +7,22 @@
 from burdocklead.clock import HybridTime
 from burdocklead.durable.claims import ClaimFinish, ClaimReply, ClaimStart
 from burdocklead.durable.configuration import AcceptedFile
-from burdocklead.durable.register import (
-    Accept,
-    Accepted,
-    Conflict,
-    Prepare,
-    Promise,
-)
+from burdocklead.durable.register import Phase, PhaseReply
 from burdocklead.values import Member
 
 
+class Phases(msgspec.Struct, frozen=True, tag=True):
+    """A batch of phases of rounds on registers."""
+
+    phases: tuple[Phase, ...]
+
+
+class PhaseReplies(msgspec.Struct, frozen=True, tag=True):
+    """The replies to a batch, in its order, once all is synced."""
+
+    replies: tuple[PhaseReply, ...]
+
+
 class Cursor(msgspec.Struct, frozen=True, array_like=True):
     """A place in one replica's order of membership changes.
 
@@ -97,12 +103,8 @@
     no_quorum: bool = False
 
 
-ControlRequest = (
-    Prepare | Accept | Heartbeat | Exchange | ClaimStart | ClaimFinish
-)
-ControlReply = (
-    Promise | Accepted | Conflict | HeartbeatReply | ClaimReply | Failure
-)
+ControlRequest = Phases | Heartbeat | Exchange | ClaimStart | ClaimFinish
+ControlReply = PhaseReplies | HeartbeatReply | ClaimReply | Failure
 
 message_encoder = msgspec.msgpack.Encoder()
 request_decoder: msgspec.msgpack.Decoder[ControlRequest] = (
--- a/burdocklead/connection/control_server.py
+++ b/burdocklead/connection/control_server.py
@@ -18,7 +18,7 @@
 from burdocklead.exceptions import BurdockleadError, QuorumError
 from burdocklead.values import Address
 
-CONCURRENT_REQUESTS = 64
+CONCURRENT_REQUESTS = 256
 
 RequestHandler = Callable[[ControlRequest], Awaitable[ControlReply]]
 
--- /dev/null
+++ b/burdocklead/durable/identity.py
@@ -0,0 +1,70 @@
+"""The identity of a data folder and the number of its starts."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import msgspec
+
+from burdocklead.durable.files import FileLayer, replace_file
+from burdocklead.durable.store import FILE_NAME as REGISTERS_NAME
+from burdocklead.exceptions import StorageError
+
+IDENTITY_NAME = 'identity.json'
+STEP = 'identity'
+
+
+class Identity(msgspec.Struct, frozen=True):
+    """What a data folder says about itself.
+
+    Attributes:
+        replica_id: Replica that the folder belongs to.
+        identity: Random name of the folder, made with it.
+        start: Number of the present start; part of ballots, so that no
+            ballot is used twice.
+    """
+
+    replica_id: str
+    identity: str
+    start: int = 0
+
+
+def open_identity(
+    layer: FileLayer, folder: Path, replica_id: str, new_identity: str
+) -> Identity:
+    """Return the identity of a folder after counting one more start.
+
+    Args:
+        layer: Access to files.
+        folder: The data folder.
+        replica_id: Replica that opens it.
+        new_identity: Identity to use if the folder is empty.
+
+    Raises:
+        StorageError: If the folder is damaged or another replica's.
+    """
+    path = folder / IDENTITY_NAME
+    found = _read(layer, path)
+    if found is None and layer.read(folder / REGISTERS_NAME):
+        reason = 'is missing beside a register file'
+        raise StorageError(reason, step=STEP, peer=str(path))
+    current = found or Identity(replica_id, new_identity)
+    if current.replica_id != replica_id:
+        reason = f'belongs to replica {current.replica_id}, not {replica_id}'
+        raise StorageError(reason, step=STEP, peer=str(path))
+    counted = msgspec.structs.replace(current, start=current.start + 1)
+    try:
+        replace_file(layer, path, msgspec.json.encode(counted))
+    except OSError as error:
+        raise StorageError(str(error), step=STEP, peer=str(path)) from error
+    return counted
+
+
+def _read(layer: FileLayer, path: Path) -> Identity | None:
+    content = layer.read(path)
+    if content is None:
+        return None
+    try:
+        return msgspec.json.decode(content, type=Identity)
+    except msgspec.DecodeError as error:
+        raise StorageError(str(error), step=STEP, peer=str(path)) from error
--- /dev/null
+++ b/burdocklead/durable/key_locks.py
@@ -0,0 +1,40 @@
+"""Locks by key that exist only while somebody holds or awaits them."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator
+from dataclasses import dataclass, field
+
+
+@dataclass(slots=True)
+class KeyLock:
+    """One lock and the number of its users."""
+
+    users: int = 0
+    lock: asyncio.Lock = field(default_factory=asyncio.Lock)
+
+
+@dataclass(slots=True)
+class KeyLocks:
+    """Lets changes of one register by one proposer go one by one.
+
+    Attributes:
+        locks: Locks in use by key.
+    """
+
+    locks: dict[str, KeyLock] = field(default_factory=dict)
+
+    @contextlib.asynccontextmanager
+    async def hold(self, key: str) -> AsyncIterator[None]:
+        """Hold the lock of a key."""
+        held = self.locks.setdefault(key, KeyLock())
+        held.users += 1
+        try:
+            async with held.lock:
+                yield
+        finally:
+            held.users -= 1
+            if not held.users:
+                self.locks.pop(key)
--- a/burdocklead/durable/proposer.py
+++ b/burdocklead/durable/proposer.py
@@ -4,40 +4,43 @@
 
 import asyncio
 import random
-from collections.abc import Awaitable, Callable, Sequence
+from collections import OrderedDict
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
-from typing import Protocol, TypeVar
+from typing import Protocol
 
-from burdocklead.connection.control_messages import ControlReply
+from burdocklead.durable.key_locks import KeyLocks
 from burdocklead.durable.register import (
     NO_BALLOT,
     Accept,
-    Accepted,
     Ballot,
-    Conflict,
+    Phase,
+    PhaseReply,
     Prepare,
     Promise,
     choose_value,
-    next_ballot,
-    quorum_size,
 )
-from burdocklead.exceptions import ControlError, QuorumError
+from burdocklead.durable.replica_set import ReplicaSet
+from burdocklead.durable.tally import PhaseResult, Tally
+from burdocklead.exceptions import BurdockleadError, QuorumError
 
 MAX_ROUNDS = 12
 BACKOFF_S = 0.01
-REPLY_TIMEOUT_S = 1.0
+PHASE_TIMEOUT_S = 2.0
+FIRST_BALLOT_TIMEOUT_S = 0.25
+FIRST_BALLOT_PAUSE_S = 5.0
+MAX_CACHED_REGISTERS = 8192
+MAX_CACHED_BYTES = 4096
+STEP = 'propose'
 
-ReplyT = TypeVar('ReplyT', Promise, Accepted)
 Update = Callable[[bytes], bytes]
 
 
 class Acceptor(Protocol):
     """A replica as the proposer sees it."""
 
-    async def request(
-        self, message: Prepare | Accept, timeout: float
-    ) -> ControlReply:
-        """Return the reply to a phase, or raise ControlError."""
+    def submit(self, phase: Phase) -> asyncio.Future[PhaseReply]:
+        """Return the reply to a phase; it may fail with an error."""
 
 
 @dataclass(slots=True)
@@ -46,71 +49,157 @@
 
     Attributes:
         replica_id: Replica that proposes.
-        acceptors: All replicas, this one included.
-        highest: Highest ballot seen so far.
+        start: Number of its start.
+        replicas: The replica set in force.
+        acceptors: Replicas by name, this one included.
+        counter: Counter of the last ballot; ballots are used once.
+        cached: Promised ballot and value of registers written last by
+            this proposer.
+        first_ballots_from: Loop time from which first ballots are worth
+            trying, in s.
     """
 
     replica_id: str
-    acceptors: Sequence[Acceptor]
+    start: int
+    replicas: ReplicaSet
+    acceptors: Mapping[str, Acceptor]
     jitter: random.Random = field(default_factory=random.Random)
-    highest: Ballot = NO_BALLOT
-
-    async def change(self, key: str, update: Update) -> bytes:
+    counter: int = 0
+    cached: OrderedDict[str, tuple[Ballot, bytes]] = field(
+        default_factory=OrderedDict
+    )
+    first_ballots_from: float = 0
+    locks: KeyLocks = field(default_factory=KeyLocks)
+
+    async def change(
+        self, key: str, update: Update, *, maybe_new: bool = False
+    ) -> bytes:
         """Return the value after the update was applied to the register.
 
+        Args:
+            key: The register.
+            update: Returns the new value; may be called more than once.
+            maybe_new: True if the register was probably never written.
+
         Raises:
-            QuorumError: If no quorum answered or rounds kept conflicting.
+            QuorumError: If no quorum answered or rounds kept conflicting;
+                the update may yet take effect.
         """
-        for attempt in range(MAX_ROUNDS):
-            value = await self._run_round(key, update)
-            if value is not None:
-                return value
-            pause = BACKOFF_S * (attempt + 1) * self.jitter.random()
-            await asyncio.sleep(pause)
-        raise QuorumError('other proposers kept winning', step='propose')
+        async with self.locks.hold(key):
+            value = await self._run_shortcut(key, update, maybe_new)
+            for attempt in range(MAX_ROUNDS):
+                if value is not None:
+                    return value
+                value = await self._run_round(key, update)
+                if value is None:
+                    pause = BACKOFF_S * (attempt + 1) * self.jitter.random()
+                    await asyncio.sleep(pause)
+        raise QuorumError('other proposers kept winning', step=STEP)
+
+    async def _run_shortcut(
+        self, key: str, update: Update, maybe_new: bool
+    ) -> bytes | None:
+        cached = self.cached.pop(key, None)
+        if cached is not None:
+            ballot, value = cached
+            return await self._accept(key, ballot, update(value))
+        now = asyncio.get_running_loop().time()
+        if not maybe_new or now < self.first_ballots_from:
+            return None
+        return await self._accept_first(key, update(b''))
+
+    async def _accept_first(self, key: str, value: bytes) -> bytes | None:
+        ballot = Ballot(0, self.start, self.replica_id)
+        tally = Tally(self.replicas, unanimous=True)
+        message = Accept(key, ballot, value, self._next_ballot())
+        if await self._gather(message, tally, FIRST_BALLOT_TIMEOUT_S):
+            self._cache(key, message)
+            return value
+        if tally.promised == NO_BALLOT:
+            now = asyncio.get_running_loop().time()
+            self.first_ballots_from = now + FIRST_BALLOT_PAUSE_S
+        return None
 
     async def _run_round(self, key: str, update: Update) -> bytes | None:
-        ballot = next_ballot(self.replica_id, self.highest)
-        self.highest = ballot
-        promises = await self._gather(Prepare(key, ballot), Promise)
-        if promises is None:
+        ballot = self._next_ballot()
+        tally = Tally(self.replicas)
+        won = await self._gather(Prepare(key, ballot), tally, PHASE_TIMEOUT_S)
+        if not won:
+            self._check_quorum(tally)
             return None
-        value = update(choose_value(promises))
-        accepted = await self._gather(Accept(key, ballot, value), Accepted)
-        return None if accepted is None else value
+        promises = [
+            reply
+            for reply in tally.replies.values()
+            if isinstance(reply, Promise)
+        ]
+        return await self._accept(key, ballot, update(choose_value(promises)))
+
+    async def _accept(
+        self, key: str, ballot: Ballot, value: bytes
+    ) -> bytes | None:
+        message = Accept(key, ballot, value, self._next_ballot())
+        tally = Tally(self.replicas)
+        if await self._gather(message, tally, PHASE_TIMEOUT_S):
+            self._cache(key, message)
+            return value
+        self._check_quorum(tally)
+        return None
 
     async def _gather(
-        self, message: Prepare | Accept, wanted: type[ReplyT]
-    ) -> list[ReplyT] | None:
-        wanted_count = quorum_size(len(self.acceptors))
-        pending = [
-            asyncio.ensure_future(acceptor.request(message, REPLY_TIMEOUT_S))
-            for acceptor in self.acceptors
-        ]
-        replies: list[ReplyT] = []
-        conflicted = False
-        for completed in asyncio.as_completed(pending):
-            reply = await _reply_or_none(completed)
-            match reply:
-                case Conflict(promised):
-                    conflicted = True
-                    self.highest = max(self.highest, promised)
-                case _ if isinstance(reply, wanted):
-                    replies.append(reply)
-            if len(replies) == wanted_count:
-                return replies
-        if conflicted:
-            return None
-        raise QuorumError(
-            f'{len(replies)} of {len(pending)} replicas answered',
-            step='propose',
+        self, message: Phase, tally: Tally, timeout: float
+    ) -> bool:
+        """Send a phase to all; return True once it is won."""
+        decided: asyncio.Future[bool] = (
+            asyncio.get_running_loop().create_future()
         )
-
-
-async def _reply_or_none(
-    completed: Awaitable[ControlReply],
-) -> ControlReply | None:
-    try:
-        return await completed
-    except ControlError:
+        for name in tally.replicas.names:
+            future = self.acceptors[name].submit(message)
+            future.add_done_callback(_counter_of(name, tally, decided))
+        try:
+            async with asyncio.timeout(timeout):
+                won = await decided
+        except TimeoutError:
+            won = False
+        self.counter = max(self.counter, tally.promised.counter)
+        return won
+
+    def _check_quorum(self, tally: Tally) -> None:
+        if tally.promised == NO_BALLOT:
+            count = len(tally.replies)
+            total = len(tally.replicas.names)
+            reason = f'{count} of {total} replicas answered'
+            raise QuorumError(reason, step=STEP)
+
+    def _cache(self, key: str, message: Accept) -> None:
+        if len(message.value) > MAX_CACHED_BYTES:
+            return
+        self.cached[key] = (message.following, message.value)
+        if len(self.cached) > MAX_CACHED_REGISTERS:
+            self.cached.popitem(last=False)
+
+    def _next_ballot(self) -> Ballot:
+        self.counter += 1
+        return Ballot(self.counter, self.start, self.replica_id)
+
+
+def _counter_of(
+    name: str, tally: Tally, decided: asyncio.Future[bool]
+) -> Callable[[asyncio.Future[PhaseReply]], None]:
+    def count(future: asyncio.Future[PhaseReply]) -> None:
+        tally.add(name, _reply_of(future))
+        result = tally.result()
+        if result is not None and not decided.done():
+            decided.set_result(result is PhaseResult.won)
+
+    return count
+
+
+def _reply_of(future: asyncio.Future[PhaseReply]) -> PhaseReply | None:
+    if future.cancelled():
+        return None
+    error = future.exception()
+    if error is None:
+        return future.result()
+    if isinstance(error, BurdockleadError):
         return None
+    raise error
--- /dev/null
+++ b/burdocklead/durable/replica_set.py
@@ -0,0 +1,71 @@
+"""The set of control replicas and which of them form a quorum."""
+
+from __future__ import annotations
+
+from collections.abc import Set as AbstractSet
+
+import msgspec
+
+from burdocklead.durable.register import quorum_size
+from burdocklead.values import Address
+
+
+class Replica(msgspec.Struct, frozen=True, array_like=True, order=True):
+    """One member of a replica set.
+
+    Attributes:
+        replica_id: Name of the replica.
+        address: Its control address.
+        identity: Identity of its data folder, empty while unknown.
+    """
+
+    replica_id: str
+    address: Address
+    identity: str = ''
+
+
+class ReplicaSet(msgspec.Struct, frozen=True):
+    """The replicas of one epoch.
+
+    While a change is in progress, a quorum needs a majority of the replicas
+    and a majority of the replicas after the change.
+
+    Attributes:
+        epoch: Number of the set, grows by each step of a change.
+        replicas: Replicas whose state counts.
+        following: Replicas after the change in progress, empty if none.
+    """
+
+    epoch: int = 0
+    replicas: tuple[Replica, ...] = ()
+    following: tuple[Replica, ...] = ()
+
+    @property
+    def names(self) -> frozenset[str]:
+        """Return the names of all replicas, before and after a change."""
+        return names_of(self.replicas) | names_of(self.following)
+
+    def is_quorum(self, names: AbstractSet[str]) -> bool:
+        """Return True if the named replicas decide."""
+        if not _is_majority(names, self.replicas):
+            return False
+        return not self.following or _is_majority(names, self.following)
+
+    def find(self, replica_id: str) -> Replica | None:
+        """Return a replica by name, None if it is not in the set."""
+        for replica in (*self.replicas, *self.following):
+            if replica.replica_id == replica_id:
+                return replica
+        return None
+
+
+def names_of(replicas: tuple[Replica, ...]) -> frozenset[str]:
+    """Return the names of replicas."""
+    return frozenset(replica.replica_id for replica in replicas)
+
+
+def _is_majority(
+    names: AbstractSet[str], replicas: tuple[Replica, ...]
+) -> bool:
+    present = len(names & names_of(replicas))
+    return present >= quorum_size(len(replicas))
--- a/burdocklead/durable/store.py
+++ b/burdocklead/durable/store.py
@@ -2,104 +2,123 @@
 
 from __future__ import annotations
 
-import os
-import struct
-import zlib
+import contextlib
 from collections.abc import Mapping
 from pathlib import Path
 
-import msgspec
-
+from burdocklead.durable.files import FileLayer, replace_file
+from burdocklead.durable.records import decode_file, encode_record
 from burdocklead.durable.register import EMPTY_REGISTER, Register
 from burdocklead.exceptions import StorageError
 
 FILE_NAME = 'registers.log'
-HEADER = struct.Struct('>II')
+MIN_COMPACTION_BYTES = 1048576
+GROWTH_LIMIT = 2
+ENTRIES_PER_RECORD = 1024
 STEP = 'store'
 
 
-class Entry(msgspec.Struct, frozen=True, array_like=True):
-    """One write of a register."""
-
-    key: str
-    register: Register
-
-
 class RegisterStore:
     """Registers in memory, backed by one file in the data folder.
 
+    After a failed write or sync the file is not trusted again: the next
+    commit writes a new one from what is known to be synced.
+
     Attributes:
-        registers: State of each register by key.
+        registers: Synced state of each register by key.
         syncs: Number of syncs done.
+        bytes_written: Bytes appended, without compactions.
+        compactions: Number of files written anew.
+        cut_bytes: Length of the torn tail cut at start.
+        failure: Why the last commit failed, empty if it did not.
     """
 
-    def __init__(self, folder: Path) -> None:
-        """Open the file, read it back and cut a torn tail."""
-        folder.mkdir(parents=True, exist_ok=True)
+    def __init__(
+        self,
+        layer: FileLayer,
+        folder: Path,
+        min_compaction_bytes: int = MIN_COMPACTION_BYTES,
+    ) -> None:
+        """Read the file back and cut a torn tail.
+
+        Raises:
+            StorageError: If the file is damaged before its tail.
+        """
+        self.layer = layer
         self.path = folder / FILE_NAME
-        self.registers: dict[str, Register] = {}
+        self.min_compaction_bytes = min_compaction_bytes
         self.syncs = 0
-        self._encoder = msgspec.msgpack.Encoder()
-        self._decoder = msgspec.msgpack.Decoder(Entry)
-        valid_bytes = self._load()
-        self._file = self.path.open('ab')
-        self._file.truncate(valid_bytes)
+        self.bytes_written = 0
+        self.compactions = 0
+        self.failure = ''
+        content = layer.read(self.path) or b''
+        decoded = decode_file(content)
+        if decoded.damaged_at is not None:
+            raise self._error(f'damaged record at offset {decoded.damaged_at}')
+        self.registers = decoded.registers
+        self.cut_bytes = len(content) - decoded.valid_bytes
+        self.size = decoded.valid_bytes
+        self.compacted_size = 0
+        self._file = (
+            layer.open_at(self.path, self.size)
+            if content
+            else layer.create(self.path)
+        )
+        self._file.sync()
+        layer.sync_folder(folder)
 
     def read(self, key: str) -> Register:
-        """Return the state of a register, the empty one if unknown."""
+        """Return the synced state of a register, the empty one if unknown."""
         return self.registers.get(key, EMPTY_REGISTER)
 
-    def write(self, changes: Mapping[str, Register]) -> None:
-        """Append the changes and sync them before they count.
+    def commit(self, changes: Mapping[str, Register]) -> None:
+        """Return once all changes are synced; one sync for all of them.
 
         Raises:
-            StorageError: If the file could not be written.
+            StorageError: If they could not be written; none counts.
         """
-        frames = b''.join(
-            self._frame_of(Entry(key, register))
-            for key, register in changes.items()
-        )
         try:
-            self._append(frames)
+            self._write(changes)
         except OSError as error:
-            raise StorageError(
-                str(error), step=STEP, peer=str(self.path)
-            ) from error
+            self.failure = str(error) or 'write failed'
+            raise self._error(self.failure) from error
+        self.failure = ''
         self.registers.update(changes)
 
     def close(self) -> None:
         """Close the file."""
         self._file.close()
 
-    def _append(self, frames: bytes) -> None:
-        self._file.write(frames)
-        self._file.flush()
-        os.fsync(self._file.fileno())
+    def _write(self, changes: Mapping[str, Register]) -> None:
+        limit = max(
+            self.min_compaction_bytes, self.compacted_size * GROWTH_LIMIT
+        )
+        if self.failure or self.size > limit:
+            self._compact({**self.registers, **changes})
+            return
+        record = encode_record(changes)
+        self._file.append(record)
+        self._file.sync()
+        self.syncs += 1
+        self.size += len(record)
+        self.bytes_written += len(record)
+
+    def _compact(self, registers: Mapping[str, Register]) -> None:
+        """Put a new file in place that holds just the last states."""
+        entries = list(registers.items())
+        content = b''.join(
+            encode_record(dict(entries[start : start + ENTRIES_PER_RECORD]))
+            for start in range(0, len(entries), ENTRIES_PER_RECORD)
+        )
+        self.failure = self.failure or 'compaction did not end'
+        replace_file(self.layer, self.path, content)
+        with contextlib.suppress(OSError):
+            self._file.close()
+        self._file = self.layer.open_at(self.path, len(content))
         self.syncs += 1
+        self.compactions += 1
+        self.size = len(content)
+        self.compacted_size = len(content)
 
-    def _frame_of(self, entry: Entry) -> bytes:
-        payload = self._encoder.encode(entry)
-        return HEADER.pack(len(payload), zlib.crc32(payload)) + payload
-
-    def _load(self) -> int:
-        if not self.path.exists():
-            return 0
-        content = self.path.read_bytes()
-        position = 0
-        while position + HEADER.size <= len(content):
-            length, checksum = HEADER.unpack_from(content, position)
-            start = position + HEADER.size
-            payload = content[start : start + length]
-            if len(payload) < length:
-                break
-            self._load_entry(payload, checksum)
-            position = start + length
-        return position
-
-    def _load_entry(self, payload: bytes, checksum: int) -> None:
-        if zlib.crc32(payload) != checksum:
-            raise StorageError(
-                'checksum does not match', step=STEP, peer=str(self.path)
-            )
-        entry = self._decoder.decode(payload)
-        self.registers[entry.key] = entry.register
+    def _error(self, reason: str) -> StorageError:
+        return StorageError(reason, step=STEP, peer=str(self.path))
--- a/burdocklead/process/control_http.py
+++ b/burdocklead/process/control_http.py
@@ -73,5 +73,7 @@
             'version': self.replica.file.version,
             'quorum': self.is_ready(),
             'members': self.replica.members.present(),
+            'syncs': self.replica.registers.store.syncs,
+            'bytes_written': self.replica.registers.store.bytes_written,
         }
         return json_response(content)
--- a/burdocklead/process/control_process.py
+++ b/burdocklead/process/control_process.py
@@ -31,7 +31,7 @@
         task.cancel()
     await runner.cleanup()
     server.close()
-    replica.store.close()
+    await replica.registers.close()
     lifecycle.finish()
 
 
--- a/burdocklead/process/control_replica.py
+++ b/burdocklead/process/control_replica.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import time
-from dataclasses import dataclass
 
 import logbook
 import msgspec
@@ -17,6 +16,7 @@
     Exchange,
     Heartbeat,
     HeartbeatReply,
+    Phases,
 )
 from burdocklead.durable.claims import (
     ClaimFinish,
@@ -33,19 +33,12 @@
     decide_apply,
     decode_file,
 )
-from burdocklead.durable.proposer import Proposer
-from burdocklead.durable.register import (
-    Accept,
-    Prepare,
-    handle_accept,
-    handle_prepare,
-    quorum_size,
-)
-from burdocklead.durable.store import RegisterStore
+from burdocklead.durable.register import quorum_size
 from burdocklead.events import EventKind, EventRing
 from burdocklead.exceptions import ControlError
 from burdocklead.metrics import MetricSet
 from burdocklead.process.membership import MembershipView
+from burdocklead.process.register_service import RegisterService
 from burdocklead.settings import ControlSettings
 from burdocklead.version.configuration_file import decode_deployment
 
@@ -53,28 +46,6 @@
 log = logbook.Logger('control')
 
 
-@dataclass(frozen=True, slots=True)
-class LocalAcceptor:
-    """The replica's own registers as an acceptor of its proposer."""
-
-    store: RegisterStore
-
-    async def request(
-        self, message: Prepare | Accept, timeout: float
-    ) -> ControlReply:
-        """Return the reply once the change is synced."""
-        register = self.store.read(message.key)
-        reply: ControlReply
-        match message:
-            case Prepare():
-                following, reply = handle_prepare(register, message)
-            case Accept():
-                following, reply = handle_accept(register, message)
-        if following != register:
-            self.store.write({message.key: following})
-        return reply
-
-
 class ControlReplica:
     """State of one replica and its answers to messages.
 
@@ -89,19 +60,11 @@
         self.clock = HybridClock()
         self.events = EventRing(settings.replica_id, self.clock)
         self.metrics = MetricSet()
-        self.store = RegisterStore(settings.data_folder)
+        self.registers = RegisterService(settings)
         self.members = MembershipView(
             settings.replica_id, time.time_ns(), settings.member_lease
         )
-        self.peers = [
-            ControlClient(name, address)
-            for name, address in settings.replicas
-            if name != settings.replica_id
-        ]
-        self.acceptor = LocalAcceptor(self.store)
-        self.proposer = Proposer(
-            settings.replica_id, [self.acceptor, *self.peers]
-        )
+        self.peers = list(self.registers.clients.values())
         self.file = AcceptedFile()
         self.peer_heard_at = {peer.name: float('-inf') for peer in self.peers}
         self.cursors = {
@@ -111,8 +74,8 @@
     async def handle(self, message: ControlRequest) -> ControlReply:
         """Return the reply to a message of a daemon or a replica."""
         match message:
-            case Prepare() | Accept():
-                return await self.acceptor.request(message, 0)
+            case Phases():
+                return await self.registers.handle(message)
             case Heartbeat():
                 self.members.observe(message.member, time.monotonic())
                 return self._reply_since(message)
@@ -136,7 +99,7 @@
             results.append(result)
             return msgspec.msgpack.encode(following)
 
-        value = await self.proposer.change(CONFIGURATION_KEY, update)
+        value = await self.registers.change(CONFIGURATION_KEY, update)
         self.learn_file(decode_file(value))
         return results[-1]
 
@@ -162,7 +125,7 @@
         """Read the configuration register through a quorum until it works."""
         while True:
             try:
-                value = await self.proposer.change(CONFIGURATION_KEY, bytes)
+                value = await self.registers.change(CONFIGURATION_KEY, bytes)
             except ControlError:
                 await asyncio.sleep(self.settings.exchange_interval)
                 continue
@@ -231,7 +194,9 @@
                     following = finish_claim(current, message)
             return msgspec.msgpack.encode(following)
 
-        value = await self.proposer.change(message.key, update)
+        value = await self.registers.change(
+            message.key, update, maybe_new=isinstance(message, ClaimStart)
+        )
         return ClaimReply(
             msgspec.msgpack.decode(value, type=type(message.claim))
         )
--- /dev/null
+++ b/devtools/measure_claims.py
@@ -0,0 +1,160 @@
+"""Measures claims: rate, latency, syncs and bytes written per claim."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import contextlib
+import statistics
+import tempfile
+import time
+from dataclasses import dataclass
+from functools import partial
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import requests
+
+from burdocklead.connection.control_client import ControlClient
+from burdocklead.durable.claims import (
+    Claim,
+    ClaimFinish,
+    ClaimStart,
+    ClaimState,
+    StoredAnswer,
+    claim_key,
+)
+from burdocklead.options import SocketAddress
+from devtools.local_deployment import LocalDeployment, wait_until
+
+ANSWER_BYTES = 500
+MS_PER_S = 1000
+REQUEST_LIMIT_S = 20
+WARM_UP = 20
+PERCENTILES = 100
+
+
+def replica_status(deployment: LocalDeployment) -> list[dict[str, Any]]:
+    """Return the status page of each replica."""
+    return [
+        msgspec.json.decode(
+            requests.get(
+                f'http://{process.addresses["admin"]}/v1/status', timeout=9
+            ).content,
+            type=dict[str, Any],
+        )
+        for process in deployment.controls.values()
+    ]
+
+
+async def run_claims(
+    client: ControlClient, first: int, count: int, concurrency: int
+) -> list[float]:
+    """Start and finish claims; return the time of each in s."""
+    numbers = iter(range(first, first + count))
+    times: list[float] = []
+
+    async def work() -> None:
+        for number in numbers:
+            started = time.perf_counter()
+            await _run_claim(client, number)
+            times.append(time.perf_counter() - started)
+
+    await asyncio.gather(*(work() for _ in range(concurrency)))
+    return times
+
+
+async def _run_claim(client: ControlClient, number: int) -> None:
+    key = claim_key('measured', str(number))
+    claim = Claim('f' * 64, f'attempt-{number}', 'daemon', 1)
+    await client.request(ClaimStart(key, claim), REQUEST_LIMIT_S)
+    answer = StoredAnswer(200, (), b'a' * ANSWER_BYTES)
+    finished = msgspec.structs.replace(
+        claim, state=ClaimState.finished, answer=answer
+    )
+    await client.request(ClaimFinish(key, finished), REQUEST_LIMIT_S)
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimRun:
+    """Figures of one run.
+
+    Attributes:
+        times: Time of each claim from start to finish in s.
+        elapsed: Time of the whole run in s.
+        syncs: Syncs of all replicas, warm-up included.
+        written: Bytes written by all replicas, warm-up included.
+    """
+
+    times: list[float]
+    elapsed: float
+    syncs: float
+    written: float
+
+    def line(self, concurrency: int) -> str:
+        """Return the figures as one line."""
+        total = len(self.times) + WARM_UP
+        centiles = statistics.quantiles(self.times, n=PERCENTILES)
+        median = statistics.median(self.times)
+        return (
+            f'{len(self.times)} claims, concurrency {concurrency}: '
+            f'{len(self.times) / self.elapsed:.0f} a second, '
+            f'median {median * MS_PER_S:.1f} ms, '
+            f'99th percentile {centiles[-1] * MS_PER_S:.1f} ms, '
+            f'{self.syncs / total:.2f} syncs and '
+            f'{self.written / total:.0f} bytes a claim (3 replicas)'
+        )
+
+
+def measure(
+    deployment: LocalDeployment, count: int, concurrency: int
+) -> ClaimRun:
+    """Return the figures of claims sent to the first replica."""
+    first = deployment.replica_list.partition(',')[0]
+    name, _, address = first.partition('=')
+    client = ControlClient(name, SocketAddress().parse(address))
+
+    async def run() -> tuple[list[float], float]:
+        await run_claims(client, -WARM_UP, WARM_UP, 4)
+        started = time.perf_counter()
+        times = await run_claims(client, 0, count, concurrency)
+        return times, time.perf_counter() - started
+
+    before = replica_status(deployment)
+    times, elapsed = asyncio.run(run())
+    after = replica_status(deployment)
+    return ClaimRun(
+        times,
+        elapsed,
+        _total(after, 'syncs') - _total(before, 'syncs'),
+        _total(after, 'bytes_written') - _total(before, 'bytes_written'),
+    )
+
+
+def _total(pages: list[dict[str, Any]], name: str) -> float:
+    return float(sum(page[name] for page in pages))
+
+
+def _is_ready(deployment: LocalDeployment) -> bool:
+    return all(page['quorum'] for page in replica_status(deployment))
+
+
+def main() -> None:
+    """Start three replicas and print the figures."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--count', type=int, default=1000)
+    parser.add_argument('--concurrency', type=int, default=16)
+    flags = parser.parse_args()
+    with tempfile.TemporaryDirectory(dir=Path.cwd()) as folder:
+        deployment = LocalDeployment(Path(folder))
+        with contextlib.ExitStack() as stack:
+            stack.callback(deployment.kill)
+            deployment.start_controls()
+            wait_until(partial(_is_ready, deployment), 'a quorum')
+            run = measure(deployment, flags.count, flags.concurrency)
+            print(run.line(flags.concurrency))
+
+
+if __name__ == '__main__':
+    main()
