--- a/burdocklead/process/control_replica.py
+++ b/burdocklead/process/control_replica.py
@@ -18,6 +18,7 @@
     HeartbeatReply,
     Phases,
 )
+from burdocklead.connection.peer_access import load_peer_access
 from burdocklead.durable.claims import (
     ClaimFinish,
     ClaimReply,
@@ -58,9 +59,10 @@
         """Open the store and prepare clients of the other replicas."""
         self.settings = settings
         self.clock = HybridClock()
+        self.access = load_peer_access(settings)
         self.events = EventRing(settings.replica_id, self.clock)
         self.metrics = MetricSet()
-        self.registers = RegisterService(settings)
+        self.registers = RegisterService(settings, self.access)
         self.members = MembershipView(
             settings.replica_id, time.time_ns(), settings.member_lease
         )
--- a/burdocklead/process/register_service.py
+++ b/burdocklead/process/register_service.py
@@ -8,6 +8,7 @@
 
 from burdocklead.connection.control_client import ControlClient
 from burdocklead.connection.control_messages import PhaseReplies, Phases
+from burdocklead.connection.peer_access import PeerAccess
 from burdocklead.durable.acceptors import BatchingAcceptor, LocalAcceptor
 from burdocklead.durable.files import OsFileLayer
 from burdocklead.durable.group_commit import GroupCommit
@@ -45,7 +46,9 @@
 class RegisterService:
     """Registers that change through a quorum of replicas."""
 
-    def __init__(self, settings: ControlSettings) -> None:
+    def __init__(
+        self, settings: ControlSettings, access: PeerAccess
+    ) -> None:
         """Open the data folder and prepare clients of other replicas.
 
         Raises:
@@ -62,7 +65,7 @@
         self.commits = GroupCommit(self.store)
         self.local = LocalAcceptor(self.commits)
         self.clients = {
-            name: ControlClient(name, address)
+            name: ControlClient(name, address, access)
             for name, address in settings.replicas
             if name != settings.replica_id
         }
--- a/devtools/measure_claims.py
+++ b/devtools/measure_claims.py
@@ -113,7 +113,9 @@
     """Return the figures of claims sent to the first replica."""
     first = deployment.replica_list.partition(',')[0]
     name, _, address = first.partition('=')
-    client = ControlClient(name, SocketAddress().parse(address))
+    client = ControlClient(
+        name, SocketAddress().parse(address), deployment.access()
+    )
 
     async def run() -> tuple[list[float], float]:
         await run_claims(client, -WARM_UP, WARM_UP, 4)
