--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 COUNT ?= 1000
 export PYTHONPATH = $(CURDIR)
 
-.PHONY: demo test lint format types docs check clean
+.PHONY: demo test fuzz lint format types docs check clean
 
 demo: $(STAMP)
 	$(PYTHON) -m devtools.demo
@@ -14,6 +14,9 @@
 test: $(STAMP)
 	$(PYTHON) -m devtools.run_tests
 
+fuzz: $(STAMP)
+	$(PYTHON) -m devtools.fuzz --seed $(SEED) --count $(COUNT)
+
 lint: $(STAMP)
 	$(VENV)/bin/ruff check --select I burdocklead devtools tests
 	$(VENV)/bin/ruff format --check burdocklead devtools tests
