--- a/burdocklead/connection/control_server.py
+++ b/burdocklead/connection/control_server.py
@@ -31,7 +31,7 @@
 from burdocklead.metrics import CONTROL_BAD, CONTROL_UNPROVED, MetricSet
 from burdocklead.values import Address
 
-CONCURRENT_REQUESTS = 64
+CONCURRENT_REQUESTS = 256
 
 RequestHandler = Callable[[ControlRequest], Awaitable[ControlReply]]
 
