Admit by learned cost, deadline and priority under an adaptive limit

Cause: slots were given first come, first served. Short calls queued behind long ones, and past saturation the upstream worked on calls that were late.

Change: costs are learned per route as bounded quantile steps, long routes (and calls that overran) hold only a share of the slots, calls wait by priority and latest start, hopeless ones are refused at once, the lowest priority is shed first. The limit below the announced slots ramps for a fresh upstream and steps down when fewer calls run faster, else it is restored.

--- a/burdocklead/process/own_member.py
+++ b/burdocklead/process/own_member.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from burdocklead.events import EventKind, EventRing
-from burdocklead.request.admission import AdmissionQueue
+from burdocklead.request.admission import admission_for
 from burdocklead.request.execution import AttemptExecutor
 from burdocklead.values import Address, Member
 
@@ -61,7 +61,7 @@
         """Take over an announcement of the upstream."""
         executor = self.executor
         if executor.upstream != address:
-            executor.queue = AdmissionQueue(announcement.slots)
+            executor.queue = admission_for(announcement.slots)
             self.events.record(
                 EventKind.upstream_announced,
                 service=announcement.service,
@@ -69,7 +69,7 @@
             )
         executor.upstream = address
         executor.service = announcement.service
-        executor.queue.slots = announcement.slots
+        executor.queue.table.slots = announcement.slots
         executor.draining = announcement.draining or self.draining
         self.lease_ends = now + announcement.lease_seconds
         self._refresh(self.member.version_in_force)
@@ -105,7 +105,7 @@
         following = msgspec.structs.replace(
             self.member,
             service=self.executor.service,
-            slots=self.executor.queue.slots,
+            slots=self.executor.queue.table.slots,
             draining=self.executor.draining,
             version_in_force=version,
         )
--- a/burdocklead/request/admission.py
+++ b/burdocklead/request/admission.py
@@ -1,13 +1,23 @@
-"""Admission beside one upstream: slots and a bounded queue, without I/O."""
+"""Admission beside one upstream: slots and a bounded queue, without I/O.
+
+Calls are long or short by the learned cost of their route. Long calls hold
+only a share of the slots while short ones are around. Within a class, calls
+wait by priority and then by the latest time at which they can start.
+"""
 
 from __future__ import annotations
 
-from collections import deque
 from dataclasses import dataclass, field
 
+from burdocklead.request.route_costs import RouteCost
+from burdocklead.request.slot_table import SlotTable
+from burdocklead.request.waiting_calls import WaitingCall, WaitingCalls
 from burdocklead.values import LoadReport, RefusalCause
 from burdocklead.version.deployment import Priority
 
+MS_PER_S = 1000
+RANKS = {Priority.high: 0, Priority.normal: 1, Priority.low: 2}
+
 
 @dataclass(frozen=True, slots=True)
 class Ticket:
@@ -73,51 +83,192 @@
     """Slots of one upstream and the calls that wait for them.
 
     Attributes:
-        slots: Calls that may run at the same time.
-        running: Tickets that hold a slot by attempt.
-        waiting: Tickets in order of arrival.
+        table: Slots in use.
+        short: Waiting calls of short routes.
+        long: Waiting calls of long routes.
     """
 
-    slots: int
-    running: dict[str, Ticket] = field(default_factory=dict)
-    waiting: deque[Ticket] = field(default_factory=deque)
+    table: SlotTable
+    short: WaitingCalls[Ticket] = field(default_factory=WaitingCalls)
+    long: WaitingCalls[Ticket] = field(default_factory=WaitingCalls)
 
     def offer(self, ticket: Ticket, now: float) -> OfferResult:
         """Return whether a new call runs, waits or is refused."""
-        if ticket.deadline <= now:
+        cost = self._cost_of(ticket)
+        cost.note_arrival(now, self.table.costs.window)
+        self.table.costs.refresh(now)
+        if not self.table.slots:
+            return OfferResult(Refused(RefusalCause.queue_full))
+        if self._is_hopeless(ticket, now):
             return OfferResult(Refused(RefusalCause.deadline))
-        if len(self.running) < self.slots:
-            self.running[ticket.attempt_id] = ticket
+        latest_start = ticket.deadline - cost.careful_ms() / MS_PER_S
+        waiting = WaitingCall(
+            order=(RANKS[ticket.priority], latest_start),
+            cost_ms=cost.usual.estimate,
+            since=now,
+            call_id=ticket.attempt_id,
+            payload=ticket,
+        )
+        if self._may_start(ticket, now):
+            self.table.start(ticket.attempt_id, cost, now)
             return OfferResult(Admitted())
-        if len(self.waiting) >= ticket.queue_limit:
-            return OfferResult(Refused(RefusalCause.queue_full))
-        self.waiting.append(ticket)
-        return OfferResult(Queued())
+        return self._enqueue(waiting, now)
 
     def release(
-        self, attempt_id: str, service_ms: float, now: float
+        self,
+        attempt_id: str,
+        service_ms: float,
+        now: float,
+        *,
+        finished: bool = True,
     ) -> list[Decision]:
-        """Give a slot back and return the decisions on waiting calls."""
-        self.running.pop(attempt_id, None)
+        """Give a slot back and return the decisions on waiting calls.
+
+        Args:
+            attempt_id: Attempt that ended.
+            service_ms: Time for which it held the slot in ms.
+            now: Monotonic time in s.
+            finished: False if the upstream gave no answer; the time is then
+                a lower bound of its service time.
+        """
+        self.table.finish(
+            attempt_id,
+            service_ms,
+            now,
+            finished=finished,
+            saturated=bool(self.short or self.long),
+        )
+        return self._fill_slots(now)
+
+    def withdraw(self, attempt_id: str) -> bool:
+        """Remove a waiting call; return True if it was waiting."""
+        return self.short.remove(attempt_id) or self.long.remove(attempt_id)
+
+    def load(self, now: float) -> LoadReport:
+        """Return the present load."""
+        return LoadReport(
+            len(self.table.running),
+            len(self.short) + len(self.long),
+            self.table.limit(now),
+            self.expected_wait_ms(now),
+        )
+
+    def expected_wait_ms(self, now: float) -> float:
+        """Return the expected queue time of a new short call in ms."""
+        if self.table.free(now) > 0 and not self.short:
+            return 0
+        return self.table.wait_ms(self.short.work_ms, now, long=False)
+
+    def _cost_of(self, ticket: Ticket) -> RouteCost:
+        return self.table.costs.cost_of(ticket.route, ticket.cost_ms)
+
+    def _is_hopeless(self, ticket: Ticket, now: float) -> bool:
+        """Return True if a call can't finish in time even if it starts now.
+
+        An idle upstream takes any call, so that a learned cost that is far
+        too high is corrected by what the next call takes.
+        """
+        if ticket.deadline <= now:
+            return True
+        remaining_ms = (ticket.deadline - now) * MS_PER_S
+        quick_ms = self._cost_of(ticket).quick.estimate
+        return bool(self.table.running) and quick_ms > remaining_ms
+
+    def _may_start(self, ticket: Ticket, now: float) -> bool:
+        if self.table.free(now) <= 0 or self.short:
+            return False
+        if not self.table.costs.is_long(self._cost_of(ticket)):
+            return True
+        return not self.long and self.table.long_may_start(now)
+
+    def _enqueue(self, waiting: WaitingCall[Ticket], now: float) -> OfferResult:
+        is_long = self.table.costs.is_long(self._cost_of(waiting.payload))
+        queue = self.long if is_long else self.short
+        ahead_ms = queue.work_before(waiting.order)
+        wait_ms = self.table.wait_ms(ahead_ms, now, long=is_long)
+        if now + wait_ms / MS_PER_S > waiting.order[1]:
+            return OfferResult(Refused(RefusalCause.deadline))
+        displaced = []
+        if len(self.short) + len(self.long) >= waiting.payload.queue_limit:
+            victim = self._lowest(waiting)
+            if victim is None:
+                return OfferResult(Refused(RefusalCause.queue_full))
+            self.withdraw(victim.call_id)
+            displaced.append(victim)
+        queue.add(waiting)
+        displaced.extend(self._shed_last(queue, now))
+        shed = Refused(RefusalCause.shed)
+        return OfferResult(
+            Queued(), tuple(Decision(one.payload, shed) for one in displaced)
+        )
+
+    def _lowest(
+        self, newcomer: WaitingCall[Ticket]
+    ) -> WaitingCall[Ticket] | None:
+        """Return the waiting call to shed for a newcomer, if any."""
+        lasts = [queue.last() for queue in (self.long, self.short) if queue]
+        lower = [one for one in lasts if one.order[0] > newcomer.order[0]]
+        return max(lower, key=lambda one: one.order, default=None)
+
+    def _shed_last(
+        self, queue: WaitingCalls[Ticket], now: float
+    ) -> list[WaitingCall[Ticket]]:
+        """Remove and return last calls that can't start in time any more."""
+        removed = []
+        is_long = queue is self.long
+        while len(queue) > 1:
+            last = queue.last()
+            ahead_ms = queue.work_ms - last.cost_ms
+            wait_ms = self.table.wait_ms(ahead_ms, now, long=is_long)
+            if now + wait_ms / MS_PER_S <= last.order[1]:
+                break
+            queue.remove(last.call_id)
+            removed.append(last)
+        return removed
+
+    def _fill_slots(self, now: float) -> list[Decision]:
         decisions = []
-        while self.waiting and len(self.running) < self.slots:
-            ticket = self.waiting.popleft()
-            if ticket.deadline <= now:
-                refused = Refused(RefusalCause.deadline)
-                decisions.append(Decision(ticket, refused))
+        while self.table.free(now) > 0:
+            waiting = self._take_next(now)
+            if waiting is None:
+                break
+            ticket = waiting.payload
+            if self._starts_too_late(waiting, now):
+                late = Refused(RefusalCause.deadline)
+                decisions.append(Decision(ticket, late))
                 continue
-            self.running[ticket.attempt_id] = ticket
+            self.table.start(ticket.attempt_id, self._cost_of(ticket), now)
             decisions.append(Decision(ticket, Admitted()))
         return decisions
 
-    def withdraw(self, attempt_id: str) -> bool:
-        """Remove a waiting call; return True if it was waiting."""
-        for ticket in self.waiting:
-            if ticket.attempt_id == attempt_id:
-                self.waiting.remove(ticket)
-                return True
-        return False
+    def _starts_too_late(
+        self, waiting: WaitingCall[Ticket], now: float
+    ) -> bool:
+        """Return True if another call makes better use of the slot."""
+        if waiting.order[1] > now:
+            return False
+        others_wait = bool(self.short or self.long)
+        return others_wait or self._is_hopeless(waiting.payload, now)
 
-    def load(self) -> LoadReport:
-        """Return the present load."""
-        return LoadReport(len(self.running), len(self.waiting), self.slots)
+    def _take_next(self, now: float) -> WaitingCall[Ticket] | None:
+        """Remove and return the next call to run, None if none may."""
+        if self.long and self._long_goes_first(now):
+            return self.long.pop_first()
+        if self.short:
+            return self.short.pop_first()
+        return None
+
+    def _long_goes_first(self, now: float) -> bool:
+        """Return True if a long call is next; its floor prevents starvation."""
+        if not self.table.long_may_start(now):
+            return False
+        if not self.short:
+            return True
+        first = self.long.first()
+        waited_ms = (now - first.since) * MS_PER_S
+        return waited_ms >= first.cost_ms and self.table.below_long_floor(now)
+
+
+def admission_for(slots: int) -> AdmissionQueue:
+    """Return the empty queue of a fresh upstream."""
+    return AdmissionQueue(SlotTable(slots))
--- /dev/null
+++ b/burdocklead/request/concurrency_limit.py
@@ -0,0 +1,130 @@
+"""How many calls an upstream may run at the same time, without I/O.
+
+The limit ramps up for a fresh upstream. When calls slow down while the limit
+is in use, it goes down a step as a trial; the step is kept only if calls got
+faster by it, so that throughput did not suffer. The limit climbs again once
+calls are fast.
+"""
+
+from __future__ import annotations
+
+import statistics
+from dataclasses import dataclass, field
+
+RAMP_SHARE = 0.2
+RAMP_LIMIT_S = 10.0
+WARM_RATIO = 2.0
+SLOW_RATIO = 1.5
+FAST_RATIO = 1.25
+STEP_DOWN = 0.8
+FLOOR_SHARE = 0.1
+CURED_RATIO = 0.9
+HOLD_WINDOWS = 10
+WINDOW_CALLS = 10
+
+
+@dataclass(slots=True)
+class Window:
+    """Completions since the last decision.
+
+    Attributes:
+        skip: Completions to pass over; their calls started before it.
+        ratios: Service times as multiples of the route's baseline.
+        saturated: Completions while calls waited.
+    """
+
+    skip: int = 0
+    ratios: list[float] = field(default_factory=list)
+    saturated: int = 0
+
+
+@dataclass(slots=True)
+class ConcurrencyLimit:
+    """The adaptive limit below the announced slots.
+
+    Attributes:
+        slots: Announced slots.
+        started: Monotonic time of the first call in s, None before it.
+        limit: Calls that may run now, before rounding.
+        ramping: True until a fresh upstream is warm.
+        window: Completions since the last decision.
+        before_step: Limit and median ratio before a trial step.
+        hold: Windows for which no step down is tried.
+    """
+
+    slots: int
+    started: float | None = None
+    limit: float = 0
+    ramping: bool = True
+    window: Window = field(default_factory=Window)
+    before_step: tuple[float, float] | None = None
+    hold: int = 0
+
+    def current(self, now: float) -> int:
+        """Return the number of calls that may run now."""
+        if self.started is None:
+            self.started = now
+            self.limit = max(self.slots * RAMP_SHARE, 1)
+        if self.ramping and now - self.started > RAMP_LIMIT_S:
+            self._finish_ramp()
+        return max(min(int(self.limit), self.slots), min(self.slots, 1))
+
+    def observe(self, ratio: float, now: float, *, saturated: bool) -> None:
+        """Take note of a completion.
+
+        Args:
+            ratio: Service time as a multiple of the route's baseline.
+            now: Monotonic time in s.
+            saturated: True if calls waited for a slot.
+        """
+        self.current(now)
+        if self.ramping:
+            self._ramp(ratio)
+            return
+        if self.window.skip:
+            self.window.skip -= 1
+            return
+        self.window.ratios.append(ratio)
+        self.window.saturated += saturated
+        if len(self.window.ratios) >= max(WINDOW_CALLS, int(self.limit)):
+            running = int(self.limit)
+            self._decide()
+            self.window = Window(skip=running)
+
+    def resize(self, slots: int) -> None:
+        """Take over a new number of announced slots."""
+        if not self.ramping and self.limit >= self.slots:
+            self.limit = slots
+        self.slots = slots
+
+    def _ramp(self, ratio: float) -> None:
+        if ratio <= WARM_RATIO:
+            self.limit += 1
+        if self.limit >= self.slots:
+            self._finish_ramp()
+
+    def _finish_ramp(self) -> None:
+        self.ramping = False
+        self.limit = self.slots
+
+    def _decide(self) -> None:
+        ratio = statistics.median(self.window.ratios)
+        in_use = self.window.saturated * 2 > len(self.window.ratios)
+        self._judge_step(ratio)
+        self.hold = max(self.hold - 1, 0)
+        if ratio <= FAST_RATIO or not in_use:
+            self.limit = min(self.limit + max(self.limit / 10, 1), self.slots)
+        elif ratio >= SLOW_RATIO and not self.hold:
+            self.before_step = (self.limit, ratio)
+            floor = max(self.slots * FLOOR_SHARE, 1)
+            self.limit = max(self.limit * STEP_DOWN, floor)
+
+    def _judge_step(self, ratio: float) -> None:
+        """Take back a trial step that did not make calls faster."""
+        if self.before_step is None:
+            return
+        limit, earlier = self.before_step
+        self.before_step = None
+        if ratio > earlier * CURED_RATIO:
+            self.limit = limit
+            self.hold = HOLD_WINDOWS
--- a/burdocklead/request/execution.py
+++ b/burdocklead/request/execution.py
@@ -18,12 +18,12 @@
     Verdict,
 )
 from burdocklead.request.admission import (
-    AdmissionQueue,
     Admitted,
     Decision,
     Queued,
     Refused,
     Ticket,
+    admission_for,
 )
 from burdocklead.request.attempt_table import AttemptTable
 from burdocklead.request.headers import (
@@ -56,7 +56,7 @@
         self.service = ''
         self.upstream: Address | None = None
         self.draining = False
-        self.queue = AdmissionQueue(0)
+        self.queue = admission_for(0)
         self.table = AttemptTable()
         self.session: aiohttp.ClientSession | None = None
         self.waiters: dict[str, asyncio.Future[Admitted | Refused]] = {}
@@ -77,7 +77,7 @@
 
     def load(self) -> LoadReport:
         """Return the present load."""
-        return self.queue.load()
+        return self.queue.load(asyncio.get_running_loop().time())
 
     async def run(self, attempt: Attempt) -> AttemptResult:
         """Return the result of an attempt; a repeated one gets the first."""
@@ -119,13 +119,21 @@
             return self._refusal(attempt, verdict.cause)
         loop = asyncio.get_running_loop()
         started = loop.time()
+        finished = False
         try:
-            return await self._send(attempt)
+            result = await self._send(attempt)
+            finished = isinstance(result, Answer)
         finally:
             service_ms = (loop.time() - started) * MS_PER_S
             self._settle(
-                self.queue.release(attempt.attempt_id, service_ms, loop.time())
+                self.queue.release(
+                    attempt.attempt_id,
+                    service_ms,
+                    loop.time(),
+                    finished=finished,
+                )
             )
+        return result
 
     def _refusal_cause(self, attempt: Attempt) -> RefusalCause | None:
         if attempt.incarnation != self.incarnation:
--- /dev/null
+++ b/burdocklead/request/route_costs.py
@@ -0,0 +1,169 @@
+"""Service times learned per route, without I/O."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass, field
+
+USUAL_QUANTILE = 0.5
+QUICK_QUANTILE = 0.1
+CAREFUL_QUANTILE = 0.9
+CAREFUL_LIMIT = 3
+REFRESH_S = 0.02
+FIRST_STEP = 0.5
+LAST_STEP = 0.05
+STEP_DECAY = 8
+DRIFT_STEP = 0.01
+LOWEST_MS = 0.01
+MS_PER_S = 1000
+
+
+@dataclass(slots=True)
+class QuantileTracker:
+    """Follows a quantile of a stream in logarithmic steps of bounded size.
+
+    One sample moves the estimate by at most one step, however large it is.
+
+    Attributes:
+        quantile: Share of samples below the estimate.
+        estimate: Present estimate in the unit of the samples.
+        last_step: Size of a step after many samples, in natural logarithms.
+        samples: Samples seen.
+    """
+
+    quantile: float
+    estimate: float
+    last_step: float = LAST_STEP
+    samples: int = 0
+
+    def observe(self, sample: float) -> None:
+        """Move the estimate towards a sample."""
+        step = max(
+            FIRST_STEP * STEP_DECAY / (STEP_DECAY + self.samples),
+            self.last_step,
+        )
+        self.samples += 1
+        if sample > self.estimate:
+            self.estimate *= math.exp(step * self.quantile)
+        else:
+            self.estimate *= math.exp(-step * (1 - self.quantile))
+        self.estimate = max(self.estimate, LOWEST_MS)
+
+
+@dataclass(slots=True)
+class RouteCost:
+    """Service times of one route at one upstream.
+
+    Attributes:
+        usual: Median service time in ms.
+        quick: Low quantile in ms; a call that has less time is hopeless.
+        high: High quantile in ms.
+        baseline: Median in ms that follows a slowdown only slowly.
+        last_seen: Monotonic time of the last call in s.
+        demand: Mean number of slots in use, decaying.
+    """
+
+    usual: QuantileTracker
+    quick: QuantileTracker
+    high: QuantileTracker
+    baseline: QuantileTracker
+    last_seen: float = 0
+    demand: float = 0
+
+    @classmethod
+    def declared(cls, cost_ms: float) -> RouteCost:
+        """Return the cost of a route that was not seen yet."""
+        return cls(
+            QuantileTracker(USUAL_QUANTILE, cost_ms),
+            QuantileTracker(QUICK_QUANTILE, cost_ms),
+            QuantileTracker(CAREFUL_QUANTILE, cost_ms),
+            QuantileTracker(USUAL_QUANTILE, cost_ms, DRIFT_STEP),
+        )
+
+    def observe(self, service_ms: float) -> None:
+        """Take note of the service time of a finished call."""
+        self.usual.observe(service_ms)
+        self.quick.observe(service_ms)
+        self.high.observe(service_ms)
+        self.baseline.observe(service_ms)
+
+    def careful_ms(self) -> float:
+        """Return the time in which most calls finish, in ms."""
+        return min(self.high.estimate, self.usual.estimate * CAREFUL_LIMIT)
+
+    def observe_unfinished(self, service_ms: float) -> None:
+        """Take note that a call was given up after a time."""
+        if service_ms > self.usual.estimate:
+            self.usual.observe(service_ms)
+
+    def note_arrival(self, now: float, window: float) -> None:
+        """Count a call into the demand.
+
+        Args:
+            now: Monotonic time in s.
+            window: Time constant of the decay in s.
+        """
+        self.demand = self.demand_at(now, window)
+        self.demand += self.usual.estimate / MS_PER_S / window
+        self.last_seen = now
+
+    def demand_at(self, now: float, window: float) -> float:
+        """Return the mean number of slots in use, decayed until now."""
+        return self.demand * math.exp((self.last_seen - now) / window)
+
+
+@dataclass(slots=True)
+class RouteCosts:
+    """Learned service times of all routes of one upstream.
+
+    Attributes:
+        window: Time constant of the demand and of what counts as seen, in s.
+        long_factor: A route is long from this multiple of the shortest one.
+        routes: Learned costs by route.
+        long_from_ms: Usual cost from which a route is long, in ms.
+        long_seen: True if short and long routes were both seen lately.
+        short_demand: Slots that the short routes need on average.
+        refreshed_at: Monotonic time of the last summary in s.
+    """
+
+    window: float = 10
+    long_factor: float = 8
+    routes: dict[str, RouteCost] = field(default_factory=dict)
+    long_from_ms: float = math.inf
+    long_seen: bool = False
+    short_demand: float = 0
+    refreshed_at: float = -math.inf
+
+    def cost_of(self, route: str, declared_ms: float) -> RouteCost:
+        """Return what is known of a route, starting with its declared cost."""
+        cost = self.routes.get(route)
+        if cost is None:
+            cost = RouteCost.declared(declared_ms)
+            self.routes[route] = cost
+            self.refreshed_at = -math.inf
+        return cost
+
+    def is_long(self, cost: RouteCost) -> bool:
+        """Return True if a route is long next to the others seen lately."""
+        return cost.usual.estimate >= self.long_from_ms
+
+    def refresh(self, now: float) -> None:
+        """Sum up the routes seen lately, unless that was done just now."""
+        if now - self.refreshed_at < REFRESH_S:
+            return
+        self.refreshed_at = now
+        recent = [
+            cost
+            for cost in self.routes.values()
+            if cost.last_seen + self.window > now
+        ]
+        shortest = min(
+            (cost.usual.estimate for cost in recent), default=math.inf
+        )
+        self.long_from_ms = shortest * self.long_factor
+        self.long_seen = any(self.is_long(cost) for cost in recent)
+        self.short_demand = sum(
+            cost.demand_at(now, self.window)
+            for cost in recent
+            if not self.is_long(cost)
+        )
--- /dev/null
+++ b/burdocklead/request/waiting_calls.py
@@ -0,0 +1,87 @@
+"""Waiting calls of one class in the order in which they start."""
+
+from __future__ import annotations
+
+import bisect
+from dataclasses import dataclass, field
+from typing import Generic, TypeVar
+
+Payload = TypeVar('Payload')
+Order = tuple[int, float]
+
+
+@dataclass(frozen=True, slots=True)
+class WaitingCall(Generic[Payload]):
+    """One call that waits for a slot.
+
+    Attributes:
+        order: Rank of its priority, 0 first, and latest start in s.
+        cost_ms: Usual service time in ms when it arrived.
+        since: Monotonic time of its arrival in s.
+        call_id: Name to remove it by.
+        payload: What is handed back.
+    """
+
+    order: Order
+    cost_ms: float
+    since: float
+    call_id: str
+    payload: Payload
+
+
+@dataclass(slots=True)
+class WaitingCalls(Generic[Payload]):
+    """Waiting calls sorted by their order; equal ones by arrival.
+
+    Attributes:
+        calls: The calls, next one first.
+        work_ms: Sum of their usual service times in ms.
+    """
+
+    calls: list[WaitingCall[Payload]] = field(default_factory=list)
+    work_ms: float = 0
+
+    def __len__(self) -> int:
+        """Return the number of calls."""
+        return len(self.calls)
+
+    def add(self, call: WaitingCall[Payload]) -> None:
+        """Add a call at its place."""
+        bisect.insort_right(self.calls, call, key=_order_of)
+        self.work_ms += call.cost_ms
+
+    def first(self) -> WaitingCall[Payload]:
+        """Return the call that is next."""
+        return self.calls[0]
+
+    def last(self) -> WaitingCall[Payload]:
+        """Return the call that is shed first."""
+        return self.calls[-1]
+
+    def pop_first(self) -> WaitingCall[Payload]:
+        """Remove and return the call that is next."""
+        return self._take(0)
+
+    def remove(self, call_id: str) -> bool:
+        """Remove a call; return True if it was waiting."""
+        for index, call in enumerate(self.calls):
+            if call.call_id == call_id:
+                self._take(index)
+                return True
+        return False
+
+    def work_before(self, order: Order) -> float:
+        """Return the work that would run before a new call in ms."""
+        if not self.calls or self.calls[-1].order <= order:
+            return self.work_ms
+        place = bisect.bisect_right(self.calls, order, key=_order_of)
+        return sum(call.cost_ms for call in self.calls[:place])
+
+    def _take(self, index: int) -> WaitingCall[Payload]:
+        call = self.calls.pop(index)
+        self.work_ms = max(self.work_ms - call.cost_ms, 0) if self.calls else 0
+        return call
+
+
+def _order_of(call: WaitingCall[Payload]) -> Order:
+    return call.order
--- /dev/null
+++ b/tests/steps/admission_simulation.py
@@ -0,0 +1,244 @@
+"""A discrete-event run of one admission queue before a model upstream."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import random
+from collections import deque
+from dataclasses import dataclass, field, replace
+
+from burdocklead.request.admission import (
+    Admitted,
+    Decision,
+    OfferResult,
+    Queued,
+    Refused,
+    Ticket,
+)
+from burdocklead.request.slot_table import SlotTable
+from burdocklead.values import RefusalCause
+from burdocklead.version.deployment import Priority
+
+SLOTS = 20
+COST_MS = 50
+MS = 0.001
+NEVER = (0, 0)
+FOREVER = float('inf')
+
+
+@dataclass(frozen=True)
+class Arrival:
+    """One call: when it comes, its ticket and its true service time in s."""
+
+    at: float
+    ticket: Ticket
+    service: float
+
+
+class FixedSlots(SlotTable):
+    """Slots without the adaptive limit."""
+
+    def limit(self, now):
+        """Return the slots."""
+        return self.slots
+
+
+@dataclass
+class Fifo:
+    """First come, first served with a bounded queue."""
+
+    table: FixedSlots = field(default_factory=lambda: FixedSlots(SLOTS))
+    running: set = field(default_factory=set)
+    waiting: deque = field(default_factory=deque)
+
+    def offer(self, ticket, now):
+        """Run, queue or refuse a call."""
+        if len(self.running) < SLOTS:
+            self.running.add(ticket.attempt_id)
+            return OfferResult(Admitted())
+        if len(self.waiting) >= ticket.queue_limit:
+            return OfferResult(Refused(RefusalCause.queue_full))
+        self.waiting.append(ticket)
+        return OfferResult(Queued())
+
+    def release(self, attempt_id, service_ms, now):
+        """Start the next call."""
+        self.running.discard(attempt_id)
+        if not self.waiting:
+            return []
+        ticket = self.waiting.popleft()
+        self.running.add(ticket.attempt_id)
+        return [Decision(ticket, Admitted())]
+
+
+@dataclass(frozen=True)
+class Upstream:
+    """How service times depend on the time and on the calls running.
+
+    Attributes:
+        lost_share: Share of the capacity that a neighbour takes.
+        factor: How much slower each call is whatever the concurrency.
+        slow_time: When these hold, from and to in s.
+        cold_calls: First calls, which take ten times longer.
+    """
+
+    lost_share: float = 0
+    factor: float = 1
+    slow_time: tuple[float, float] = NEVER
+    cold_calls: int = 0
+
+    def service(self, arrival, now, busy, served):
+        """Return the service time of a call that starts now in s."""
+        service = arrival.service
+        if served <= self.cold_calls:
+            service *= 10
+        begin, end = self.slow_time
+        if not begin <= now < end:
+            return service
+        capacity = SLOTS * (1 - self.lost_share)
+        return service * self.factor * max(busy / capacity, 1) ** 1.5
+
+
+USUAL_UPSTREAM = Upstream()
+
+
+@dataclass
+class Run:
+    """What became of each call: its start and its end in s."""
+
+    started: dict = field(default_factory=dict)
+    ended: dict = field(default_factory=dict)
+    refused: dict = field(default_factory=dict)
+    limits: list = field(default_factory=list)
+
+    def in_time(self, arrivals, begin=0, end=FOREVER):
+        """Return the calls that were answered before their deadline."""
+        return [
+            one
+            for one in arrivals
+            if begin <= one.at < end
+            and self.ended.get(one.ticket.attempt_id, FOREVER)
+            <= one.ticket.deadline
+        ]
+
+
+class Simulation:
+    """One run of arrivals through a queue and the upstream behind it."""
+
+    def __init__(self, queue, upstream):
+        """Start without events."""
+        self.queue = queue
+        self.upstream = upstream
+        self.run = Run()
+        self.events = []
+        self.order = itertools.count()
+
+    def push(self, at, kind, arrival):
+        """Add an event."""
+        heapq.heappush(self.events, (at, next(self.order), kind, arrival))
+
+    def settle(self, arrival, verdict, now):
+        """Take over an admission decision."""
+        name = arrival.ticket.attempt_id
+        if isinstance(verdict, Queued):
+            return
+        if isinstance(verdict, Refused):
+            self.run.refused[name] = verdict.cause
+            return
+        self.run.started[name] = now
+        busy = len(self.queue.table.running)
+        served = len(self.run.started)
+        service = self.upstream.service(arrival, now, busy, served)
+        self.push(now + service, 'end', arrival)
+
+    def step(self, by_id):
+        """Handle the next event."""
+        now, _, kind, arrival = heapq.heappop(self.events)
+        ticket = arrival.ticket
+        self.run.limits.append((now, self.queue.table.limit(now)))
+        if kind == 'end':
+            name = ticket.attempt_id
+            self.run.ended[name] = now
+            service_ms = (now - self.run.started[name]) / MS
+            late = self.queue.release(name, service_ms, now)
+        else:
+            offer = self.queue.offer(ticket, now)
+            late = offer.displaced
+            self.settle(arrival, offer.verdict, now)
+        for decision in late:
+            waited = by_id[decision.ticket.attempt_id]
+            self.settle(waited, decision.verdict, now)
+
+
+def simulate(queue, arrivals, upstream=USUAL_UPSTREAM):
+    """Run all arrivals through a queue and return what became of them."""
+    simulation = Simulation(queue, upstream)
+    for arrival in arrivals:
+        simulation.push(arrival.at, 'arrive', arrival)
+    by_id = {one.ticket.attempt_id: one for one in arrivals}
+    while simulation.events:
+        simulation.step(by_id)
+    return simulation.run
+
+
+def poisson_arrivals(rng, rate, seconds, make):
+    """Return arrivals at a mean rate per s; make adds what varies."""
+    arrivals = []
+    now = float(0)
+    for number in itertools.count():
+        now += rng.expovariate(rate)
+        if now >= seconds:
+            return arrivals
+        arrivals.append(make(number, now))
+
+
+def usual_call(rng, timeout=0.3, priority=Priority.normal):
+    """Return a maker of calls of one route."""
+
+    def make(number, now):
+        ticket = Ticket(
+            f'a{number}', 'sheets/view', priority, COST_MS, now + timeout, 1000
+        )
+        return Arrival(now, ticket, rng.uniform(0.8, 1.2) * COST_MS * MS)
+
+    return make
+
+
+def mixed_call(rng, long_share, factor):
+    """Return a maker of short calls with some long ones among them."""
+
+    def make(number, now):
+        long = rng.random() < long_share
+        name = 'archive/search' if long else 'sheets/view'
+        ticket = Ticket(f'a{number}', name, Priority.normal, 5, now + 30, 1000)
+        service = rng.uniform(0.8, 1.2) * 5 * MS
+        if long:
+            service *= factor
+        return Arrival(now, ticket, service)
+
+    return make
+
+
+def priority_call(rng):
+    """Return a maker of calls of three priorities."""
+    plain = usual_call(rng)
+
+    def make(number, now):
+        arrival = plain(number, now)
+        priority = rng.choice(list(Priority))
+        return replace(
+            arrival, ticket=replace(arrival.ticket, priority=priority)
+        )
+
+    return make
+
+
+def saturation_rate():
+    """Return the calls per s that the upstream can run at most."""
+    return SLOTS / (COST_MS * MS)
+
+
+def seeded(seed):
+    """Return a source of random numbers."""
+    return random.Random(seed)
--- /dev/null
+++ b/tests/steps/admission_steps.py
@@ -0,0 +1,331 @@
+"""Steps that run admission on a passed-in clock."""
+
+from __future__ import annotations
+
+from behave import given, then, when
+
+from burdocklead.request.admission import (
+    AdmissionQueue,
+    Admitted,
+    Queued,
+    Ticket,
+    admission_for,
+)
+from burdocklead.request.route_costs import RouteCosts
+from burdocklead.version.deployment import Priority
+from tests.steps.admission_simulation import (
+    MS,
+    SLOTS,
+    Fifo,
+    FixedSlots,
+    Upstream,
+    mixed_call,
+    poisson_arrivals,
+    priority_call,
+    saturation_rate,
+    seeded,
+    simulate,
+    usual_call,
+)
+
+
+def _arrivals(context, seconds):
+    rng = seeded(context.seed)
+    return poisson_arrivals(rng, context.rate, seconds, context.maker(rng))
+
+
+@given('admission work of seed {seed:d} at {load:f} times saturation')
+def plan_usual_work(context, seed, load):
+    """Plan calls of one route."""
+    context.seed = seed
+    context.rate = load * saturation_rate()
+    context.maker = usual_call
+    context.upstream = Upstream()
+
+
+@given(
+    'admission work of seed {seed:d} where {long:d} of 100 calls run '
+    '{factor:d} times longer'
+)
+def plan_mixed_work(context, seed, long, factor):
+    """Plan short and long calls that use 0.8 of the slots."""
+    share = long / 100
+    mean = 5 * MS * (1 - share + share * factor)
+    context.seed = seed
+    context.rate = 0.8 * SLOTS / mean
+    context.maker = lambda rng: mixed_call(rng, share, factor)
+    context.upstream = Upstream()
+
+
+@given(
+    'admission work of seed {seed:d} of three priorities at {load:f} '
+    'times saturation'
+)
+def plan_priorities(context, seed, load):
+    """Plan calls of three priorities."""
+    plan_usual_work(context, seed, load)
+    context.maker = priority_call
+
+
+@given(
+    'an admission neighbour takes {share:f} of the upstream from {begin:d} '
+    'to {end:d} seconds'
+)
+def plan_neighbour(context, share, begin, end):
+    """Take away capacity for a time."""
+    context.upstream = Upstream(lost_share=share, slow_time=(begin, end))
+    context.slow_time = (begin, end)
+
+
+@given(
+    'each admission call is {factor:d} times slower from {begin:d} '
+    'to {end:d} seconds'
+)
+def plan_slowdown(context, factor, begin, end):
+    """Slow each call down whatever the concurrency."""
+    context.upstream = Upstream(factor=factor, slow_time=(begin, end))
+    context.slow_time = (begin, end)
+
+
+@given('the first {count:d} admission calls take 10 times longer')
+def plan_cold_start(context, count):
+    """Start cold."""
+    context.upstream = Upstream(cold_calls=count)
+
+
+@when('admission decides on it for {seconds:d} seconds')
+def run_admission(context, seconds):
+    """Run the work through admission."""
+    context.seconds = seconds
+    context.figures = []
+    context.arrivals = _arrivals(context, seconds)
+    context.run = simulate(
+        admission_for(SLOTS), context.arrivals, context.upstream
+    )
+
+
+@then('admission reaches at least {share:f} of the goodput at saturation')
+def check_goodput(context, share):
+    """Compare with the same upstream at its saturation."""
+    overload = len(context.run.in_time(context.arrivals))
+    fifo = len(simulate(Fifo(), context.arrivals).in_time(context.arrivals))
+    context.rate = saturation_rate()
+    base = _arrivals(context, context.seconds)
+    goodput = len(simulate(admission_for(SLOTS), base).in_time(base))
+    context.figures.append(
+        f'in time {overload}, at saturation {goodput}, FIFO {fifo}'
+    )
+    assert overload >= share * goodput, (overload, goodput, fifo)
+    assert fifo < overload, (overload, fifo)
+
+
+@then('admission starts no call that cannot finish in time')
+def check_no_vain_work(context):
+    """Check that the upstream seldom works in vain."""
+    started = len(context.run.started)
+    in_time = len(context.run.in_time(context.arrivals))
+    assert in_time >= 0.99 * started, (in_time, started)
+
+
+def _short_waits(run, arrivals):
+    return sorted(
+        run.started[one.ticket.attempt_id] - one.at
+        for one in arrivals
+        if one.ticket.route == 'sheets/view'
+        and one.ticket.attempt_id in run.started
+        and one.at > 5
+    )
+
+
+def _p99(waits):
+    return waits[int(len(waits) * 0.99)]
+
+
+@then(
+    '99 of 100 short admission calls wait at most {count:d} short service times'
+)
+def check_short_waits(context, count):
+    """Check the wait of short calls."""
+    waits = _short_waits(context.run, context.arrivals)
+    context.figures.append(
+        f'p99 wait {_p99(waits) / MS:.2f} ms of {len(waits)}'
+    )
+    assert _p99(waits) <= count * 5 * MS, _p99(waits)
+
+
+@then('first come first served makes them wait longer')
+def check_fifo_waits(context):
+    """Compare with first come, first served on the same work."""
+    fifo = simulate(Fifo(), context.arrivals, context.upstream)
+    waits = _p99(_short_waits(fifo, context.arrivals))
+    own = _p99(_short_waits(context.run, context.arrivals))
+    context.figures.append(
+        f'p99 wait FIFO {waits / MS:.2f} ms, own {own / MS:.2f} ms'
+    )
+    assert waits > own, (waits, own)
+
+
+@then('every long admission call is answered')
+def check_long_calls(context):
+    """Check that long calls do not starve."""
+    long = [one for one in context.arrivals if 'search' in one.ticket.route]
+    assert len(context.run.in_time(long)) == len(long)
+
+
+def _answered_share(context, priority):
+    calls = [
+        one
+        for one in context.arrivals
+        if one.ticket.priority is Priority(priority)
+    ]
+    return len(context.run.in_time(calls)) / len(calls)
+
+
+@then('admission answers at least {share:f} of the "{priority}" priority calls')
+def check_answered(context, share, priority):
+    """Check the share that was answered in time."""
+    seen = _answered_share(context, priority)
+    assert seen >= share, seen
+
+
+@then(
+    'admission answers more of the "{high}" than of the "{low}" priority calls'
+)
+def check_order_of_shedding(context, high, low):
+    """Check that the lower priority is shed more."""
+    shares = _answered_share(context, high), _answered_share(context, low)
+    context.figures.append(f'answered {high}, {low}: {shares}')
+    assert shares[0] > shares[1], shares
+
+
+def _limits(context, begin, end):
+    return [limit for at, limit in context.run.limits if begin <= at < end]
+
+
+@then('the admission limit was below {count:d} in the slow time')
+def check_limit_fell(context, count):
+    """Check that the limit went down."""
+    lowest = min(_limits(context, *context.slow_time))
+    assert lowest < count, lowest
+
+
+@then('the mean admission limit in the slow time was at least {count:d}')
+def check_limit_stayed(context, count):
+    """Check that the limit did not collapse."""
+    limits = _limits(context, *context.slow_time)
+    mean = sum(limits) / len(limits)
+    assert mean >= count, mean
+
+
+@then('the admission limit was at most {count:d} after {seconds:f} seconds')
+def check_ramp(context, count, seconds):
+    """Check the limit of a cold start."""
+    highest = max(_limits(context, 0, seconds))
+    assert highest <= count, highest
+
+
+@then('the admission limit is {count:d} at the end')
+def check_last_limit(context, count):
+    """Check that the limit came back."""
+    within = [one for one in context.run.limits if one[0] < context.seconds]
+    assert within[-1][1] == count, within[-1]
+
+
+@then('the neighbour costs less goodput than without the adaptive limit')
+def check_adaptive_goodput(context):
+    """Compare goodput in the slow time with a fixed limit."""
+    fixed = simulate(
+        AdmissionQueue(FixedSlots(SLOTS)), context.arrivals, context.upstream
+    )
+    begin, end = context.slow_time
+    counts = [
+        len(run.in_time(context.arrivals, begin, end))
+        for run in (context.run, fixed)
+    ]
+    context.figures.append(
+        f'in time with and without the adaptive limit: {counts}'
+    )
+    assert counts[0] > counts[1], counts
+
+
+@when(
+    'a route of {cost:d} ms is seen {count:d} times and every {nth:d}th call '
+    'takes {outlier:d} ms'
+)
+def learn_cost(context, cost, count, nth, outlier):
+    """Learn a cost with outliers."""
+    context.cost = RouteCosts().cost_of('sheets/view', 1)
+    for number in range(count):
+        context.cost.observe(outlier if number % nth == 0 else cost)
+
+
+@then('its learned cost is between {low:d} and {high:d} ms')
+def check_learned_cost(context, low, high):
+    """Check the learned cost."""
+    assert low <= context.cost.usual.estimate <= high, context.cost
+
+
+@when("a route's learned cost has grown beyond its timeout")
+def learn_beyond_timeout(context):
+    """Finish slow calls until the learned cost is huge."""
+    context.queue = admission_for(SLOTS)
+    for number in range(3000):
+        ticket = Ticket(f'a{number}', 'r', Priority.normal, 5, 1e6, 10)
+        context.queue.offer(ticket, number)
+        context.queue.release(f'a{number}', 5000, number)
+    assert context.queue.table.costs.cost_of('r', 5).quick.estimate > 1000
+
+
+@then('an idle upstream still admits a call of it')
+def check_idle_admits(context):
+    """Check that an idle upstream gives a call its chance."""
+    ticket = Ticket('last', 'r', Priority.normal, 5, 4001, 10)
+    offer = context.queue.offer(ticket, 4000)
+    assert offer.verdict == Admitted(), offer
+    other = Ticket('other', 'r', Priority.normal, 5, 4001, 10)
+    assert context.queue.offer(other, 4000).verdict != Admitted()
+
+
+def _offer(context, route, now):
+    context.number = getattr(context, 'number', 0) + 1
+    name = f'c{context.number}'
+    ticket = Ticket(name, route, Priority.normal, 5, now + 10, 100)
+    return name, context.queue.offer(ticket, now)
+
+
+@given('admission has {slots:d} slots and learned that searches are long')
+def learn_long_route(context, slots):
+    """Finish calls of both routes one after the other."""
+    context.queue = admission_for(slots)
+    for number in range(200):
+        for route, cost in (('view', 5), ('search', 300)):
+            name, _ = _offer(context, route, number * MS)
+            context.queue.release(name, cost, number * MS)
+
+
+@when(
+    '{count:d} admission calls of the short route run {factor:d} times '
+    'their usual cost'
+)
+def overrun(context, count, factor):
+    """Start short calls and let time go by."""
+    for _ in range(count):
+        _, offer = _offer(context, 'view', 1)
+        assert offer.verdict == Admitted(), offer
+    context.now = 1 + factor * 5 * MS * 1.2
+
+
+@then('admission lets a search wait')
+def check_search_waits(context):
+    """Check that calls that overran count towards the long ones' share."""
+    for _ in range(10):
+        _, offer = _offer(context, 'search', context.now)
+    assert offer.verdict == Queued(), offer
+    assert len(context.queue.table.running) < context.queue.table.slots
+
+
+@then('admission starts a short call at once')
+def check_short_starts(context):
+    """Check that a slot was kept."""
+    _, offer = _offer(context, 'view', context.now)
+    assert offer.verdict == Admitted(), offer
