--- a/burdocklead/commands/control_pages.py
+++ b/burdocklead/commands/control_pages.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections.abc import Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import msgspec
 
@@ -24,8 +24,10 @@
     QuorumError,
     UnreachableError,
 )
+from burdocklead.process.operator_access import load_access
 from burdocklead.values import Member
 
+DECISIONS = frozenset((200, 400, 409))
 SERVER_ERRORS = 500
 STATUS_PATH = '/v1/status'
 
@@ -145,6 +147,7 @@
     """
     peers = control_peers(context)
     limit_s = context.settings.timeout / len(peers)
+    request = with_token(context, request)
     failures: list[BurdockleadError] = []
     for peer in peers:
         try:
@@ -152,15 +155,31 @@
         except ControlError as error:
             failures.append(error)
             continue
-        if _decides(answer):
+        if _decides(answer, failures):
             return answer
         failures.append(answer.failure())
     raise _undecided(request.step, failures)
 
 
-def _decides(answer: HttpAnswer) -> bool:
-    in_json = answer.content_type == JSON_TYPE
-    return in_json and answer.status < SERVER_ERRORS
+def with_token(context: CommandContext, request: Request) -> Request:
+    """Return a request that carries the operator token, if there is one.
+
+    Raises:
+        SettingsError: If the token file is not usable.
+    """
+    access = load_access(context.settings.operator_token_file)
+    return replace(request, headers=access.header())
+
+
+def _decides(answer: HttpAnswer, failures: Sequence[BurdockleadError]) -> bool:
+    if answer.content_type != JSON_TYPE:
+        return False
+    # A refusal to look at the request tells nothing of an earlier replica
+    # that may have carried it out.
+    untouched = all(isinstance(one, UnreachableError) for one in failures)
+    return answer.status in DECISIONS or (
+        untouched and answer.status < SERVER_ERRORS
+    )
 
 
 def _undecided(step: str, failures: Sequence[BurdockleadError]) -> ControlError:
--- a/burdocklead/commands/http_client.py
+++ b/burdocklead/commands/http_client.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass
+from collections.abc import Mapping
+from dataclasses import dataclass, field
 from typing import TypeVar
 
 import aiohttp
@@ -44,12 +45,14 @@
         method: HTTP method.
         path: Path with its query.
         body: Whole body.
+        headers: Headers, such as the one that carries the operator token.
     """
 
     step: str
     method: str
     path: str
     body: bytes = b''
+    headers: Mapping[str, str] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
@@ -139,7 +142,11 @@
 ) -> HttpAnswer:
     url = f'http://{peer.address}{request.path}'
     async with session.request(
-        request.method, url, data=request.body, allow_redirects=False
+        request.method,
+        url,
+        data=request.body,
+        headers=request.headers,
+        allow_redirects=False,
     ) as response:
         body = await _read_bounded(response.content)
         return HttpAnswer(
--- a/tests/commands/operator_program.feature
+++ b/tests/commands/operator_program.feature
@@ -89,6 +89,14 @@
     When the operator types "apply one.toml"
     Then the program ends with 1 and complains "services.y: second"
 
+  Scenario: A refusal to look at a file is no decision after a lost answer
+    Given a stand-in replica "a" that answers "PUT /v1/configuration" with 401 application/json {"error":"the operator token is missing or wrong","step":"authorize"}
+    When the operator types "apply one.toml"
+    Then the program ends with 1 and complains "apply: a: the operator token is missing or wrong"
+    Given a stand-in replica "0" that loses every answer
+    When the operator types "apply one.toml"
+    Then the program ends with 3 and complains "not known; send the same file again (0: Server disconnected; a: the operator token"
+
   Scenario: Waiting names who is missing at the time limit
     Given a stand-in replica "a" that answers "PUT /v1/configuration" with acceptance
     And the stand-in replica "a" shows version 1 with a quorum and the daemons "d1 at 1, d2 at 0"
--- a/tests/steps/operator_steps.py
+++ b/tests/steps/operator_steps.py
@@ -201,7 +201,7 @@
     if stand_ins:
         environment['BURDOCKLEAD_CONTROL_ADMIN'] = ','.join(
             f'{name}=127.0.0.1:{replica.server_address[1]}'
-            for name, replica in stand_ins.items()
+            for name, replica in sorted(stand_ins.items())
         )
     errors = io.StringIO()
     back = os.getcwd()
