Show one time line of events over all processes

Cause: events stayed in each process; nobody could follow a call. Change: /v1/events selects by time, service, kind and call with a limit, and says how many events were overwritten; bad queries are refused whole. Events of calls have a ring of their own. Members advertise their admin address. burdocklead timeline finds replicas and daemons, gathers at the same time with a limit for each, names those that gave nothing, merges in causal order, filters, follows, and writes JSON or one self-contained page. The daemon beside an upstream records attempts with the call's id. Stamps from more than 60 s ahead are ignored.

--- a/burdocklead/clock.py
+++ b/burdocklead/clock.py
@@ -9,6 +9,7 @@
 import msgspec
 
 NS_PER_MS = 1_000_000
+MAX_AHEAD_NS = 60_000_000_000
 
 
 class HybridTime(msgspec.Struct, frozen=True, array_like=True, order=True):
@@ -25,10 +26,17 @@
 
 @dataclass(slots=True)
 class HybridClock:
-    """Issues stamps later than all that were issued or observed."""
+    """Issues stamps later than all that were issued or observed.
+
+    Attributes:
+        wall_ns: Returns the wall clock in ns.
+        last: Latest stamp issued or observed.
+        ignored: Stamps too far ahead of the own wall clock to be observed.
+    """
 
     wall_ns: Callable[[], int] = time.time_ns
     last: HybridTime = field(default_factory=lambda: HybridTime(0, 0))
+    ignored: int = 0
 
     def issue(self) -> HybridTime:
         """Return a stamp for a local event."""
@@ -40,6 +48,14 @@
         return self.last
 
     def observe(self, stamp: HybridTime) -> None:
-        """Take note of a stamp received from another process."""
-        if stamp > self.last:
-            self.last = stamp
+        """Take note of a stamp received from another process.
+
+        A stamp from far in the future is ignored, or one VM with a wrong
+        clock would move the time line of all the others.
+        """
+        if stamp <= self.last:
+            return
+        if stamp.wall_ns > self.wall_ns() + MAX_AHEAD_NS:
+            self.ignored += 1
+            return
+        self.last = stamp
--- a/burdocklead/commands/subcommands.py
+++ b/burdocklead/commands/subcommands.py
@@ -16,6 +16,7 @@
 from burdocklead.commands.diff import diff_file
 from burdocklead.commands.show import show_file
 from burdocklead.commands.status import show_status
+from burdocklead.commands.timeline import show_timeline
 from burdocklead.options import add_options
 from burdocklead.settings import OperatorSettings
 
@@ -62,7 +63,23 @@
     return Argument(name, help_text, {'action': 'store_true'})
 
 
+def _text(name: str, help_text: str) -> Argument:
+    return Argument(name, help_text, {'default': '', 'metavar': 'TEXT'})
+
+
 FILE = Argument('file', 'configuration file in TOML', {'type': Path})
+TIMELINE_ARGUMENTS = (
+    _text('--since', 'only events since a time: ISO 8601, or 5m for 5 min ago'),
+    _text('--until', 'only events until a time'),
+    _text('--service', 'only events of a service'),
+    _text('--process', 'only these processes, as A,B'),
+    _text('--kind', 'only these kinds, as A,B'),
+    _text('--call', 'only the events of one call'),
+    _switch('--follow', 'go on with later events'),
+    Argument(
+        '--html', 'write a page to a file', {'type': Path, 'metavar': 'FILE'}
+    ),
+)
 
 
 async def _write_completion(
@@ -101,6 +118,12 @@
         'show replicas, daemons, upstreams and versions in force',
         lambda flags, context: show_status(context),
     ),
+    Subcommand(
+        'timeline',
+        'show the events of all processes in causal order',
+        show_timeline,
+        TIMELINE_ARGUMENTS,
+    ),
     Subcommand(
         'completion',
         'write a completion script for a shell',
--- /dev/null
+++ b/burdocklead/commands/timeline.py
@@ -0,0 +1,229 @@
+"""Show the time line of events over all processes."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import time
+from collections.abc import Sequence
+from dataclasses import dataclass, field, replace
+from pathlib import Path
+
+import msgspec
+
+from burdocklead.clock import HybridTime
+from burdocklead.commands.context import CommandContext, ExitCode
+from burdocklead.commands.control_pages import (
+    ReplicaView,
+    control_peers,
+    joined_problems,
+    view_replicas,
+)
+from burdocklead.commands.http_client import Peer
+from burdocklead.commands.status import newest_members
+from burdocklead.commands.timeline_question import (
+    TimelineQuestion,
+    question_of,
+)
+from burdocklead.events import Event
+from burdocklead.exceptions import FileError, UnreachableError
+from burdocklead.timeline.gathering import (
+    MAX_CONCURRENT,
+    STEP,
+    GatheredProcess,
+    Gatherer,
+)
+from burdocklead.timeline.html_page import render_page
+from burdocklead.timeline.merging import merge_events
+from burdocklead.timeline.points_in_time import format_point
+from burdocklead.timeline.selection import Selection
+
+FOLLOW_INTERVAL_S = 0.5
+NO_ADMIN_ADDRESS = 'advertises no admin address'
+
+
+class ProcessReport(msgspec.Struct, frozen=True):
+    """One process in the report; see ``GatheredProcess``."""
+
+    name: str
+    problem: str
+    overwritten: int
+    gap: bool
+
+
+class TimelineReport(msgspec.Struct, frozen=True):
+    """What ``timeline`` reports as JSON."""
+
+    processes: tuple[ProcessReport, ...]
+    events: tuple[Event, ...]
+
+
+@dataclass(slots=True)
+class ShownEvents:
+    """What a followed time line has shown already.
+
+    Attributes:
+        until: Time of the last event shown by admin address of a process.
+        problems: Last problem shown by name of a process.
+    """
+
+    until: dict[Peer, HybridTime] = field(default_factory=dict)
+    problems: dict[str, str] = field(default_factory=dict)
+
+    def selection_for(self, peer: Peer, selection: Selection) -> Selection:
+        """Return the selection of what has not been shown yet."""
+        since = max(selection.since, self.until.get(peer, selection.since))
+        return replace(selection, since=since)
+
+
+async def show_timeline(
+    flags: argparse.Namespace, context: CommandContext
+) -> ExitCode:
+    """Write the time line and return the exit code.
+
+    Raises:
+        SettingsError: If a flag is not understood.
+        UnreachableError: If no control replica answers.
+        FileError: If the page can't be written.
+    """
+    question = question_of(flags, time.time_ns())
+    if question.follow:
+        return await follow_timeline(context, question)
+    shown = ShownEvents()
+    processes = await gather_processes(context, question, shown)
+    events = merge_events(process.events for process in processes)
+    if question.html is not None:
+        _write_page(question.html, render_page(events, processes))
+    if context.as_json:
+        context.write_json(_report_of(processes, events))
+    elif question.html is None:
+        _write_events(context, events)
+    _warn_of(context, processes, shown)
+    reached = any(not process.problem for process in processes)
+    return ExitCode.done if reached else ExitCode.not_known
+
+
+async def follow_timeline(
+    context: CommandContext, question: TimelineQuestion
+) -> ExitCode:
+    """Write events as they come, until ``--until`` or an interrupt."""
+    shown = ShownEvents()
+    while True:
+        over = time.time_ns() > question.selection.until.wall_ns
+        processes = await gather_processes(context, question, shown)
+        events = merge_events(process.events for process in processes)
+        if context.as_json:
+            for event in events:
+                context.write_json(event)
+        else:
+            _write_events(context, events)
+        _warn_of(context, processes, shown)
+        context.output.flush()
+        if over:
+            return ExitCode.done
+        await asyncio.sleep(FOLLOW_INTERVAL_S)
+
+
+async def gather_processes(
+    context: CommandContext, question: TimelineQuestion, shown: ShownEvents
+) -> tuple[GatheredProcess, ...]:
+    """Return what each process of the deployment gives.
+
+    Raises:
+        UnreachableError: If no control replica answers, since only they
+            know the daemons.
+    """
+    views = await view_replicas(context, STEP)
+    if all(view.status is None for view in views):
+        reason = f'no replica answers ({joined_problems(views)})'
+        raise UnreachableError(reason, step=STEP, peer='control')
+    daemons, silent = _daemons_of(views)
+    asked = [
+        peer
+        for peer in (*control_peers(context), *daemons)
+        if question.wants(peer.name)
+    ]
+    gatherer = Gatherer(
+        context.settings.timeout, asyncio.Semaphore(MAX_CONCURRENT)
+    )
+    gathered = await gatherer.gather(
+        (peer, shown.selection_for(peer, question.selection)) for peer in asked
+    )
+    for peer, process in zip(asked, gathered, strict=True):
+        if process.events:
+            shown.until[peer] = process.events[-1].time
+    return (
+        *gathered,
+        *(one for one in silent if question.wants(one.name)),
+    )
+
+
+def _daemons_of(
+    views: Sequence[ReplicaView],
+) -> tuple[list[Peer], list[GatheredProcess]]:
+    """Return the daemons that can be asked, and those that can't."""
+    members = newest_members(view.status for view in views if view.status)
+    peers = [
+        Peer(member.daemon_id, member.admin)
+        for member in members
+        if member.admin is not None
+    ]
+    silent = [
+        GatheredProcess(member.daemon_id, problem=NO_ADMIN_ADDRESS)
+        for member in members
+        if member.admin is None
+    ]
+    return peers, silent
+
+
+def _write_page(path: Path, page: str) -> None:
+    try:
+        path.write_text(page, encoding='utf-8')
+    except OSError as error:
+        reason = error.strerror or str(error)
+        raise FileError(reason, step=STEP, peer=str(path)) from None
+
+
+def _write_events(context: CommandContext, events: Sequence[Event]) -> None:
+    for event in events:
+        context.write(describe_event(event))
+
+
+def describe_event(event: Event) -> str:
+    """Return the line of an event, without the fields that are empty."""
+    fields = (
+        ('call', event.call_id),
+        ('service', event.service),
+        ('peer', event.peer),
+        ('detail', event.detail),
+    )
+    named = ' '.join(f'{name}={text}' for name, text in fields if text)
+    moment = format_point(event.time.wall_ns)
+    return f'{moment} {event.process:<16} {event.kind:<18} {named}'.rstrip()
+
+
+def _report_of(
+    processes: Sequence[GatheredProcess], events: Sequence[Event]
+) -> TimelineReport:
+    reports = tuple(
+        ProcessReport(one.name, one.problem, one.overwritten, one.gap)
+        for one in processes
+    )
+    return TimelineReport(reports, tuple(events))
+
+
+def _warn_of(
+    context: CommandContext,
+    processes: Sequence[GatheredProcess],
+    shown: ShownEvents,
+) -> None:
+    for process in processes:
+        problem = process.problem
+        if process.gap and not problem:
+            problem = (
+                'older events are overwritten '
+                f'({process.overwritten} since its start)'
+            )
+        if problem and shown.problems.get(process.name) != problem:
+            context.warn(f'{STEP}: {process.name}: {problem}')
+        shown.problems[process.name] = problem
--- /dev/null
+++ b/burdocklead/commands/timeline_question.py
@@ -0,0 +1,89 @@
+"""What an operator asks of the time line, from its flags."""
+
+from __future__ import annotations
+
+import argparse
+from dataclasses import dataclass
+from pathlib import Path
+
+from burdocklead.events import EventKind
+from burdocklead.exceptions import SettingsError
+from burdocklead.timeline.gathering import STEP
+from burdocklead.timeline.points_in_time import (
+    first_stamp,
+    last_stamp,
+    parse_point,
+)
+from burdocklead.timeline.selection import (
+    EARLIEST,
+    LATEST,
+    Selection,
+    parse_kinds,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class TimelineQuestion:
+    """What the operator wants to see.
+
+    Attributes:
+        selection: Which events.
+        processes: Names of the processes, empty for all.
+        follow: True to go on with later events.
+        html: File for the page, None for none.
+    """
+
+    selection: Selection
+    processes: frozenset[str] = frozenset()
+    follow: bool = False
+    html: Path | None = None
+
+    def wants(self, process: str) -> bool:
+        """Return True if a process is to be asked."""
+        return not self.processes or process in self.processes
+
+
+def question_of(flags: argparse.Namespace, now_ns: int) -> TimelineQuestion:
+    """Return the question that flags stand for.
+
+    Raises:
+        SettingsError: Names every flag that is not understood.
+    """
+    problems: list[str] = []
+    since = _point(flags.since, '--since', now_ns, problems)
+    until = _point(flags.until, '--until', now_ns, problems)
+    selection = Selection(
+        since=EARLIEST if since is None else first_stamp(since),
+        until=LATEST if until is None else last_stamp(until),
+        service=flags.service,
+        call_id=flags.call,
+        kinds=_kinds(flags.kind, problems),
+    )
+    if flags.follow and flags.html:
+        problems.append('--html shows what has happened and cannot --follow')
+    if selection.since >= selection.until:
+        problems.append('--since must be before --until')
+    if problems:
+        raise SettingsError('; '.join(problems), step=STEP)
+    processes = frozenset(filter(None, flags.process.split(',')))
+    return TimelineQuestion(selection, processes, flags.follow, flags.html)
+
+
+def _point(
+    text: str, flag: str, now_ns: int, problems: list[str]
+) -> int | None:
+    if not text:
+        return None
+    try:
+        return parse_point(text, now_ns)
+    except (ValueError, OverflowError) as error:
+        problems.append(f'{flag}: {error}')
+        return None
+
+
+def _kinds(text: str, problems: list[str]) -> frozenset[EventKind]:
+    try:
+        return parse_kinds(text)
+    except ValueError as error:
+        problems.append(f'--{error}')
+        return frozenset()
--- a/burdocklead/events.py
+++ b/burdocklead/events.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import enum
+import heapq
 from collections import deque
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 
 import msgspec
@@ -31,6 +33,7 @@
     attempt_started = 'attempt-started'
     attempt_finished = 'attempt-finished'
     attempt_retried = 'attempt-retried'
+    attempt_hedged = 'attempt-hedged'
     attempt_fenced = 'attempt-fenced'
     link_opened = 'link-opened'
     link_closed = 'link-closed'
@@ -63,13 +66,36 @@
     detail: str = ''
 
 
+def _new_ring() -> deque[Event]:
+    return deque(maxlen=RING_SIZE)
+
+
 @dataclass(slots=True)
 class EventRing:
-    """Keeps the latest events of one process."""
+    """Keeps the latest events of one process.
+
+    Events of calls have a ring of their own, so that a crest of calls does
+    not overwrite the changes of state that explain it.
+
+    Attributes:
+        process: Name of the process.
+        clock: Stamps the events.
+        changes: Events that belong to no call, the oldest first.
+        calls: Events of calls, the oldest first.
+        overwritten: Events that had to make room for newer ones.
+        overwritten_until: Time of the last event overwritten.
+    """
 
     process: str
     clock: HybridClock
-    ring: deque[Event] = field(default_factory=lambda: deque(maxlen=RING_SIZE))
+    changes: deque[Event] = field(default_factory=_new_ring)
+    calls: deque[Event] = field(default_factory=_new_ring)
+    overwritten: int = 0
+    overwritten_until: HybridTime = HybridTime(0, 0)
+
+    def events(self) -> Iterator[Event]:
+        """Yield all events in the order in which they were recorded."""
+        return heapq.merge(self.changes, self.calls, key=_time_of)
 
     def record(
         self,
@@ -81,7 +107,11 @@
         detail: str = '',
     ) -> None:
         """Append an event with the present time."""
-        self.ring.append(
+        ring = self.calls if call_id else self.changes
+        if len(ring) == ring.maxlen:
+            self.overwritten += 1
+            self.overwritten_until = max(self.overwritten_until, ring[0].time)
+        ring.append(
             Event(
                 time=self.clock.issue(),
                 process=self.process,
@@ -92,3 +122,7 @@
                 detail=detail,
             )
         )
+
+
+def _time_of(event: Event) -> HybridTime:
+    return event.time
--- a/burdocklead/process/admin_http.py
+++ b/burdocklead/process/admin_http.py
@@ -10,6 +10,7 @@
 from burdocklead.events import EventRing
 from burdocklead.exceptions import BurdockleadError
 from burdocklead.metrics import MetricSet
+from burdocklead.timeline.selection import parse_selection, select_events
 from burdocklead.values import Address
 
 JSON = 'application/json'
@@ -46,7 +47,12 @@
         return json_response({'ready': ready}, 200 if ready else UNAVAILABLE)
 
     async def show_events(request: web.Request) -> web.Response:
-        return json_response(list(events.ring))
+        try:
+            selection = parse_selection(request.query.items())
+        except ValueError as error:
+            refusal = BurdockleadError(str(error), step='events')
+            return error_response(refusal, BAD_REQUEST)
+        return json_response(select_events(events, selection))
 
     async def show_metrics(
         request: web.Request,
--- a/burdocklead/process/caller_http.py
+++ b/burdocklead/process/caller_http.py
@@ -78,6 +78,7 @@
         self.events.record(
             EVENT_BY_OUTCOME[result.outcome],
             call_id=call_id,
+            service=self._service_of(request),
             detail=result.cause,
         )
         return _response_of(result, call_id)
@@ -85,10 +86,7 @@
     def _count(
         self, request: web.Request, result: CallResult, started: float
     ) -> None:
-        service = ''
-        if self.directory.table is not None:
-            found = self.directory.table.find_service(request.raw_path)
-            service = found[0] if found else ''
+        service = self._service_of(request)
         elapsed = asyncio.get_running_loop().time() - started
         outcome = result.outcome.value
         self.metrics.count(CALLS, service, outcome)
@@ -96,6 +94,13 @@
         if result.outcome is Outcome.not_run:
             self.metrics.count(REFUSALS, result.cause)
 
+    def _service_of(self, request: web.Request) -> str:
+        """Return the known service called, empty for any other path."""
+        if self.directory.table is None:
+            return ''
+        found = self.directory.table.find_service(request.raw_path)
+        return found[0] if found else ''
+
     async def _result_of(
         self, request: web.Request, call_id: str
     ) -> CallResult:
--- a/burdocklead/process/daemon_parts.py
+++ b/burdocklead/process/daemon_parts.py
@@ -15,6 +15,7 @@
 from burdocklead.metrics import MetricSet
 from burdocklead.process.caller_http import CallerPages
 from burdocklead.process.directory import DaemonDirectory
+from burdocklead.request.attempt_journal import AttemptJournal
 from burdocklead.request.attempt_runner import AttemptRunner
 from burdocklead.request.dispatch import Dispatcher
 from burdocklead.request.execution import AttemptExecutor
@@ -35,7 +36,9 @@
         self.metrics = MetricSet()
         self.incarnation = time.time_ns()
         self.rng = random.Random(self.incarnation)
-        self.executor = AttemptExecutor(self.incarnation)
+        self.executor = AttemptExecutor(
+            self.incarnation, AttemptJournal(self.events, self.metrics)
+        )
         self.router = Router(settings.zone, self.rng)
         self.control = ControlGroup(
             settings.control, load_cluster_key(settings.cluster_key_file)
--- a/burdocklead/process/daemon_process.py
+++ b/burdocklead/process/daemon_process.py
@@ -5,6 +5,7 @@
 import asyncio
 from dataclasses import dataclass
 
+import msgspec
 from aiohttp import web
 
 from burdocklead.process.admin_http import start_site
@@ -83,6 +84,7 @@
         admin_runner, admin = await start_site(
             pages, self.parts.settings.admin_listen
         )
+        own.member = msgspec.structs.replace(own.member, admin=admin)
         addresses = {'http': str(http), 'link': str(link), 'admin': str(admin)}
         return DaemonServers(own, callers, admin_runner, addresses)
 
--- a/burdocklead/request/execution.py
+++ b/burdocklead/request/execution.py
@@ -25,6 +25,7 @@
     Refused,
     Ticket,
 )
+from burdocklead.request.attempt_journal import AttemptJournal
 from burdocklead.request.attempt_table import AttemptTable
 from burdocklead.request.headers import (
     ATTEMPT_HEADER,
@@ -43,6 +44,7 @@
 
     Attributes:
         incarnation: Incarnation of this daemon.
+        journal: Records attempts as events and metrics.
         service: Service of the upstream, empty while there is none.
         upstream: Address of the upstream, None while there is none.
         draining: True if no new work is taken.
@@ -50,8 +52,9 @@
         table: Attempts seen so far.
     """
 
-    def __init__(self, incarnation: int) -> None:
+    def __init__(self, incarnation: int, journal: AttemptJournal) -> None:
         """Start without an upstream."""
+        self.journal = journal
         self.incarnation = incarnation
         self.service = ''
         self.upstream: Address | None = None
@@ -86,6 +89,7 @@
             if known.result is not None:
                 return known.result
             return self._refusal(attempt, RefusalCause.duplicate)
+        self.journal.start(attempt)
         task = asyncio.ensure_future(self._admit_and_run(attempt))
         self.tasks[attempt.attempt_id] = task
         try:
@@ -95,6 +99,7 @@
         finally:
             self.tasks.pop(attempt.attempt_id, None)
         self.table.finish(attempt.attempt_id, result)
+        self.journal.finish(attempt, result)
         return result
 
     def cancel(self, attempt_id: str) -> None:
--- /dev/null
+++ b/burdocklead/timeline/__init__.py
@@ -0,0 +1,1 @@
+"""The time line: selecting, gathering, merging and showing events."""
--- /dev/null
+++ b/burdocklead/timeline/gathering.py
@@ -0,0 +1,105 @@
+"""Gathering events from the processes of a deployment."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Iterable
+from dataclasses import dataclass, replace
+from urllib.parse import urlencode
+
+import msgspec
+
+from burdocklead.commands.http_client import (
+    OK,
+    HttpAnswer,
+    Peer,
+    Request,
+    send_request,
+)
+from burdocklead.events import Event
+from burdocklead.exceptions import BurdockleadError
+from burdocklead.timeline.selection import EventPage, Selection
+
+STEP = 'timeline'
+MAX_CONCURRENT = 64
+
+
+class GatheredProcess(msgspec.Struct, frozen=True):
+    """What one process gave.
+
+    Attributes:
+        name: Name of the process.
+        problem: Why it gave nothing or not all, empty if it gave all.
+        overwritten: Events overwritten since the process started.
+        gap: True if events in the time asked for were overwritten.
+        events: Its events in order.
+    """
+
+    name: str
+    problem: str = ''
+    overwritten: int = 0
+    gap: bool = False
+    events: tuple[Event, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Gatherer:
+    """Asks processes for their events, a bounded number at the same time.
+
+    Attributes:
+        limit_s: Time limit for each process in s.
+        slots: Bounds the requests in progress.
+    """
+
+    limit_s: float
+    slots: asyncio.Semaphore
+
+    async def gather(
+        self, wanted: Iterable[tuple[Peer, Selection]]
+    ) -> tuple[GatheredProcess, ...]:
+        """Return what each process gives, in the order asked."""
+        questions = (self._ask(*question) for question in wanted)
+        return tuple(await asyncio.gather(*questions))
+
+    async def _ask(self, peer: Peer, selection: Selection) -> GatheredProcess:
+        pages: list[EventPage] = []
+        problem = ''
+        try:
+            async with self.slots, asyncio.timeout(self.limit_s):
+                await self._read_pages(peer, selection, pages)
+        except BurdockleadError as error:
+            problem = error.reason
+        except TimeoutError:
+            problem = f'no whole answer within {self.limit_s:g} s'
+        return _gathered(peer, pages, problem)
+
+    async def _read_pages(
+        self, peer: Peer, selection: Selection, pages: list[EventPage]
+    ) -> None:
+        more = True
+        while more:
+            path = f'/v1/events?{urlencode(selection.query())}'
+            request = Request(STEP, 'GET', path)
+            answer = await send_request(peer, request, self.limit_s)
+            page = _page_of(answer)
+            pages.append(page)
+            more = page.more and bool(page.events)
+            if more:
+                selection = replace(selection, since=page.events[-1].time)
+
+
+def _page_of(answer: HttpAnswer) -> EventPage:
+    if answer.status != OK:
+        raise answer.failure()
+    return answer.decode(EventPage)
+
+
+def _gathered(
+    peer: Peer, pages: list[EventPage], problem: str
+) -> GatheredProcess:
+    events = tuple(event for page in pages for event in page.events)
+    overwritten = max((page.overwritten for page in pages), default=0)
+    gap = any(page.gap for page in pages)
+    # The operator's word for a replica may differ from its own name.
+    name = pages[0].process if pages else peer.name
+    return GatheredProcess(name, problem, overwritten, gap, events)
--- a/burdocklead/values.py
+++ b/burdocklead/values.py
@@ -87,6 +87,7 @@
         slots: Slots that the upstream announced.
         draining: True if the upstream must get no new work.
         version_in_force: Configuration version that the daemon serves.
+        admin: Address of the daemon's pages for operators.
     """
 
     daemon_id: str
@@ -99,3 +100,4 @@
     slots: int = 0
     draining: bool = False
     version_in_force: int = 0
+    admin: Address | None = None
--- /dev/null
+++ b/tests/steps/timeline_steps.py
@@ -0,0 +1,319 @@
+"""Steps for the time line."""
+
+from __future__ import annotations
+
+import time
+from html.parser import HTMLParser
+from urllib.parse import parse_qsl
+
+import msgspec
+from behave import given, then, when
+
+from burdocklead.clock import HybridClock, HybridTime
+from burdocklead.events import Event, EventKind, EventRing
+from burdocklead.request.headers import CALL_HEADER
+from burdocklead.timeline.gathering import GatheredProcess
+from burdocklead.timeline.html_page import render_page
+from burdocklead.timeline.merging import causal_order, merge_events
+from burdocklead.timeline.points_in_time import parse_point
+from burdocklead.timeline.selection import (
+    Selection,
+    parse_selection,
+    select_events,
+)
+
+NS_PER_S = 1_000_000_000
+HOSTILE = '</script><img src=x onerror=alert(1)>'
+VOID_TAGS = frozenset(('meta', 'input'))
+
+
+class PageReader(HTMLParser):
+    """Collects what the page would show, load and run."""
+
+    def __init__(self, text):
+        super().__init__()
+        self.heads = []
+        self.events = []
+        self.tags = []
+        self.open_tags = []
+        self.attributes = []
+        self.feed(text)
+
+    def handle_starttag(self, tag, attrs):
+        named = dict(attrs)
+        self.tags.append(tag)
+        self.attributes.extend(name for name in named)
+        if named.get('class') == 'event':
+            self.events.append(named)
+        if tag not in VOID_TAGS:
+            self.open_tags.append((tag, named.get('class')))
+
+    def handle_endtag(self, tag):
+        assert self.open_tags.pop()[0] == tag, tag
+
+    def handle_data(self, data):
+        if self.open_tags and self.open_tags[-1] == ('div', 'head'):
+            self.heads.append(data)
+
+
+@given('time line clocks "{first}" at {first_ns:d} and "{second}" at {ns:d}')
+def make_clocks(context, first, first_ns, second, ns):
+    """Make two rings whose wall clocks stand still."""
+    context.rings = {
+        first: EventRing(first, HybridClock(lambda: first_ns)),
+        second: EventRing(second, HybridClock(lambda: ns)),
+    }
+
+
+@when(
+    'the time line process "{name}" records "{kind}" '
+    'and its stamp reaches "{other}"'
+)
+def record_and_send(context, name, kind, other):
+    """Record an event and carry its stamp to another process."""
+    ring = context.rings[name]
+    ring.record(EventKind(kind))
+    context.rings[other].clock.observe(ring.changes[-1].time)
+
+
+@when('the time line process "{name}" records {count:d} events')
+def record_many(context, name, count):
+    """Record events in one ring."""
+    context.ring = context.rings[name]
+    for number in range(count):
+        context.ring.record(EventKind.link_opened, detail=str(number))
+
+
+@when('the time line process "{name}" records {count:d} events of calls')
+def record_calls(context, name, count):
+    """Record events of calls in one ring."""
+    context.ring = context.rings[name]
+    for number in range(count):
+        context.ring.record(
+            EventKind.call_answered, call_id='c', detail=str(number)
+        )
+
+
+@then('its first event is "{kind}"')
+def check_first(context, kind):
+    """Compare the kind of the oldest event."""
+    assert next(context.ring.events()).kind == kind
+
+
+@when('the time line process "{name}" records "{kind}"')
+def record_event(context, name, kind):
+    """Record one event."""
+    context.rings[name].record(EventKind(kind))
+
+
+@then('the merged time line is "{expected}"')
+def check_merged(context, expected):
+    """Compare the merged order of all rings."""
+    merged = merge_events(tuple(one.events()) for one in context.rings.values())
+    assert path_of(merged) == expected, path_of(merged)
+
+
+@then('the time line clock "{name}" has ignored {count:d} stamp')
+def check_ignored(context, name, count):
+    """Compare the stamps that a clock ignored."""
+    assert context.rings[name].clock.ignored == count
+
+
+@then(
+    'its {which} has {count:d} events, {more} to come, '
+    '{overwritten:d} overwritten and {gap} gap'
+)
+def check_page(context, which, count, more, overwritten, gap):
+    """Compare a page of the ring."""
+    whole = which == 'whole page'
+    since = HybridTime(0, 0) if whole else context.ring.changes[-1].time
+    page = select_events(context.ring, Selection(since=since))
+    seen = (len(page.events), page.more, page.overwritten, page.gap)
+    assert seen == (count, more == 'more', overwritten, gap == 'a'), seen
+
+
+@then('paging through it gives {count:d} events in order')
+def check_paging(context, count):
+    """Read page after page."""
+    details = []
+    selection = Selection()
+    more = True
+    while more:
+        page = select_events(context.ring, selection)
+        details.extend(
+            int(event.detail) for event in page.events if event.detail
+        )
+        selection = Selection(since=page.events[-1].time)
+        more = page.more
+    last = details[-1] + 1
+    assert details == list(range(last - count, last)), len(details)
+
+
+@then('the time line query "{query}" is refused with "{reason}"')
+def check_refused_query(context, query, reason):
+    """Parse a query and compare the reason."""
+    try:
+        parse_selection(parse_qsl(query))
+    except ValueError as error:
+        assert str(error) == reason, error
+        return
+    raise AssertionError('the query was understood')
+
+
+@then('the point "{text}" at {now:d} s is {seconds} s')
+def check_point(context, text, now, seconds):
+    """Parse a point in time."""
+    try:
+        seen = str(parse_point(text, now * NS_PER_S) // NS_PER_S)
+    except ValueError:
+        seen = 'wrong'
+    assert seen == seconds, seen
+
+
+@given('a time line page with hostile names and details')
+def make_hostile_page(context):
+    """Render a page whose texts try to leave their places."""
+    first = hostile_event(1, HOSTILE)
+    second = hostile_event(2, 'd"2')
+    other = Event(
+        time=HybridTime(3, 0), process='d"2', kind=EventKind.link_opened
+    )
+    processes = (
+        GatheredProcess(HOSTILE, problem=HOSTILE, events=(first,)),
+        GatheredProcess('d"2', events=(second, other)),
+    )
+    context.page = render_page([first, second, other], processes)
+
+
+def hostile_event(wall_ns, process):
+    """Return an event whose every text is hostile."""
+    return Event(
+        time=HybridTime(wall_ns, 0),
+        process=process,
+        kind=EventKind.call_answered,
+        call_id=f'c" onclick="{HOSTILE}',
+        service=HOSTILE,
+        peer=HOSTILE,
+        detail=HOSTILE,
+    )
+
+
+@then('the page has the lanes "{lanes}"')
+def check_lanes(context, lanes):
+    """Compare the heads of the lanes."""
+    heads = PageReader(context.page).heads
+    assert ', '.join(heads) == lanes.replace('QUOTE', '"'), heads
+
+
+@then('the page has {count:d} events, of which {picked:d} belong to one call')
+def check_page_events(context, count, picked):
+    """Count events and those of the first call."""
+    events = PageReader(context.page).events
+    calls = [event['data-call'] for event in events]
+    assert len(calls) == count, calls
+    assert calls.count(calls[0]) == picked, calls
+
+
+@then('the page loads nothing and runs only its own script')
+def check_nothing_foreign(context):
+    """Look for tags and attributes that load or run something."""
+    reader = PageReader(context.page)
+    assert reader.tags.count('script') == 1, reader.tags
+    foreign = frozenset(('img', 'link', 'iframe', 'object', 'a', 'image'))
+    assert not foreign.intersection(reader.tags), reader.tags
+    loading = [
+        name
+        for name in reader.attributes
+        if name.startswith('on') or name in {'src', 'href'}
+    ]
+    assert not loading, loading
+    assert "default-src 'none'; script-src 'sha256-" in context.page
+
+
+@when('the operator asks for the time line of that call')
+def ask_for_call(context):
+    """Gather the events of the last call."""
+    call_id = context.response.headers[CALL_HEADER]
+    ask_timeline(context, '--call', call_id)
+
+
+@when('the operator asks for the time line of "{flags}"')
+def ask_for(context, flags):
+    """Gather events with filters."""
+    ask_timeline(context, *flags.split())
+
+
+def ask_timeline(context, *flags):
+    """Run the program and keep the events."""
+    completed = context.deployment.run_operator('timeline', '--json', *flags)
+    assert completed.returncode == 0, completed.stderr
+    report = msgspec.json.decode(completed.stdout)
+    context.events = msgspec.convert(report['events'], list[Event])
+    context.reported = {
+        one['name']: one['problem'] for one in report['processes']
+    }
+
+
+@then('the path of the call is "{expected}"')
+def check_path(context, expected):
+    """Compare processes and kinds in order."""
+    assert path_of(context.events) == expected, path_of(context.events)
+
+
+def path_of(events):
+    """Return processes and kinds of events."""
+    return ', '.join(f'{event.process} {event.kind}' for event in events)
+
+
+@when('the operator follows the time line for a moment')
+def follow(context):
+    """Follow until a point in the near future."""
+    until = time.strftime('%Y-%m-%dT%H:%M:%S', time.gmtime(time.time() + 2))
+    completed = context.deployment.run_operator(
+        'timeline', '--json', '--follow', '--until', until
+    )
+    assert completed.returncode == 0, completed.stderr
+    context.events = [
+        msgspec.json.decode(line, type=Event)
+        for line in completed.stdout.splitlines()
+    ]
+
+
+@then('each event is shown once and in causal order')
+def check_followed(context):
+    """Look for events shown twice or late."""
+    order = [causal_order(event) for event in context.events]
+    assert order
+    assert len(order) == len(set(order)), order
+    assert order == sorted(order), order
+
+
+@when('the operator writes the time line page')
+def write_page(context):
+    """Write the page to a file."""
+    path = context.folder / 'page.html'
+    context.deployment.run_operator('timeline', '--html', str(path))
+    context.page = path.read_text()
+
+
+@then('the page has a lane for each process of the deployment')
+def check_all_lanes(context):
+    """Compare the lanes with the processes."""
+    deployment = context.deployment
+    names = {*deployment.controls, *deployment.daemons}
+    assert set(PageReader(context.page).heads) == names
+
+
+@when('the daemon "{name}" is killed and the time line is asked for')
+def kill_and_ask(context, name):
+    """Kill a daemon and ask before its lease ends."""
+    context.deployment.daemons[name].kill()
+    ask_timeline(context)
+
+
+@then('the operator is told that "{name}" was not reached')
+def check_not_reached(context, name):
+    """Compare who was reached."""
+    problems = {one: text for one, text in context.reported.items() if text}
+    assert list(problems) == [name], problems
+    assert problems[name].startswith('no connection to '), problems
