Add the bench: open-loop load, latency pairs, quiet slices, old revisions

make bench starts real processes on loopback, sends a seeded Poisson schedule that does not wait for answers, and counts latency from the time a call was due. The arms of a comparison take short turns in one run; a second checkout of an older revision can take its turns with the present one. The result is JSON with settings, seed, machine, load and revision, and a table.

--- a/Makefile
+++ b/Makefile
@@ -4,9 +4,11 @@
 STAMP = $(VENV)/installed.stamp
 SEED ?= 1
 COUNT ?= 1000
+SCENARIO ?= latency
+SECONDS ?= 12
 export PYTHONPATH = $(CURDIR)
 
-.PHONY: demo test lint format types docs check clean
+.PHONY: demo test lint format types docs check bench clean
 
 demo: $(STAMP)
 	$(PYTHON) -m devtools.demo
@@ -26,6 +28,9 @@
 types: $(STAMP)
 	$(VENV)/bin/mypy
 
+bench: $(STAMP)
+	$(PYTHON) -m devtools.bench --scenario $(SCENARIO) --seed $(SEED) --seconds $(SECONDS)
+
 docs: $(STAMP)
 	$(VENV)/bin/sphinx-build -q -W -b html docs docs/_build
 
--- /dev/null
+++ b/devtools/bench/__init__.py
@@ -0,0 +1,1 @@
+"""The bench: open-loop load on real processes on loopback."""
--- /dev/null
+++ b/devtools/bench/__main__.py
@@ -0,0 +1,90 @@
+"""Command line of the bench."""
+
+from __future__ import annotations
+
+import argparse
+import os
+import pstats
+import sys
+import time
+from collections.abc import Callable
+from pathlib import Path
+
+from devtools.bench.latency import run_latency
+from devtools.bench.machine import describe_machine, revision
+from devtools.bench.profiled_daemon import PROFILE_VARIABLE
+from devtools.bench.report import BenchResult, table, write_result
+from devtools.bench.scene import Findings, Options
+from devtools.processes import source_root, use_repository_sources
+
+RESULT_FOLDER = source_root() / 'bench-results'
+PROFILE_LINES = 45
+MAX_SECONDS = 600
+
+SCENARIOS: dict[str, Callable[[Options], Findings]] = {
+    'latency': run_latency,
+}
+
+
+def parse_flags() -> argparse.Namespace:
+    """Return the flags of the command line."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--scenario', choices=SCENARIOS, default='latency')
+    parser.add_argument('--variant', default='')
+    parser.add_argument('--baseline', default='', help='git revision')
+    parser.add_argument('--seed', type=int, default=1)
+    parser.add_argument('--seconds', type=float, default=12)
+    parser.add_argument('--profile', action='store_true')
+    parser.add_argument('--plot', action='store_true')
+    return parser.parse_args()
+
+
+def run_scenario(flags: argparse.Namespace, options: Options) -> BenchResult:
+    """Run a scenario and return its result."""
+    machine = describe_machine()
+    findings = SCENARIOS[flags.scenario](options)
+    return BenchResult(
+        scenario=flags.scenario,
+        revision=revision(),
+        seed=options.seed,
+        seconds=options.seconds,
+        machine=machine,
+        load_average_after=describe_machine().load_average,
+        settings=findings.settings,
+        rows=findings.rows,
+        facts=findings.facts,
+        load_cpu_shares=findings.cpu_shares,
+    )
+
+
+def print_profile(folder: Path) -> None:
+    """Write where the daemons of a run spent their time."""
+    for path in sorted(folder.glob('*.prof')):
+        statistics = pstats.Stats(str(path), stream=sys.stdout)
+        statistics.sort_stats('tottime').print_stats(PROFILE_LINES)
+
+
+def main() -> int:
+    """Run one scenario, write its result and return the exit code."""
+    flags = parse_flags()
+    use_repository_sources()
+    profile_folder = None
+    if flags.profile:
+        profile_folder = RESULT_FOLDER / f'profile-{time.time_ns()}'
+        profile_folder.mkdir(parents=True)
+        os.environ[PROFILE_VARIABLE] = str(profile_folder)
+    seconds = min(flags.seconds, MAX_SECONDS)
+    options = Options(
+        flags.seed, seconds, profile_folder, flags.variant, flags.baseline
+    )
+    result = run_scenario(flags, options)
+    print(table(result))
+    path = write_result(result, RESULT_FOLDER)
+    print(f'written to {path.relative_to(source_root())}')
+    if profile_folder is not None:
+        print_profile(profile_folder)
+    return 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/devtools/bench/histograms.py
@@ -0,0 +1,112 @@
+"""Histograms of times in us and the arithmetic on their percentiles."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Sequence
+
+import msgspec
+from hdrh.histogram import HdrHistogram
+
+from devtools.bench.plan import Figures
+
+US_PER_S = 1_000_000
+US_PER_MS = 1000
+HIGHEST_US = 120 * US_PER_S
+DIGITS = 3
+PERCENTILES = (50, 99, 99.9)
+
+
+def new_histogram() -> HdrHistogram:
+    """Return an empty histogram of 1 us to two minutes."""
+    return HdrHistogram(1, HIGHEST_US, DIGITS)
+
+
+def record(histogram: HdrHistogram, seconds: float) -> None:
+    """Add a time in s; times out of range count as the bound."""
+    microseconds = int(seconds * US_PER_S)
+    histogram.record_value(min(max(microseconds, 1), HIGHEST_US))
+
+
+def encode(histogram: HdrHistogram) -> str:
+    """Return a histogram as text."""
+    return str(histogram.encode().decode())
+
+
+def merge(texts: Iterable[str]) -> HdrHistogram:
+    """Return the sum of encoded histograms."""
+    total = new_histogram()
+    for text in texts:
+        total.decode_and_add(text.encode())
+    return total
+
+
+def percentile_ms(histogram: HdrHistogram, percentile: float) -> float:
+    """Return a percentile in ms."""
+    return float(histogram.get_value_at_percentile(percentile)) / US_PER_MS
+
+
+class Row(msgspec.Struct, frozen=True, kw_only=True):
+    """One line of a report.
+
+    Attributes:
+        label: Label of the steps.
+        kind: Kind of call.
+        calls: Calls sent.
+        good: Whole answers within the limit.
+        outcomes: Calls by outcome.
+        p50_ms: Median latency in ms.
+        p99_ms: 99th percentile in ms.
+        p999_ms: 99.9th percentile in ms.
+        lag_p99_ms: 99th percentile of late sends in ms.
+    """
+
+    label: str
+    kind: str
+    calls: int
+    good: int
+    outcomes: dict[str, int]
+    p50_ms: float
+    p99_ms: float
+    p999_ms: float
+    lag_p99_ms: float
+
+
+def rows_of(figures: Sequence[Figures]) -> list[Row]:
+    """Return one row for each label and kind, summed over load processes."""
+    groups: dict[tuple[str, str], list[Figures]] = {}
+    for figure in figures:
+        groups.setdefault((figure.label, figure.kind), []).append(figure)
+    return [_row_of(group) for group in groups.values()]
+
+
+def _row_of(group: Sequence[Figures]) -> Row:
+    latency = merge(figure.latency for figure in group)
+    lag = merge(figure.lag for figure in group)
+    outcomes: dict[str, int] = {}
+    for figure in group:
+        for outcome, count in figure.outcomes.items():
+            outcomes[outcome] = outcomes.get(outcome, 0) + count
+    p50, p99, p999 = (percentile_ms(latency, one) for one in PERCENTILES)
+    return Row(
+        label=group[0].label,
+        kind=group[0].kind,
+        calls=sum(figure.calls for figure in group),
+        good=sum(figure.good for figure in group),
+        outcomes=outcomes,
+        p50_ms=p50,
+        p99_ms=p99,
+        p999_ms=p999,
+        lag_p99_ms=percentile_ms(lag, 99),
+    )
+
+
+def slope(points: Sequence[tuple[float, float]]) -> tuple[float, float]:
+    """Return gradient and intercept of the least squares line."""
+    mean_along = sum(along for along, _ in points) / len(points)
+    mean_up = sum(up for _, up in points) / len(points)
+    spread = sum((along - mean_along) ** 2 for along, _ in points)
+    if not spread:
+        raise ValueError('a slope needs two different abscissas')
+    product = sum((along - mean_along) * (up - mean_up) for along, up in points)
+    gradient = product / spread
+    return gradient, mean_up - gradient * mean_along
--- /dev/null
+++ b/devtools/bench/latency.py
@@ -0,0 +1,125 @@
+"""Latency that the product adds to a call, against the straight way."""
+
+from __future__ import annotations
+
+import contextlib
+from collections.abc import Mapping
+
+from devtools.bench.load_pool import LoadReport, run_load
+from devtools.bench.plan import Arm, CallKind, Plan, interleaved
+from devtools.bench.quiet import QUIET_LABEL
+from devtools.bench.scene import (
+    CALLS_PER_S,
+    TARGET_ADDED_MS,
+    Findings,
+    Layout,
+    Options,
+    checkout,
+    cpu_of,
+    running_deployment,
+)
+from devtools.local_deployment import LocalDeployment
+
+SLICE_S = 0.25
+WARM_S = 2
+MS_PER_S = 1000
+ANSWER_BYTES = 500
+SERVICE = 'job-sheets'
+OTHER = 'archive'
+WAYS = ('local', 'link')
+PATH = f'/{SERVICE}/sheets/17'
+OLD = 'old '
+
+
+def latency_arms(deployment: LocalDeployment, prefix: str) -> dict[str, Arm]:
+    """Return the three ways to the same upstream."""
+    upstream = deployment.upstreams[f'{SERVICE}-0'].addresses['http']
+    beside = deployment.daemons[f'{SERVICE}-0'].addresses['http']
+    other = deployment.daemons[f'{OTHER}-0'].addresses['http']
+    straight = CallKind('view-sheet', '/sheets/17')
+    through = CallKind('view-sheet', PATH)
+    return {
+        f'{prefix}straight': Arm((upstream,), (straight,)),
+        f'{prefix}local': Arm((beside,), (through,)),
+        f'{prefix}link': Arm((other,), (through,)),
+    }
+
+
+def run_latency(options: Options) -> Findings:
+    """Compare the straight way, a local call and one over a link.
+
+    With a baseline revision its daemons take turns with the present ones.
+    """
+    findings = Findings(
+        settings={
+            'rate': CALLS_PER_S,
+            'slice_s': SLICE_S,
+            'baseline': options.baseline,
+        },
+        facts={'target added p99 ms': TARGET_ADDED_MS},
+    )
+    program = 'profiled-daemon' if options.profile_folder else 'daemon'
+    layout = Layout({SERVICE: 1, OTHER: 1}, controls=1, daemon_program=program)
+    with contextlib.ExitStack() as stack:
+        deployments = {'': stack.enter_context(running_deployment(layout))}
+        if options.baseline:
+            sources = stack.enter_context(checkout(options.baseline))
+            old = Layout(layout.counts, controls=1, sources=sources)
+            deployments[OLD] = stack.enter_context(running_deployment(old))
+        compare(options, deployments, findings)
+    return findings
+
+
+def compare(
+    options: Options,
+    deployments: Mapping[str, LocalDeployment],
+    findings: Findings,
+) -> None:
+    """Send the calls of all arms in turn and take the figures over."""
+    arms: dict[str, Arm] = {}
+    for prefix, deployment in deployments.items():
+        deployment.set_behaviour(
+            f'{SERVICE}-0', service_ms=0, answer_bytes=ANSWER_BYTES
+        )
+        arms.update(latency_arms(deployment, prefix))
+    warm = interleaved(tuple(arms), CALLS_PER_S, WARM_S, SLICE_S)
+    run_load(Plan(options.seed, arms, warm))
+    steps = interleaved(tuple(arms), CALLS_PER_S, options.seconds, SLICE_S)
+    before = {name: cpu_of(one.daemons) for name, one in deployments.items()}
+    load = run_load(Plan(options.seed, arms, steps))
+    findings.add(load)
+    for prefix, deployment in deployments.items():
+        spent = cpu_of(deployment.daemons) - before[prefix]
+        findings.facts.update(figures_of(load, prefix, spent))
+
+
+def figures_of(load: LoadReport, prefix: str, spent: float) -> dict[str, float]:
+    """Return the single figures of one deployment.
+
+    Args:
+        load: What the load processes saw.
+        prefix: Start of the labels of the deployment.
+        spent: Processor time of its daemons in s.
+    """
+    calls = sum(load.row(f'{prefix}{way}').calls for way in WAYS)
+    name = f'{prefix}daemons cpu ms per call, local and link'
+    return {
+        name: spent * MS_PER_S / calls,
+        **added(load, prefix, ''),
+        **added(load, prefix, QUIET_LABEL),
+    }
+
+
+def added(load: LoadReport, prefix: str, suffix: str) -> dict[str, float]:
+    """Return what each way adds to the straight one, in ms."""
+    facts: dict[str, float] = {}
+    if not load.has_row(f'{prefix}straight{suffix}'):
+        return facts
+    straight = load.row(f'{prefix}straight{suffix}')
+    for way in WAYS:
+        label = f'{prefix}{way}{suffix}'
+        if load.has_row(label):
+            row = load.row(label)
+            facts[f'{label} added p50 ms'] = row.p50_ms - straight.p50_ms
+            facts[f'{label} added p99 ms'] = row.p99_ms - straight.p99_ms
+    return facts
--- /dev/null
+++ b/devtools/bench/load_process.py
@@ -0,0 +1,246 @@
+"""One load process: reads a plan on standard input, writes a result."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import resource
+import sys
+import time
+from collections import Counter
+from dataclasses import dataclass, field
+
+import aiohttp
+import msgspec
+import uvloop
+from hdrh.histogram import HdrHistogram
+from yarl import URL
+
+from burdocklead.request.headers import NOT_RUN_HEADER, OUTCOME_HEADER
+from burdocklead.values import Outcome
+from devtools.bench.arrivals import AddressChooser, step_schedule
+from devtools.bench.histograms import encode, new_histogram, record
+from devtools.bench.plan import (
+    CallKind,
+    Figures,
+    LoadResult,
+    Plan,
+    Policy,
+    Step,
+    starts_of,
+)
+from devtools.bench.quiet import QUIET_LABEL, is_quiet, read_ticks
+from devtools.upstream import WORK_HEADER, LoadPage
+
+START_DELAY_S = 0.2
+SPIN_S = 0.003
+CALL_TIMEOUT_S = 20
+REPORT_INTERVAL_S = 0.1
+MS_PER_S = 1000
+OK_STATUS = 200
+
+
+@dataclass(frozen=True, slots=True)
+class Sample:
+    """One call: when it was due, what became of it; times in s."""
+
+    kind: CallKind
+    outcome: str
+    lag: float
+    latency: float
+
+    @property
+    def is_good(self) -> bool:
+        """Return True if a whole answer came within the limit."""
+        in_time = self.latency * MS_PER_S <= self.kind.limit_ms
+        return in_time and self.outcome == Outcome.answered
+
+
+@dataclass(slots=True)
+class Tally:
+    """What one kind of call met under one label."""
+
+    calls: int = 0
+    good: int = 0
+    outcomes: Counter[str] = field(default_factory=Counter)
+    latency: HdrHistogram = field(default_factory=new_histogram)
+    lag: HdrHistogram = field(default_factory=new_histogram)
+
+    def add(self, sample: Sample) -> None:
+        """Count one call."""
+        self.calls += 1
+        self.good += sample.is_good
+        self.outcomes[sample.outcome] += 1
+        record(self.latency, sample.latency)
+        record(self.lag, sample.lag)
+
+
+@dataclass(slots=True)
+class StepRun:
+    """The calls of one step.
+
+    Attributes:
+        step: The step.
+        samples: Calls that came to an end.
+        quiet: True if the machine was left alone during the step.
+    """
+
+    step: Step
+    samples: list[Sample] = field(default_factory=list)
+    quiet: bool = False
+
+
+class LoadRun:
+    """Sends the calls of a plan at their times.
+
+    Attributes:
+        runs: The steps done so far.
+    """
+
+    def __init__(self, plan: Plan, session: aiohttp.ClientSession) -> None:
+        """Prepare the choosers and the URLs."""
+        self.plan = plan
+        self.session = session
+        self.rng = random.Random(plan.seed)
+        self.choosers = {
+            name: AddressChooser(arm, random.Random(plan.seed))
+            for name, arm in plan.arms.items()
+        }
+        self.urls: dict[tuple[str, str], URL] = {}
+        self.runs: list[StepRun] = []
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    def url_of(self, address: str, path: str) -> URL:
+        """Return the parsed URL of a call; each is parsed once."""
+        if (address, path) not in self.urls:
+            self.urls[address, path] = URL(f'http://{address}{path}')
+        return self.urls[address, path]
+
+    async def run(self) -> None:
+        """Send all calls and wait for their answers."""
+        pollers = [
+            asyncio.create_task(self.poll_forever(chooser))
+            for chooser in self.choosers.values()
+            if chooser.arm.policy is Policy.least_stale
+        ]
+        start = time.perf_counter() + START_DELAY_S
+        for step_start in starts_of(self.plan.steps):
+            await self.run_step(start + step_start.offset, step_start.step)
+        await asyncio.gather(*self.tasks)
+        for poller in pollers:
+            poller.cancel()
+
+    async def run_step(self, start: float, step: Step) -> None:
+        """Send the calls of one step without waiting for answers."""
+        run = StepRun(step)
+        self.runs.append(run)
+        kinds = self.plan.arms[step.arm].kinds
+        calls = step_schedule(self.rng, step, kinds)
+        await wait_for(start)
+        before = read_ticks()
+        for offset, kind in calls:
+            await wait_for(start + offset)
+            task = asyncio.create_task(self.send(start + offset, run, kind))
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+        await wait_for(start + step.seconds)
+        run.quiet = is_quiet(before, read_ticks())
+
+    async def send(self, due: float, run: StepRun, kind: CallKind) -> None:
+        """Send one call; its latency counts from the time it was due."""
+        lag = time.perf_counter() - due
+        address = self.choosers[run.step.arm].choose()
+        outcome = await self.outcome_of(self.url_of(address, kind.path), kind)
+        latency = time.perf_counter() - due
+        run.samples.append(Sample(kind, outcome, lag, latency))
+
+    def tallies(self) -> dict[tuple[str, str], Tally]:
+        """Return the calls summed by label and kind, quiet steps twice."""
+        tallies: dict[tuple[str, str], Tally] = {}
+        for run in self.runs:
+            labels = [run.step.label]
+            if run.quiet:
+                labels.append(run.step.label + QUIET_LABEL)
+            for sample in run.samples:
+                for label in labels:
+                    key = (label, sample.kind.name)
+                    tallies.setdefault(key, Tally()).add(sample)
+        return tallies
+
+    async def outcome_of(self, url: URL, kind: CallKind) -> str:
+        """Return what became of one call."""
+        headers = {WORK_HEADER: str(kind.work_ms)}
+        body = b'x' * kind.body_bytes or None
+        try:
+            async with self.session.request(
+                kind.method, url, headers=headers, data=body
+            ) as response:
+                await response.read()
+        except (aiohttp.ClientError, asyncio.TimeoutError) as error:
+            return type(error).__name__
+        return _outcome_in(response)
+
+    async def poll_forever(self, chooser: AddressChooser) -> None:
+        """Poll the load pages of an arm's upstreams at an interval."""
+        while True:
+            for address in chooser.arm.addresses:
+                async with self.session.get(f'http://{address}/-/load') as got:
+                    page = msgspec.json.decode(await got.read(), type=LoadPage)
+                chooser.reports[address] = page.busy / page.slots
+            await asyncio.sleep(REPORT_INTERVAL_S)
+
+
+def _outcome_in(response: aiohttp.ClientResponse) -> str:
+    if NOT_RUN_HEADER in response.headers:
+        return Outcome.not_run
+    is_answer = response.status == OK_STATUS
+    status = Outcome.answered if is_answer else str(response.status)
+    return response.headers.get(OUTCOME_HEADER, status)
+
+
+async def wait_for(moment: float) -> None:
+    """Wait until a time of the performance counter.
+
+    Timers have a resolution of 1 ms, so the last part polls the loop.
+    """
+    left = moment - time.perf_counter()
+    if left > SPIN_S:
+        await asyncio.sleep(left - SPIN_S)
+    while time.perf_counter() < moment:
+        await asyncio.sleep(0)
+
+
+async def run_plan(plan: Plan) -> LoadResult:
+    """Run a plan and return its result."""
+    started = time.perf_counter()
+    async with aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(limit=0),
+        timeout=aiohttp.ClientTimeout(total=CALL_TIMEOUT_S),
+    ) as session:
+        load = LoadRun(plan, session)
+        await load.run()
+    usage = resource.getrusage(resource.RUSAGE_SELF)
+    spent = usage.ru_utime + usage.ru_stime
+    figures = tuple(
+        Figures(
+            label,
+            kind,
+            tally.calls,
+            tally.good,
+            dict(tally.outcomes),
+            encode(tally.latency),
+            encode(tally.lag),
+        )
+        for (label, kind), tally in load.tallies().items()
+    )
+    return LoadResult(figures, spent / (time.perf_counter() - started))
+
+
+def main() -> None:
+    """Run the plan on standard input."""
+    plan = msgspec.json.decode(sys.stdin.buffer.read(), type=Plan)
+    sys.stdout.buffer.write(msgspec.json.encode(uvloop.run(run_plan(plan))))
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/devtools/bench/machine.py
@@ -0,0 +1,90 @@
+"""What the machine is and what a process used, from /proc."""
+
+from __future__ import annotations
+
+import os
+import subprocess
+from pathlib import Path
+
+import msgspec
+
+from devtools.processes import source_root
+
+TICKS_PER_S = os.sysconf('SC_CLK_TCK')
+PAGE_BYTES = os.sysconf('SC_PAGE_SIZE')
+MEBIBYTE = 1048576
+
+
+class Machine(msgspec.Struct, frozen=True):
+    """The machine of a run; no names and no paths.
+
+    Attributes:
+        cores: Cores that the run may use.
+        model: Model of the processor.
+        load_average: Load average of the last minute.
+    """
+
+    cores: int
+    model: str
+    load_average: float
+
+
+class Usage(msgspec.Struct, frozen=True):
+    """What a process has used since its start.
+
+    Attributes:
+        cpu_s: Processor time in s.
+        memory_mib: Resident memory in MiB.
+        threads: Threads.
+        wakeups: Voluntary context switches of all threads.
+    """
+
+    cpu_s: float
+    memory_mib: float
+    threads: int
+    wakeups: int
+
+
+def describe_machine() -> Machine:
+    """Return the machine with its present load."""
+    models = [
+        line.partition(':')[2].strip()
+        for line in Path('/proc/cpuinfo').read_text().splitlines()
+        if line.startswith('model name')
+    ]
+    return Machine(
+        len(os.sched_getaffinity(0)), models[0], round(os.getloadavg()[0], 2)
+    )
+
+
+def revision() -> str:
+    """Return the git revision, marked if the sources differ from it."""
+    described = subprocess.run(
+        ['git', 'describe', '--always', '--dirty', '--abbrev=10'],
+        cwd=source_root(),
+        capture_output=True,
+        text=True,
+        check=False,
+    )
+    return described.stdout.strip() or 'unknown'
+
+
+def usage_of(pid: int) -> Usage:
+    """Return what a process has used so far."""
+    folder = Path('/proc') / str(pid)
+    fields = (folder / 'stat').read_text().rpartition(')')[2].split()
+    resident = int((folder / 'statm').read_text().split()[1])
+    tasks = list((folder / 'task').iterdir())
+    return Usage(
+        cpu_s=(int(fields[11]) + int(fields[12])) / TICKS_PER_S,
+        memory_mib=resident * PAGE_BYTES / MEBIBYTE,
+        threads=len(tasks),
+        wakeups=sum(map(_voluntary_switches, tasks)),
+    )
+
+
+def _voluntary_switches(task: Path) -> int:
+    for line in (task / 'status').read_text().splitlines():
+        if line.startswith('voluntary_ctxt_switches'):
+            return int(line.split()[1])
+    return 0
--- /dev/null
+++ b/devtools/bench/plan.py
@@ -0,0 +1,160 @@
+"""What a load process is told to do and what it reports, as JSON."""
+
+from __future__ import annotations
+
+import enum
+
+import msgspec
+
+
+class Policy(enum.StrEnum):
+    """How the load process chooses among the addresses of an arm.
+
+    The last one polls the load pages of the upstreams and uses only what it
+    polled, however old that is.
+    """
+
+    round_robin = 'round-robin'
+    random = 'random'
+    least_stale = 'least-stale'
+
+
+class CallKind(msgspec.Struct, frozen=True):
+    """One kind of call.
+
+    Attributes:
+        name: Name in the report.
+        path: Path and query.
+        method: HTTP method.
+        work_ms: Service time asked of the stand-in in ms.
+        weight: Share of the arm's calls, relative to the other kinds.
+        body_bytes: Size of the body.
+        limit_ms: Latest useful answer in ms, for goodput.
+    """
+
+    name: str
+    path: str
+    method: str = 'GET'
+    work_ms: float = 0
+    weight: float = 1
+    body_bytes: int = 0
+    limit_ms: float = 1000
+
+
+class Arm(msgspec.Struct, frozen=True):
+    """One of the ways that are compared.
+
+    Attributes:
+        addresses: Where calls are sent, as IP:PORT.
+        kinds: Mix of calls.
+        policy: Choice among the addresses.
+    """
+
+    addresses: tuple[str, ...]
+    kinds: tuple[CallKind, ...]
+    policy: Policy = Policy.round_robin
+
+
+class Step(msgspec.Struct, frozen=True):
+    """A time during which one arm gets calls.
+
+    Attributes:
+        label: Steps of the same label are reported together.
+        arm: Name of the arm.
+        seconds: Duration in s.
+        rate: Calls a second over all load processes.
+    """
+
+    label: str
+    arm: str
+    seconds: float
+    rate: float
+
+
+class Plan(msgspec.Struct, frozen=True):
+    """A whole run of one load process."""
+
+    seed: int
+    arms: dict[str, Arm]
+    steps: tuple[Step, ...]
+
+
+class StepStart(msgspec.Struct, frozen=True):
+    """A step of a plan and when it starts.
+
+    Attributes:
+        offset: Start in s from the start of the plan.
+        step: The step.
+    """
+
+    offset: float
+    step: Step
+
+
+def starts_of(steps: tuple[Step, ...]) -> tuple[StepStart, ...]:
+    """Return each step with its start."""
+    offset = float(0)
+    starts = []
+    for step in steps:
+        starts.append(StepStart(offset, step))
+        offset += step.seconds
+    return tuple(starts)
+
+
+class Figures(msgspec.Struct):
+    """What one kind of call met under one label.
+
+    Attributes:
+        label: Label of the steps.
+        kind: Kind of call.
+        calls: Calls sent.
+        good: Whole answers within the limit.
+        outcomes: Calls by outcome.
+        latency: Encoded histogram of latencies in us.
+        lag: Encoded histogram of late sends in us.
+    """
+
+    label: str
+    kind: str
+    calls: int
+    good: int
+    outcomes: dict[str, int]
+    latency: str
+    lag: str
+
+
+class LoadResult(msgspec.Struct, frozen=True):
+    """The report of one load process.
+
+    Attributes:
+        figures: Figures by label and kind.
+        cpu_share: Share of one core that the load process used.
+    """
+
+    figures: tuple[Figures, ...]
+    cpu_share: float
+
+
+def interleaved(
+    arms: tuple[str, ...],
+    rate: float,
+    seconds: float,
+    slice_s: float,
+    pause_s: float = 0,
+) -> tuple[Step, ...]:
+    """Return steps that give each arm short turns until the time is up.
+
+    Args:
+        arms: Arms in turn.
+        rate: Calls a second of the arm whose turn it is.
+        seconds: Time over all arms in s.
+        slice_s: Time of one turn in s.
+        pause_s: Time without calls after each turn in s.
+    """
+    rounds = max(int(seconds / ((slice_s + pause_s) * len(arms))), 1)
+    one_round = []
+    for arm in arms:
+        one_round.append(Step(arm, arm, slice_s, rate))
+        if pause_s:
+            one_round.append(Step('', arm, pause_s, 0))
+    return tuple(one_round) * rounds
--- /dev/null
+++ b/devtools/bench/profiled_daemon.py
@@ -0,0 +1,21 @@
+"""Runs a daemon under cProfile; writes the profile where a variable says."""
+
+from __future__ import annotations
+
+import cProfile
+import os
+from pathlib import Path
+
+from burdocklead.programs.daemon import main as run_daemon
+
+PROFILE_VARIABLE = 'BENCH_PROFILE_FOLDER'
+
+
+def main() -> int:
+    """Run the daemon and return its exit code."""
+    folder = Path(os.environ[PROFILE_VARIABLE])
+    profile = cProfile.Profile()
+    try:
+        return profile.runcall(run_daemon)
+    finally:
+        profile.dump_stats(folder / f'{os.getpid()}.prof')
--- /dev/null
+++ b/devtools/bench/quiet.py
@@ -0,0 +1,50 @@
+"""Which slices of a run the machine left alone, from /proc/stat."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from pathlib import Path
+
+QUIET_LABEL = ' (quiet)'
+MAX_STOLEN = 0.02
+MIN_IDLE = 0.3
+IDLE_FIELD = 3
+STOLEN_FIELD = 7
+
+
+@dataclass(frozen=True, slots=True)
+class MachineTicks:
+    """Ticks of all cores since the start of the machine.
+
+    Attributes:
+        total: Ticks of every kind.
+        idle: Ticks without work.
+        stolen: Ticks that the hypervisor gave to others.
+    """
+
+    total: int
+    idle: int
+    stolen: int
+
+
+def parse_ticks(line: str) -> MachineTicks:
+    """Return the ticks of the first line of /proc/stat."""
+    fields = [int(text) for text in line.split()[1:]]
+    counted = fields[: STOLEN_FIELD + 1]
+    return MachineTicks(sum(counted), fields[IDLE_FIELD], fields[STOLEN_FIELD])
+
+
+def read_ticks() -> MachineTicks:
+    """Return the present ticks."""
+    with Path('/proc/stat').open() as stream:
+        return parse_ticks(stream.readline())
+
+
+def is_quiet(before: MachineTicks, after: MachineTicks) -> bool:
+    """Return True if cores were idle and almost none was taken away."""
+    total = after.total - before.total
+    if not total:
+        return False
+    stolen = (after.stolen - before.stolen) / total
+    idle = (after.idle - before.idle) / total
+    return stolen <= MAX_STOLEN and idle >= MIN_IDLE
--- /dev/null
+++ b/devtools/bench/report.py
@@ -0,0 +1,85 @@
+"""The result of a run as JSON and as a readable table."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from pathlib import Path
+
+import msgspec
+
+from devtools.bench.histograms import Row
+from devtools.bench.machine import Machine
+
+HEAD = ('label', 'kind', 'calls', 'good', 'p50 ms', 'p99', 'p99.9', 'lag p99')
+LINE = '{:<30}{:<12}{:>8}{:>8}{:>9}{:>9}{:>9}{:>9}'
+FACT_LINE = '{:<58}{:>14}'
+DECIMALS = 3
+
+
+class BenchResult(msgspec.Struct, frozen=True, kw_only=True):
+    """One run of the bench.
+
+    Attributes:
+        scenario: Name of the scenario.
+        revision: Git revision of the sources.
+        seed: Seed of all schedules.
+        seconds: Time asked for in s.
+        machine: Machine and its load at the start.
+        load_average_after: Load average of the last minute at the end.
+        settings: Settings of the scenario.
+        rows: Latencies by label and kind.
+        facts: Single figures by name; the name carries the unit.
+        load_cpu_shares: Share of a core that each load process used.
+    """
+
+    scenario: str
+    revision: str
+    seed: int
+    seconds: float
+    machine: Machine
+    load_average_after: float
+    settings: dict[str, float | str]
+    rows: list[Row]
+    facts: dict[str, float]
+    load_cpu_shares: list[float]
+
+
+def table(result: BenchResult) -> str:
+    """Return a run as plain text."""
+    machine = result.machine
+    lines = [
+        f'{result.scenario}, seed {result.seed}, {result.seconds} s, '
+        f'revision {result.revision}',
+        f'{machine.cores} cores, {machine.model}, load average '
+        f'{machine.load_average} before, {result.load_average_after} after',
+    ]
+    if result.rows:
+        lines.append(LINE.format(*HEAD))
+        lines.extend(row_text(row) for row in result.rows)
+    lines.extend(fact_lines(result.facts))
+    return '\n'.join(lines)
+
+
+def row_text(row: Row) -> str:
+    """Return one line of the table."""
+    times = (row.p50_ms, row.p99_ms, row.p999_ms, row.lag_p99_ms)
+    texts = [f'{time:.2f}' for time in times]
+    return LINE.format(row.label, row.kind, row.calls, row.good, *texts)
+
+
+def fact_lines(facts: dict[str, float]) -> Sequence[str]:
+    """Return one line for each single figure."""
+    return [
+        FACT_LINE.format(name, f'{number:.{DECIMALS}f}')
+        for name, number in facts.items()
+    ]
+
+
+def write_result(result: BenchResult, folder: Path) -> Path:
+    """Write a run as JSON and return the file."""
+    folder.mkdir(parents=True, exist_ok=True)
+    name = f'{result.scenario}-{result.revision}-{result.seed}.json'
+    path = folder / name
+    encoded = msgspec.json.format(msgspec.json.encode(result), indent=2)
+    path.write_bytes(encoded)
+    return path
--- /dev/null
+++ b/devtools/bench/scene.py
@@ -0,0 +1,133 @@
+"""What each scenario gets and gives back, and the deployments it uses."""
+
+from __future__ import annotations
+
+import contextlib
+import subprocess
+import tempfile
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from devtools.bench.histograms import Row
+from devtools.bench.load_pool import LoadReport
+from devtools.bench.machine import Usage, usage_of
+from devtools.local_deployment import LocalDeployment
+from devtools.processes import ManagedProcess, source_root
+
+CALLS_PER_S = 373
+TARGET_ADDED_MS = 0.83
+EXAMPLE = 'cedarline.toml'
+Settings = dict[str, float | str]
+
+
+@dataclass(frozen=True, slots=True)
+class Options:
+    """Options of a run.
+
+    Attributes:
+        seed: Seed of all schedules.
+        seconds: Time for load in s, divided among the parts of a scenario.
+        profile_folder: Folder for processor profiles, None for none.
+        variant: Part of a scenario to run, empty for its usual one.
+        baseline: Revision to compare with, empty for none.
+    """
+
+    seed: int
+    seconds: float
+    profile_folder: Path | None = None
+    variant: str = ''
+    baseline: str = ''
+
+
+@dataclass(slots=True)
+class Findings:
+    """What a scenario found out."""
+
+    settings: Settings = field(default_factory=dict)
+    rows: list[Row] = field(default_factory=list)
+    facts: dict[str, float] = field(default_factory=dict)
+    cpu_shares: list[float] = field(default_factory=list)
+
+    def add(self, load: LoadReport) -> None:
+        """Take over the rows of one run of the load processes."""
+        self.rows.extend(load.rows)
+        self.cpu_shares.extend(load.cpu_shares)
+
+
+@dataclass(frozen=True, slots=True)
+class Layout:
+    """What a deployment of a scenario consists of.
+
+    Attributes:
+        counts: Upstreams by service.
+        slots: Slots of each upstream.
+        controls: Control replicas.
+        daemon_program: Program of each daemon.
+        sources: Checkout of daemons and replicas, None for this one.
+        file: Configuration file.
+    """
+
+    counts: Mapping[str, int]
+    slots: int = 20
+    controls: int = 3
+    daemon_program: str = 'daemon'
+    sources: Path | None = None
+    file: Path = source_root() / 'examples' / EXAMPLE
+
+
+@contextlib.contextmanager
+def running_deployment(layout: Layout) -> Iterator[LocalDeployment]:
+    """Start a deployment with a configuration in force and end it."""
+    with tempfile.TemporaryDirectory() as folder:
+        deployment = LocalDeployment(
+            Path(folder),
+            daemon_program=layout.daemon_program,
+            sources=layout.sources,
+        )
+        try:
+            start(deployment, layout)
+            yield deployment
+        finally:
+            deployment.stop()
+
+
+def start(deployment: LocalDeployment, layout: Layout) -> None:
+    """Start all processes and wait until the configuration is in force."""
+    deployment.start_controls(layout.controls)
+    deployment.start_upstreams(layout.counts, layout.slots)
+    deployment.apply(layout.file)
+    deployment.wait_in_force(1)
+
+
+@contextlib.contextmanager
+def checkout(name: str) -> Iterator[Path]:
+    """Unpack a revision of the repository into a folder for a while."""
+    archive = subprocess.run(
+        ['git', 'archive', name],
+        cwd=source_root(),
+        check=True,
+        capture_output=True,
+    )
+    with tempfile.TemporaryDirectory() as folder:
+        subprocess.run(
+            ['tar', '-x', '-C', folder], input=archive.stdout, check=True
+        )
+        yield Path(folder)
+
+
+def pid_of(process: ManagedProcess) -> int:
+    """Return the id of a running process."""
+    if process.popen is None:
+        raise RuntimeError(f'{process.name} is not running')
+    return process.popen.pid
+
+
+def usage(process: ManagedProcess) -> Usage:
+    """Return what a running process has used so far."""
+    return usage_of(pid_of(process))
+
+
+def cpu_of(processes: Mapping[str, ManagedProcess]) -> float:
+    """Return the processor time of processes so far in s."""
+    return sum(usage(process).cpu_s for process in processes.values())
--- a/devtools/local_deployment.py
+++ b/devtools/local_deployment.py
@@ -51,6 +51,8 @@
         folder: Folder for logs, ready files and control data.
         daemon_flags: Flags added to each daemon.
         control_flags: Flags added to each replica.
+        daemon_program: Program of each daemon.
+        sources: Checkout of the daemons and replicas, None for this one.
         controls: Control replicas by name.
         daemons: Daemons by name.
         upstreams: Stand-in upstreams by the name of their daemon.
@@ -59,6 +61,8 @@
     folder: Path
     daemon_flags: tuple[str, ...] = ()
     control_flags: tuple[str, ...] = ()
+    daemon_program: str = 'daemon'
+    sources: Path | None = None
     controls: dict[str, ManagedProcess] = field(default_factory=dict)
     daemons: dict[str, ManagedProcess] = field(default_factory=dict)
     upstreams: dict[str, ManagedProcess] = field(default_factory=dict)
@@ -89,7 +93,9 @@
                 self.replica_list,
                 *self.control_flags,
             )
-            process = ManagedProcess(name, 'control', arguments, self.folder)
+            process = ManagedProcess(
+                name, 'control', arguments, self.folder, self.sources
+            )
             self.controls[name] = process
             process.start()
         for process in self.controls.values():
@@ -135,7 +141,7 @@
             self.replica_list,
             *self.daemon_flags,
         )
-        return ManagedProcess(name, 'daemon', arguments, self.folder)
+        return ManagedProcess(name, self.daemon_program, arguments, self.folder)
 
     def _upstream(self, name: str, service: str, slots: int) -> ManagedProcess:
         arguments = (
--- a/devtools/processes.py
+++ b/devtools/processes.py
@@ -22,6 +22,7 @@
     'daemon': 'burdocklead.programs.daemon',
     'control': 'burdocklead.programs.control',
     'upstream': 'devtools.upstream',
+    'profiled-daemon': 'devtools.bench.profiled_daemon',
 }
 
 
@@ -43,6 +44,7 @@
         program: Key of ``PROGRAM_MODULES``.
         arguments: Arguments without the ready file.
         folder: Folder for the log and the ready file.
+        sources: Checkout to import from, None for this one.
         popen: The process, None if not started.
         addresses: Addresses from the ready file.
     """
@@ -51,6 +53,7 @@
     program: str
     arguments: tuple[str, ...]
     folder: Path
+    sources: Path | None = None
     popen: subprocess.Popen[bytes] | None = None
     addresses: dict[str, str] = field(default_factory=dict)
 
@@ -82,8 +85,13 @@
                 stdin=subprocess.DEVNULL,
                 stdout=output,
                 stderr=output,
+                env={**os.environ, **self.environment()},
             )
 
+    def environment(self) -> dict[str, str]:
+        """Return the variables that differ from this process's own."""
+        return {'PYTHONPATH': str(self.sources)} if self.sources else {}
+
     def wait_ready(self) -> None:
         """Wait until the process serves and read its addresses."""
         limit = time.monotonic() + START_LIMIT_S
--- a/devtools/upstream.py
+++ b/devtools/upstream.py
@@ -90,6 +90,18 @@
     highest_busy: int
 
 
+class LoadPage(msgspec.Struct, frozen=True):
+    """The load that the stand-in reports.
+
+    Attributes:
+        busy: Calls that run now.
+        slots: Slots that it claims to have.
+    """
+
+    busy: int
+    slots: int
+
+
 class StandInUpstream:
     """Serves calls with slots and a set service time."""
 
@@ -116,6 +128,7 @@
             [
                 web.put('/-/behaviour', self.set_behaviour),
                 web.get('/-/executions', self.show_executions),
+                web.get('/-/load', self.show_load),
                 web.route('*', '/{path:.*}', self.serve),
             ]
         )
@@ -142,6 +155,11 @@
             )
         )
 
+    async def show_load(self, request: web.Request) -> web.Response:
+        """Return the load as reported, true or not."""
+        slots = self.behaviour.reported_slots or self.slots
+        return json_response(LoadPage(self.busy, slots))
+
     async def serve(self, request: web.Request) -> web.Response:
         """Run one call."""
         if self.rng.random() < self.behaviour.shed_share:
