--- a/burdocklead/connection/control_server.py
+++ b/burdocklead/connection/control_server.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from collections.abc import Awaitable, Callable
 
 import msgspec
 import pynng
 
+from burdocklead.connection.control_client import MAX_MESSAGE_BYTES
 from burdocklead.connection.control_messages import (
     ControlReply,
     ControlRequest,
@@ -15,7 +17,18 @@
     message_encoder,
     request_decoder,
 )
-from burdocklead.exceptions import BurdockleadError, QuorumError
+from burdocklead.connection.peer_access import PeerAccess
+from burdocklead.connection.sealing import (
+    OpenedRequest,
+    open_request,
+    seal_reply,
+)
+from burdocklead.exceptions import (
+    BurdockleadError,
+    ControlError,
+    QuorumError,
+)
+from burdocklead.metrics import CONTROL_BAD, CONTROL_UNPROVED, MetricSet
 from burdocklead.values import Address
 
 CONCURRENT_REQUESTS = 64
@@ -24,45 +37,64 @@
 
 
 class ControlServer:
-    """Answers requests of daemons and replicas.
+    """Answers requests of daemons and replicas that hold the cluster key."""
 
-    Attributes:
-        bad_messages: Messages that could not be decoded.
-    """
-
-    def __init__(self, handler: RequestHandler) -> None:
+    def __init__(
+        self, handler: RequestHandler, access: PeerAccess, metrics: MetricSet
+    ) -> None:
         """Prepare a server that answers with the handler."""
         self.handler = handler
-        self.bad_messages = 0
-        self.socket = pynng.Rep0()
+        self.access = access
+        self.metrics = metrics
+        tls = access.tls
+        self.scheme = 'tls+tcp' if tls else 'tcp'
+        self.socket = pynng.Rep0(
+            recv_max_size=MAX_MESSAGE_BYTES,
+            tls_config=tls.control_server_config() if tls else None,
+        )
         self.tasks: list[asyncio.Task[None]] = []
 
     def start(self, address: Address) -> Address:
         """Listen and return the address with the port in use."""
-        listener = self.socket.listen(f'tcp://{address}')
+        listener = self.socket.listen(f'{self.scheme}://{address}')
         for _ in range(CONCURRENT_REQUESTS):
             self.tasks.append(asyncio.create_task(self._serve()))
         port = str(listener.local_address).rpartition(':')[2]
         return Address(address.host, int(port))
 
-    def close(self) -> None:
-        """Stop answering."""
+    async def close(self) -> None:
+        """Stop answering; replies not sent yet are dropped."""
         for task in self.tasks:
             task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
         self.socket.close()
 
     async def _serve(self) -> None:
         with self.socket.new_context() as context:
             while True:
-                payload = await context.arecv()
-                reply = await self._reply_to(payload)
-                await context.asend(message_encoder.encode(reply))
+                message = await context.arecv_msg()
+                try:
+                    request = open_request(self.access.key, message.bytes)
+                except ControlError:
+                    self.metrics.count(CONTROL_UNPROVED)
+                    message.pipe.close()
+                    continue
+                await self._answer(context, request)
+
+    async def _answer(
+        self, context: pynng.Context, request: OpenedRequest
+    ) -> None:
+        reply = await self._reply_to(request.payload)
+        payload = message_encoder.encode(reply)
+        content = seal_reply(self.access.key, request.nonce, payload)
+        with contextlib.suppress(pynng.NNGException):
+            await context.asend(content)
 
     async def _reply_to(self, payload: bytes) -> ControlReply:
         try:
             message = request_decoder.decode(payload)
         except msgspec.DecodeError as error:
-            self.bad_messages += 1
+            self.metrics.count(CONTROL_BAD)
             return Failure('decode', str(error))
         try:
             return await self.handler(message)
--- a/burdocklead/process/control_replica.py
+++ b/burdocklead/process/control_replica.py
@@ -18,6 +18,7 @@
     Heartbeat,
     HeartbeatReply,
 )
+from burdocklead.connection.peer_access import load_peer_access
 from burdocklead.durable.claims import (
     ClaimFinish,
     ClaimReply,
@@ -87,6 +88,7 @@
         """Open the store and prepare clients of the other replicas."""
         self.settings = settings
         self.clock = HybridClock()
+        self.access = load_peer_access(settings)
         self.events = EventRing(settings.replica_id, self.clock)
         self.metrics = MetricSet()
         self.store = RegisterStore(settings.data_folder)
@@ -94,7 +96,7 @@
             settings.replica_id, time.time_ns(), settings.member_lease
         )
         self.peers = [
-            ControlClient(name, address)
+            ControlClient(name, address, self.access)
             for name, address in settings.replicas
             if name != settings.replica_id
         ]
--- a/devtools/local_deployment.py
+++ b/devtools/local_deployment.py
@@ -53,6 +53,7 @@
         control_flags: Flags added to each replica.
         daemon_program: Program of each daemon.
         sources: Checkout of the daemons and replicas, None for this one.
+        operator_flags: Flags added to the operators' program.
         controls: Control replicas by name.
         daemons: Daemons by name.
         upstreams: Stand-in upstreams by the name of their daemon.
@@ -63,6 +64,7 @@
     control_flags: tuple[str, ...] = ()
     daemon_program: str = 'daemon'
     sources: Path | None = None
+    operator_flags: tuple[str, ...] = ()
     controls: dict[str, ManagedProcess] = field(default_factory=dict)
     daemons: dict[str, ManagedProcess] = field(default_factory=dict)
     upstreams: dict[str, ManagedProcess] = field(default_factory=dict)
@@ -178,6 +180,7 @@
                 launcher,
                 '--control-admin',
                 replicas,
+                *self.operator_flags,
                 *arguments,
             ],
             capture_output=True,
