--- a/devtools/bench/latency.py
+++ b/devtools/bench/latency.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import time
 from collections.abc import Mapping
 
 from devtools.bench.load_pool import LoadReport, run_load
@@ -22,6 +23,7 @@
 
 SLICE_S = 0.25
 WARM_S = 2
+REST_S = 3
 MS_PER_S = 1000
 ANSWER_BYTES = 500
 SERVICE = 'job-sheets'
@@ -84,22 +86,41 @@
         arms.update(latency_arms(deployment, prefix))
     warm = interleaved(tuple(arms), CALLS_PER_S, WARM_S, SLICE_S)
     run_load(Plan(options.seed, arms, warm))
+    rest = rest_shares(deployments)
     steps = interleaved(tuple(arms), CALLS_PER_S, options.seconds, SLICE_S)
+    started = time.monotonic()
     before = {name: cpu_of(one.daemons) for name, one in deployments.items()}
     load = run_load(Plan(options.seed, arms, steps))
     findings.add(load)
     for prefix, deployment in deployments.items():
+        elapsed = time.monotonic() - started
         spent = cpu_of(deployment.daemons) - before[prefix]
+        spent -= rest[prefix] * elapsed
+        findings.facts[f'{prefix}daemons at rest, share of a core'] = rest[
+            prefix
+        ]
         findings.facts.update(figures_of(load, prefix, spent))
 
 
+def rest_shares(
+    deployments: Mapping[str, LocalDeployment],
+) -> dict[str, float]:
+    """Return the share of a core that idle daemons use, by deployment."""
+    before = {name: cpu_of(one.daemons) for name, one in deployments.items()}
+    time.sleep(REST_S)
+    return {
+        name: (cpu_of(one.daemons) - before[name]) / REST_S
+        for name, one in deployments.items()
+    }
+
+
 def figures_of(load: LoadReport, prefix: str, spent: float) -> dict[str, float]:
     """Return the single figures of one deployment.
 
     Args:
         load: What the load processes saw.
         prefix: Start of the labels of the deployment.
-        spent: Processor time of its daemons in s.
+        spent: Processor time of its daemons above that at rest in s.
     """
     calls = sum(load.row(f'{prefix}{way}').calls for way in WAYS)
     name = f'{prefix}daemons cpu ms per call, local and link'
