--- a/devtools/bench/latency.py
+++ b/devtools/bench/latency.py
@@ -12,6 +12,7 @@
 from devtools.bench.scene import (
     CALLS_PER_S,
     TARGET_ADDED_MS,
+    CpuMeter,
     Findings,
     Layout,
     Options,
@@ -88,18 +89,16 @@
     run_load(Plan(options.seed, arms, warm))
     rest = rest_shares(deployments)
     steps = interleaved(tuple(arms), CALLS_PER_S, options.seconds, SLICE_S)
-    started = time.monotonic()
-    before = {name: cpu_of(one.daemons) for name, one in deployments.items()}
+    meters = {
+        prefix: CpuMeter(deployment.daemons, rest[prefix])
+        for prefix, deployment in deployments.items()
+    }
     load = run_load(Plan(options.seed, arms, steps))
     findings.add(load)
-    for prefix, deployment in deployments.items():
-        elapsed = time.monotonic() - started
-        spent = cpu_of(deployment.daemons) - before[prefix]
-        spent -= rest[prefix] * elapsed
-        findings.facts[f'{prefix}daemons at rest, share of a core'] = rest[
-            prefix
-        ]
-        findings.facts.update(figures_of(load, prefix, spent))
+    for prefix, meter in meters.items():
+        name = f'{prefix}daemons at rest, share of a core'
+        findings.facts[name] = rest[prefix]
+        findings.facts.update(figures_of(load, prefix, meter.above_rest()))
 
 
 def rest_shares(
--- a/devtools/bench/scene.py
+++ b/devtools/bench/scene.py
@@ -5,6 +5,7 @@
 import contextlib
 import subprocess
 import tempfile
+import time
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -131,3 +132,21 @@
 def cpu_of(processes: Mapping[str, ManagedProcess]) -> float:
     """Return the processor time of processes so far in s."""
     return sum(usage(process).cpu_s for process in processes.values())
+
+
+class CpuMeter:
+    """Measures what processes use above their use at rest."""
+
+    def __init__(
+        self, processes: Mapping[str, ManagedProcess], rest: float = 0
+    ) -> None:
+        """Start now; ``rest`` is their share of a core at rest."""
+        self.processes = processes
+        self.rest = rest
+        self.started = time.monotonic()
+        self.before = cpu_of(processes)
+
+    def above_rest(self) -> float:
+        """Return the processor time since the start in s."""
+        elapsed = time.monotonic() - self.started
+        return cpu_of(self.processes) - self.before - self.rest * elapsed
