--- a/burdocklead/connection/frame_protocol.py
+++ b/burdocklead/connection/frame_protocol.py
@@ -3,34 +3,75 @@
 from __future__ import annotations
 
 import asyncio
+import enum
+from collections import deque
 from collections.abc import Callable
 from typing import cast
 
-from burdocklead.connection.frames import Frame, FrameBuffer, encode_frame
+from burdocklead.connection.frames import (
+    MAX_FRAME_BYTES,
+    Frame,
+    FrameBuffer,
+    encode_frame,
+)
 from burdocklead.exceptions import LinkError
 
+BATCH_BYTES = 65536
+
+
+class LinkEnd(enum.StrEnum):
+    """Why a link ended."""
+
+    closed = 'closed'
+    failed = 'failed'
+    silent = 'silent'
+    idle = 'idle'
+    stopping = 'stopping'
+    replaced = 'replaced'
+    bad_frame = 'bad-frame'
+    unexpected_frame = 'unexpected-frame'
+    unproven = 'unproven'
+    wrong_peer = 'wrong-peer'
+    too_many = 'too-many'
+
+
+ABORTED_ENDS = frozenset((LinkEnd.silent, LinkEnd.bad_frame, LinkEnd.unproven))
+
 FrameHandler = Callable[['FrameProtocol', Frame], None]
-CloseHandler = Callable[['FrameProtocol', str], None]
+CloseHandler = Callable[['FrameProtocol', LinkEnd], None]
 
 
 class FrameProtocol(asyncio.Protocol):
-    """Sends frames, one write per turn of the loop, and hands on received ones.
+    """Sends frames in batches and hands on received ones.
+
+    While the transport's buffer is full, frames wait here, so that short
+    urgent ones overtake long ones.
 
     Attributes:
         on_frame: Called with each frame.
         on_close: Called once with the reason when the connection ends.
         transport: The transport, None before and after the connection.
         last_received: Loop time of the last bytes received in s.
+        backlog_bytes: Bytes that wait here for the transport.
     """
 
-    def __init__(self, on_frame: FrameHandler, on_close: CloseHandler) -> None:
+    def __init__(
+        self,
+        on_frame: FrameHandler,
+        on_close: CloseHandler,
+        max_frame_bytes: int = MAX_FRAME_BYTES,
+    ) -> None:
         """Prepare a connection."""
         self.on_frame = on_frame
         self.on_close = on_close
         self.transport: asyncio.Transport | None = None
         self.last_received = float(0)
-        self.buffer = FrameBuffer()
-        self.outgoing: list[bytes] = []
+        self.buffer = FrameBuffer(max_frame_bytes)
+        self.urgent: deque[bytes] = deque()
+        self.outgoing: deque[bytes] = deque()
+        self.backlog_bytes = 0
+        self.paused = False
+        self.flush_planned = False
         self.loop = asyncio.get_running_loop()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -43,17 +84,28 @@
         self.last_received = self.loop.time()
         try:
             frames = self.buffer.feed(chunk)
-        except LinkError as error:
-            self.close(error.reason)
+        except LinkError:
+            self.close(LinkEnd.bad_frame)
             return
         for frame in frames:
+            if self.transport is None:
+                return
             self.on_frame(self, frame)
 
     def connection_lost(self, error: Exception | None) -> None:
         """Tell that the connection ended."""
-        self.close(str(error) if error else 'closed by peer')
+        self.close(LinkEnd.failed if error else LinkEnd.closed)
 
-    def send(self, frame: Frame) -> None:
+    def pause_writing(self) -> None:
+        """Hold frames back; the transport's buffer is full."""
+        self.paused = True
+
+    def resume_writing(self) -> None:
+        """Write the frames that were held back."""
+        self.paused = False
+        self.flush()
+
+    def send(self, frame: Frame, *, urgent: bool = False) -> None:
         """Send a frame with the others of this turn of the loop.
 
         Raises:
@@ -61,22 +113,50 @@
         """
         if self.transport is None:
             raise LinkError('connection is closed', step='send')
-        if not self.outgoing:
+        encoded = encode_frame(frame)
+        self.backlog_bytes += len(encoded)
+        if urgent:
+            self.urgent.append(encoded)
+        else:
+            self.outgoing.append(encoded)
+        if not self.flush_planned:
+            self.flush_planned = True
             self.loop.call_soon(self.flush)
-        self.outgoing.append(encode_frame(frame))
 
     def flush(self) -> None:
-        """Write the frames of this turn."""
-        chunk = b''.join(self.outgoing)
-        self.outgoing.clear()
-        if self.transport is not None and chunk:
-            self.transport.write(chunk)
-
-    def close(self, reason: str) -> None:
-        """End the connection."""
+        """Write frames until the transport's buffer is full."""
+        self.flush_planned = False
+        while self.backlog_bytes and not self.paused:
+            if self.transport is None:
+                return
+            self.transport.write(self._next_batch())
+
+    def unwritten_bytes(self) -> int:
+        """Return the bytes that the peer's end has not taken yet."""
         if self.transport is None:
+            return 0
+        return self.backlog_bytes + self.transport.get_write_buffer_size()
+
+    def close(self, end: LinkEnd) -> None:
+        """End the connection; a failed one at once, others once written."""
+        transport = self.transport
+        if transport is None:
             return
-        self.flush()
-        self.transport.close()
+        if end in ABORTED_ENDS:
+            transport.abort()
+        else:
+            self.paused = False
+            self.flush()
+            transport.close()
         self.transport = None
-        self.on_close(self, reason)
+        self.on_close(self, end)
+
+    def _next_batch(self) -> bytes:
+        batch: list[bytes] = []
+        size = 0
+        while size < BATCH_BYTES and (self.urgent or self.outgoing):
+            source = self.urgent or self.outgoing
+            batch.append(source.popleft())
+            size += len(batch[-1])
+        self.backlog_bytes -= size
+        return b''.join(batch)
--- a/burdocklead/connection/frames.py
+++ b/burdocklead/connection/frames.py
@@ -22,13 +22,38 @@
     never_seen = 'never-seen'
     running = 'running'
     done = 'done'
+    forgotten = 'forgotten'
 
 
 class Hello(msgspec.Struct, frozen=True, tag='hello', array_like=True):
-    """First frame of each side: who is speaking."""
+    """First frame of a link: who connects and whom it means to reach.
+
+    Attributes:
+        daemon_id: Daemon that connects.
+        incarnation: Its incarnation.
+        nonce: Random bytes that the reply has to prove.
+        wanted_id: Daemon that is meant.
+    """
+
+    daemon_id: str
+    incarnation: int
+    nonce: bytes = b''
+    wanted_id: str = ''
+
+
+class Welcome(msgspec.Struct, frozen=True, tag='welcome', array_like=True):
+    """Reply to a hello: who was reached, with the proof of the cluster key."""
 
     daemon_id: str
     incarnation: int
+    nonce: bytes
+    proof: bytes
+
+
+class Proof(msgspec.Struct, frozen=True, tag='proof', array_like=True):
+    """Third frame: the connecting side proves the cluster key."""
+
+    proof: bytes
 
 
 class Attempt(msgspec.Struct, frozen=True, tag='attempt', array_like=True):
@@ -94,18 +119,26 @@
         attempt_id: The attempt.
         reason: What was seen, in a few words.
         crash_suspected: True if the upstream closed without an answer.
+        load: Load beside the upstream.
+        final: False if a later question may still bring the truth.
     """
 
     attempt_id: str
     reason: str
     crash_suspected: bool
     load: LoadReport
+    final: bool = True
 
 
 class Cancel(msgspec.Struct, frozen=True, tag='cancel', array_like=True):
-    """The answer of an attempt is no longer wanted."""
+    """The answer of an attempt is no longer wanted; asks like a query.
+
+    A waiting attempt is withdrawn, a running idempotent one is cut, any
+    other goes on.
+    """
 
     attempt_id: str
+    incarnation: int
 
 
 class Query(msgspec.Struct, frozen=True, tag='query', array_like=True):
@@ -121,7 +154,8 @@
     Attributes:
         attempt_id: The attempt asked for.
         incarnation: Incarnation of the daemon that replies.
-        state: What it knows; ``never_seen`` means fenced from now on.
+        state: What it knows; ``never_seen`` means fenced from now on,
+            ``forgotten`` that it may have run.
         result: The result if the attempt is done.
     """
 
@@ -147,6 +181,8 @@
 AttemptResult = Answer | Refusal | Lost
 Frame = (
     Hello
+    | Welcome
+    | Proof
     | Attempt
     | Answer
     | Refusal
--- /dev/null
+++ b/burdocklead/connection/handshake.py
@@ -0,0 +1,75 @@
+"""Proofs by which both ends of a link know each other."""
+
+from __future__ import annotations
+
+import ssl
+from dataclasses import dataclass
+
+import msgspec
+
+from burdocklead.connection.cluster_key import ClusterKey, new_nonce
+from burdocklead.connection.frames import Hello, Proof, Welcome
+
+SERVER_ROLE = b'welcome'
+CLIENT_ROLE = b'proof'
+
+
+@dataclass(frozen=True, slots=True)
+class LinkIdentity:
+    """Who this daemon is on its links, and what proves it.
+
+    Attributes:
+        hello: Name and incarnation of this daemon.
+        key: Key shared by the deployment.
+        client_tls: TLS of links that this daemon opens, None for plain TCP.
+        server_tls: TLS of links that it accepts, None for plain TCP.
+    """
+
+    hello: Hello
+    key: ClusterKey
+    client_tls: ssl.SSLContext | None = None
+    server_tls: ssl.SSLContext | None = None
+
+    def greet(self, wanted_id: str) -> Hello:
+        """Return the first frame of a link to a daemon."""
+        return msgspec.structs.replace(
+            self.hello, nonce=new_nonce(), wanted_id=wanted_id
+        )
+
+    def welcome(self, hello: Hello) -> Welcome:
+        """Return the reply to the first frame of another daemon."""
+        unproven = Welcome(
+            self.hello.daemon_id, self.hello.incarnation, new_nonce(), b''
+        )
+        proof = self.key.prove(SERVER_ROLE, *_transcript(hello, unproven))
+        return msgspec.structs.replace(unproven, proof=proof)
+
+    def trusts_welcome(self, hello: Hello, welcome: Welcome) -> bool:
+        """Return True if the daemon reached holds the cluster key."""
+        return self.key.verify(
+            welcome.proof, SERVER_ROLE, *_transcript(hello, welcome)
+        )
+
+    def prove(self, hello: Hello, welcome: Welcome) -> Proof:
+        """Return the third frame of a link."""
+        return Proof(self.key.prove(CLIENT_ROLE, *_transcript(hello, welcome)))
+
+    def trusts_proof(
+        self, hello: Hello, welcome: Welcome, proof: Proof
+    ) -> bool:
+        """Return True if the daemon that connected holds the cluster key."""
+        return self.key.verify(
+            proof.proof, CLIENT_ROLE, *_transcript(hello, welcome)
+        )
+
+
+def _transcript(hello: Hello, welcome: Welcome) -> list[bytes]:
+    return [
+        hello.nonce,
+        welcome.nonce,
+        hello.daemon_id.encode(),
+        str(hello.incarnation).encode(),
+        hello.wanted_id.encode(),
+        welcome.daemon_id.encode(),
+        str(welcome.incarnation).encode(),
+    ]
--- /dev/null
+++ b/burdocklead/connection/link_keeper.py
@@ -0,0 +1,70 @@
+"""Finds out that a link in use went silent."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from burdocklead.connection.frame_protocol import FrameProtocol, LinkEnd
+from burdocklead.connection.frames import Ping
+from burdocklead.metrics import LINK_PINGS, MetricSet
+
+PING_INTERVAL_S = 0.2
+SILENCE_LIMIT_S = 0.7
+LINGER_S = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class LinkKeeper:
+    """Pings a quiet link while it is in use and shortly after.
+
+    Attributes:
+        protocol: The connection.
+        used: Set whenever something is sent.
+        is_waiting: Returns True while a reply is waited for.
+        idle_limit: Time after which an unused link closes in s.
+        metrics: Counts the pings.
+    """
+
+    protocol: FrameProtocol
+    used: asyncio.Event
+    is_waiting: Callable[[], bool]
+    idle_limit: float
+    metrics: MetricSet
+
+    async def run(self) -> None:
+        """Watch the link until it is closed."""
+        loop = asyncio.get_running_loop()
+        while self.protocol.transport is not None:
+            await self._watch_while_used()
+            try:
+                async with asyncio.timeout(self.idle_limit):
+                    await self.used.wait()
+            except TimeoutError:
+                self.protocol.close(LinkEnd.idle)
+            self.protocol.last_received = loop.time()
+
+    async def _watch_while_used(self) -> None:
+        loop = asyncio.get_running_loop()
+        used_at = loop.time()
+        unwritten = 0
+        while self.protocol.transport is not None:
+            now = loop.time()
+            if self.is_waiting() or self.used.is_set():
+                self.used.clear()
+                used_at = now
+            if now - used_at > LINGER_S:
+                return
+            earlier, unwritten = unwritten, self.protocol.unwritten_bytes()
+            if unwritten < earlier:
+                self.protocol.last_received = now
+            self._check_silence(now - self.protocol.last_received)
+            await asyncio.sleep(PING_INTERVAL_S)
+
+    def _check_silence(self, silence: float) -> None:
+        if silence > SILENCE_LIMIT_S:
+            self.protocol.close(LinkEnd.silent)
+        elif silence >= PING_INTERVAL_S:
+            self.metrics.count(LINK_PINGS)
+            self.protocol.send(Ping(0), urgent=True)
--- a/burdocklead/connection/link_server.py
+++ b/burdocklead/connection/link_server.py
@@ -3,36 +3,54 @@
 from __future__ import annotations
 
 import asyncio
-from typing import Protocol
+from collections.abc import Coroutine
+from dataclasses import dataclass
+from typing import Any, Protocol
 
 import logbook
 
-from burdocklead.connection.frame_protocol import FrameProtocol
+from burdocklead.connection.frame_protocol import FrameProtocol, LinkEnd
 from burdocklead.connection.frames import (
     Attempt,
     AttemptResult,
+    AttemptState,
     Cancel,
     Frame,
     Hello,
     Ping,
     Pong,
+    Proof,
     Query,
     Verdict,
+    Welcome,
 )
+from burdocklead.connection.handshake import LinkIdentity
 from burdocklead.exceptions import LinkError
+from burdocklead.metrics import LINK_ENDS, LINKS_OPEN, MetricSet
+from burdocklead.settings import DaemonSettings
 from burdocklead.values import Address, LoadReport
 
+HANDSHAKE_LIMIT_S = 2.0
+SWEEP_INTERVAL_S = 5.0
+IDLE_FACTOR = 2
+FLUSH_LIMIT_S = 2.0
+FLUSH_POLL_S = 0.01
 log = logbook.Logger('link')
 
 
 class AttemptHandler(Protocol):
     """What the listener needs from the daemon behind it."""
 
-    async def run(self, attempt: Attempt) -> AttemptResult:
+    def run(self, attempt: Attempt) -> Coroutine[Any, Any, AttemptResult]:
         """Return the result of an attempt."""
 
-    def cancel(self, attempt_id: str) -> None:
-        """Cancel an attempt."""
+    def follow(
+        self, attempt_id: str
+    ) -> Coroutine[Any, Any, AttemptResult | None]:
+        """Return the result of an attempt in progress."""
+
+    def cancel(self, cancel: Cancel) -> Verdict:
+        """Cancel an attempt and return what was true."""
 
     def query(self, query: Query) -> Verdict:
         """Return what is known of an attempt and fence it if unseen."""
@@ -41,27 +59,58 @@
         """Return the present load."""
 
 
+@dataclass(slots=True)
+class Peer:
+    """What is known of the daemon at the other end of a link.
+
+    Attributes:
+        hello: Its first frame, None before.
+        welcome: The reply to it.
+        proven: True once it proved the cluster key.
+        tasks: Attempts and questions in progress.
+    """
+
+    hello: Hello | None = None
+    welcome: Welcome | None = None
+    proven: bool = False
+    tasks: int = 0
+
+
 class LinkServer:
     """Accepts links and runs the attempts that come over them.
 
     Attributes:
-        protocols: Open connections.
+        peers: Open connections.
         tasks: Attempts in progress.
     """
 
-    def __init__(self, handler: AttemptHandler) -> None:
+    def __init__(
+        self,
+        handler: AttemptHandler,
+        identity: LinkIdentity,
+        settings: DaemonSettings,
+        metrics: MetricSet,
+    ) -> None:
         """Prepare a listener in front of the handler."""
         self.handler = handler
-        self.protocols: set[FrameProtocol] = set()
+        self.identity = identity
+        self.settings = settings
+        self.metrics = metrics
+        self.peers: dict[FrameProtocol, Peer] = {}
         self.tasks: set[asyncio.Task[None]] = set()
         self.server: asyncio.Server | None = None
+        self.sweeper: asyncio.Task[None] | None = None
 
     async def start(self, address: Address) -> Address:
         """Listen and return the address with the port in use."""
         loop = asyncio.get_running_loop()
         self.server = await loop.create_server(
-            self._accept, address.host, address.port
+            self.accept,
+            address.host,
+            address.port,
+            ssl=self.identity.server_tls,
         )
+        self.sweeper = asyncio.create_task(self._sweep_forever())
         port = self.server.sockets[0].getsockname()[1]
         return Address(address.host, port)
 
@@ -70,40 +119,128 @@
         if self.server is not None:
             self.server.close()
 
-    def close(self) -> None:
-        """Close all links."""
+    async def close(self) -> None:
+        """Close all links once their results are written."""
         self.stop_listening()
-        for protocol in tuple(self.protocols):
-            protocol.close('daemon stops')
-
-    def _accept(self) -> FrameProtocol:
-        protocol = FrameProtocol(self._receive, self._closed)
-        self.protocols.add(protocol)
+        if self.sweeper is not None:
+            self.sweeper.cancel()
+        loop = asyncio.get_running_loop()
+        limit = loop.time() + FLUSH_LIMIT_S
+        while any(protocol.unwritten_bytes() for protocol in self.peers):
+            if loop.time() > limit:
+                break
+            await asyncio.sleep(FLUSH_POLL_S)
+        for protocol in tuple(self.peers):
+            protocol.close(LinkEnd.stopping)
+
+    def accept(self) -> FrameProtocol:
+        """Return the protocol of a new connection."""
+        protocol = FrameProtocol(
+            self._receive, self._closed, self.settings.max_frame_bytes()
+        )
+        self.peers[protocol] = Peer()
+        asyncio.get_running_loop().call_later(
+            HANDSHAKE_LIMIT_S, self._end_unproven, protocol
+        )
         return protocol
 
-    def _closed(self, protocol: FrameProtocol, reason: str) -> None:
-        self.protocols.discard(protocol)
+    def _end_unproven(self, protocol: FrameProtocol) -> None:
+        peer = self.peers.get(protocol)
+        if peer is not None and not peer.proven:
+            protocol.close(LinkEnd.unproven)
+
+    def _closed(self, protocol: FrameProtocol, end: LinkEnd) -> None:
+        self.peers.pop(protocol, None)
+        self.metrics.count(LINK_ENDS, end.value)
+        self.metrics.set(LINKS_OPEN, len(self.peers))
 
     def _receive(self, protocol: FrameProtocol, frame: Frame) -> None:
+        peer = self.peers.get(protocol)
+        if peer is None:
+            return
+        if peer.proven:
+            self._serve(protocol, peer, frame)
+        else:
+            self._shake_hands(protocol, peer, frame)
+
+    def _shake_hands(
+        self, protocol: FrameProtocol, peer: Peer, frame: Frame
+    ) -> None:
+        match frame:
+            case Hello() if peer.hello is None:
+                self._greet(protocol, peer, frame)
+            case Proof() if peer.hello and peer.welcome:
+                peer.proven = self.identity.trusts_proof(
+                    peer.hello, peer.welcome, frame
+                )
+                self._end_unproven(protocol)
+                self.metrics.set(LINKS_OPEN, len(self.peers))
+            case _:
+                protocol.close(LinkEnd.unproven)
+
+    def _greet(self, protocol: FrameProtocol, peer: Peer, hello: Hello) -> None:
+        if hello.wanted_id != self.identity.hello.daemon_id:
+            protocol.close(LinkEnd.wrong_peer)
+            return
+        if len(self.peers) > self.settings.max_links:
+            protocol.close(LinkEnd.too_many)
+            return
+        peer.hello = hello
+        peer.welcome = self.identity.welcome(hello)
+        protocol.send(peer.welcome)
+
+    def _serve(self, protocol: FrameProtocol, peer: Peer, frame: Frame) -> None:
         match frame:
             case Attempt():
-                task = asyncio.create_task(self._run(protocol, frame))
-                self.tasks.add(task)
-                task.add_done_callback(self.tasks.discard)
+                self._reply_later(protocol, peer, self.handler.run(frame))
             case Ping(number):
-                protocol.send(Pong(number, self.handler.load()))
+                pong = Pong(number, self.handler.load())
+                protocol.send(pong, urgent=True)
             case Query():
-                protocol.send(self.handler.query(frame))
-            case Cancel(attempt_id):
-                self.handler.cancel(attempt_id)
-            case Hello():
-                log.debug('link opened', peer=frame.daemon_id)
+                verdict = self.handler.query(frame)
+                protocol.send(verdict, urgent=True)
+                if verdict.state is AttemptState.running:
+                    result = self.handler.follow(frame.attempt_id)
+                    self._reply_later(protocol, peer, result)
+            case Cancel():
+                protocol.send(self.handler.cancel(frame), urgent=True)
             case _:
-                protocol.close('unexpected frame')
-
-    async def _run(self, protocol: FrameProtocol, attempt: Attempt) -> None:
-        result = await self.handler.run(attempt)
+                protocol.close(LinkEnd.unexpected_frame)
+
+    def _reply_later(
+        self,
+        protocol: FrameProtocol,
+        peer: Peer,
+        result: Coroutine[Any, Any, AttemptResult | None],
+    ) -> None:
+        task = asyncio.create_task(self._reply(protocol, peer, result))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def _reply(
+        self,
+        protocol: FrameProtocol,
+        peer: Peer,
+        result: Coroutine[Any, Any, AttemptResult | None],
+    ) -> None:
+        peer.tasks += 1
+        try:
+            frame = await result
+        finally:
+            peer.tasks -= 1
+        if frame is None:
+            return
         try:
-            protocol.send(result)
+            protocol.send(frame)
         except LinkError:
-            log.debug('result not sent', attempt=attempt.attempt_id)
+            log.debug('result not sent', attempt=frame.attempt_id)
+
+    async def _sweep_forever(self) -> None:
+        """Close links whose other end has been silent for very long."""
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(SWEEP_INTERVAL_S)
+            oldest = loop.time() - self.settings.link_idle * IDLE_FACTOR
+            for protocol, peer in tuple(self.peers.items()):
+                if not peer.tasks and protocol.last_received < oldest:
+                    protocol.close(LinkEnd.silent)
--- a/burdocklead/connection/peer_link.py
+++ b/burdocklead/connection/peer_link.py
@@ -3,31 +3,35 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from collections.abc import Callable
-from typing import Any
 
-from burdocklead.connection.frame_protocol import FrameProtocol
+from burdocklead.connection.frame_protocol import FrameProtocol, LinkEnd
 from burdocklead.connection.frames import (
     Answer,
     Attempt,
     AttemptResult,
+    AttemptState,
     Cancel,
     Frame,
-    Hello,
     Lost,
-    Ping,
     Pong,
     Query,
     Refusal,
     Verdict,
+    Welcome,
 )
+from burdocklead.connection.greeting import Greeting
+from burdocklead.connection.handshake import LinkIdentity
+from burdocklead.connection.link_keeper import LinkKeeper
+from burdocklead.connection.waiters import Waiters
 from burdocklead.exceptions import LinkError
+from burdocklead.metrics import LATE_RESULTS, LINK_ENDS, MetricSet
+from burdocklead.settings import DaemonSettings
 from burdocklead.values import Address, LoadReport
 
-CONNECT_TIMEOUT_S = 1.0
-QUERY_TIMEOUT_S = 1.0
-PING_INTERVAL_S = 0.25
-SILENCE_LIMIT_S = 0.75
+CONNECT_TIMEOUT_S = 0.8
+QUERY_TIMEOUT_S = 0.8
 
 LoadHandler = Callable[[str, LoadReport], None]
 
@@ -38,143 +42,208 @@
     Attributes:
         daemon_id: Daemon at the other end.
         address: Its link address.
-        late_results: Results of attempts that nobody waits for.
+        incarnation: Incarnation at the other end, 0 while not connected.
     """
 
     def __init__(
-        self, own: Hello, daemon_id: str, address: Address, on_load: LoadHandler
+        self,
+        identity: LinkIdentity,
+        daemon_id: str,
+        address: Address,
+        on_load: LoadHandler,
+        settings: DaemonSettings,
+        metrics: MetricSet,
     ) -> None:
         """Prepare a link; it connects with the first attempt."""
-        self.own = own
+        self.identity = identity
         self.daemon_id = daemon_id
         self.address = address
         self.on_load = on_load
-        self.late_results = 0
+        self.settings = settings
+        self.metrics = metrics
+        self.incarnation = 0
         self.protocol: FrameProtocol | None = None
         self.connecting = asyncio.Lock()
-        self.attempts: dict[str, asyncio.Future[AttemptResult]] = {}
-        self.queries: dict[str, asyncio.Future[Verdict]] = {}
+        self.greeting: Greeting | None = None
+        self.results: Waiters[AttemptResult] = Waiters()
+        self.verdicts: Waiters[Verdict] = Waiters()
+        self.used = asyncio.Event()
         self.keeper: asyncio.Task[None] | None = None
-        self.loop = asyncio.get_running_loop()
+
+    async def open(self, incarnation: int) -> None:
+        """Connect to an incarnation of the daemon.
+
+        Raises:
+            LinkError: If it was not reached; nothing was sent.
+        """
+        if self.protocol is None:
+            await self._connect()
+        if self.incarnation != incarnation:
+            raise LinkError(
+                'another incarnation answers',
+                step='connect',
+                peer=self.daemon_id,
+            )
 
     async def run_attempt(self, attempt: Attempt) -> AttemptResult:
-        """Return the result of an attempt.
+        """Return the result of an attempt over the open link.
 
         Raises:
-            LinkError: If the link failed; the step is ``connect`` if the
+            LinkError: If the link failed; the step is ``send`` if the
                 attempt was never sent, else the outcome is open.
         """
-        protocol = await self.connect()
-        waiter: asyncio.Future[AttemptResult] = self.loop.create_future()
-        self.attempts[attempt.attempt_id] = waiter
+        self._check_sendable(attempt)
+        waiter = self.results.add(attempt.attempt_id)
         try:
-            protocol.send(attempt)
+            self._send(attempt)
             return await waiter
         finally:
-            self.attempts.pop(attempt.attempt_id, None)
+            self.results.discard(attempt.attempt_id, waiter)
 
     async def query(self, query: Query) -> Verdict:
-        """Return what the daemon knows of an attempt.
+        """Return what became of an attempt; a running one is awaited.
 
         Raises:
-            LinkError: If no verdict came in time.
+            LinkError: If no verdict came in time or the link failed.
         """
-        protocol = await self.connect()
-        waiter: asyncio.Future[Verdict] = self.loop.create_future()
-        self.queries[query.attempt_id] = waiter
+        await self._connect()
+        result = self.results.add(query.attempt_id)
         try:
-            async with asyncio.timeout(QUERY_TIMEOUT_S):
-                protocol.send(query)
-                return await waiter
-        except TimeoutError:
-            raise LinkError(
-                'no verdict in time', step='query', peer=self.daemon_id
-            ) from None
+            verdict = await self._ask(query)
+            if verdict.state is not AttemptState.running:
+                return verdict
+            if verdict.incarnation != query.incarnation:
+                return verdict
+            return Verdict(
+                query.attempt_id,
+                verdict.incarnation,
+                AttemptState.done,
+                await result,
+            )
         finally:
-            self.queries.pop(query.attempt_id, None)
-
-    def cancel(self, attempt_id: str) -> None:
-        """Tell the daemon that an answer is no longer wanted."""
-        if self.protocol is not None:
-            self.protocol.send(Cancel(attempt_id))
+            self.results.discard(query.attempt_id, result)
 
-    async def connect(self) -> FrameProtocol:
-        """Return the open connection, opening it first if need be.
+    async def withdraw(self, cancel: Cancel) -> Verdict:
+        """Cancel an attempt and return what was true.
 
         Raises:
-            LinkError: If the daemon could not be reached.
+            LinkError: If no verdict came in time or the link failed.
         """
-        if self.protocol is not None:
-            return self.protocol
-        async with self.connecting:
-            if self.protocol is None:
-                self.protocol = await self._open()
-                self.keeper = asyncio.create_task(self._keep_alive())
-        return self.protocol
+        await self._connect()
+        return await self._ask(cancel)
+
+    def cancel(self, cancel: Cancel) -> None:
+        """Cancel an attempt without waiting for what was true."""
+        with contextlib.suppress(LinkError):
+            self._send(cancel, urgent=True)
 
-    def close(self, reason: str) -> None:
+    def is_waiting(self) -> bool:
+        """Return True while an attempt or a question is in progress."""
+        return bool(self.results or self.verdicts)
+
+    def close(self, end: LinkEnd) -> None:
         """Close the connection; waiting attempts fail."""
         if self.protocol is not None:
-            self.protocol.close(reason)
+            self.protocol.close(end)
+
+    def _check_sendable(self, attempt: Attempt) -> None:
+        reason = ''
+        if self.protocol is None:
+            reason = 'connection is closed'
+        elif self.incarnation != attempt.incarnation:
+            reason = 'another incarnation answers'
+        elif self.protocol.backlog_bytes > self.settings.link_backlog_bytes:
+            reason = 'too many bytes wait to be sent'
+        elif len(self.results) >= self.settings.max_pending_attempts:
+            reason = 'too many attempts wait for a result'
+        if reason:
+            raise LinkError(reason, step='send', peer=self.daemon_id)
+
+    def _send(self, frame: Frame, *, urgent: bool = False) -> None:
+        if self.protocol is None:
+            raise LinkError(
+                'connection is closed', step='send', peer=self.daemon_id
+            )
+        self.protocol.send(frame, urgent=urgent)
+        self.used.set()
 
-    async def _open(self) -> FrameProtocol:
+    async def _ask(self, question: Query | Cancel) -> Verdict:
+        waiter = self.verdicts.add(question.attempt_id)
         try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                _, protocol = await self.loop.create_connection(
-                    lambda: FrameProtocol(self._receive, self._closed),
-                    self.address.host,
-                    self.address.port,
-                )
-        except (OSError, TimeoutError) as error:
-            reason = str(error) or 'no connection in time'
+            async with asyncio.timeout(QUERY_TIMEOUT_S):
+                self._send(question, urgent=True)
+                return await waiter
+        except TimeoutError:
             raise LinkError(
-                reason, step='connect', peer=self.daemon_id
-            ) from error
-        protocol.send(self.own)
-        return protocol
+                'no verdict in time', step='query', peer=self.daemon_id
+            ) from None
+        finally:
+            self.verdicts.discard(question.attempt_id, waiter)
 
-    async def _keep_alive(self) -> None:
-        number = 0
-        while self.protocol is not None:
-            number += 1
-            self.protocol.send(Ping(number))
-            await asyncio.sleep(PING_INTERVAL_S)
-            if self.protocol is None:
+    async def _connect(self) -> None:
+        async with self.connecting:
+            if self.protocol is not None:
                 return
-            if self.loop.time() - self.protocol.last_received > SILENCE_LIMIT_S:
-                self.protocol.close('silent')
+            try:
+                async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                    self.protocol = await self._open_and_greet()
+            except (OSError, TimeoutError) as error:
+                reason = str(error) or 'no connection in time'
+                raise LinkError(
+                    reason, step='connect', peer=self.daemon_id
+                ) from error
+            keeper = LinkKeeper(
+                self.protocol,
+                self.used,
+                self.is_waiting,
+                self.settings.link_idle,
+                self.metrics,
+            )
+            self.keeper = asyncio.create_task(keeper.run())
+
+    async def _open_and_greet(self) -> FrameProtocol:
+        loop = asyncio.get_running_loop()
+        greeting = Greeting(self.identity, self.daemon_id)
+        self.greeting = greeting
+        _, protocol = await loop.create_connection(
+            lambda: FrameProtocol(
+                self._receive, self._closed, self.settings.max_frame_bytes()
+            ),
+            self.address.host,
+            self.address.port,
+            ssl=self.identity.client_tls,
+        )
+        try:
+            self.incarnation = await greeting.greet(protocol)
+        except BaseException:
+            protocol.close(LinkEnd.unproven)
+            raise
+        return protocol
 
     def _receive(self, protocol: FrameProtocol, frame: Frame) -> None:
         match frame:
             case Answer() | Refusal() | Lost():
                 self.on_load(self.daemon_id, frame.load)
-                self._resolve(frame)
+                if not self.results.resolve(frame.attempt_id, frame):
+                    self.metrics.count(LATE_RESULTS)
             case Verdict():
-                waiter = self.queries.get(frame.attempt_id)
-                if waiter is not None and not waiter.done():
-                    waiter.set_result(frame)
+                self.verdicts.resolve(frame.attempt_id, frame)
             case Pong():
                 self.on_load(self.daemon_id, frame.load)
+            case Welcome() if self.greeting is not None:
+                self.greeting.receive(frame)
             case _:
-                protocol.close('unexpected frame')
-
-    def _resolve(self, frame: AttemptResult) -> None:
-        waiter = self.attempts.get(frame.attempt_id)
-        if waiter is None or waiter.done():
-            self.late_results += 1
+                protocol.close(LinkEnd.unexpected_frame)
+
+    def _closed(self, protocol: FrameProtocol, end: LinkEnd) -> None:
+        self.metrics.count(LINK_ENDS, end.value)
+        error = LinkError(end.value, step='await', peer=self.daemon_id)
+        if protocol is not self.protocol:
+            if self.greeting is not None:
+                self.greeting.fail(end)
             return
-        waiter.set_result(frame)
-
-    def _closed(self, protocol: FrameProtocol, reason: str) -> None:
-        if protocol is self.protocol:
-            self.protocol = None
-        error = LinkError(reason, step='await', peer=self.daemon_id)
-        for attempt in self.attempts.values():
-            _fail(attempt, error)
-        for query in self.queries.values():
-            _fail(query, error)
-
-
-def _fail(waiter: asyncio.Future[Any], error: LinkError) -> None:
-    if not waiter.done():
-        waiter.set_exception(error)
+        self.protocol = None
+        self.incarnation = 0
+        self.used.set()
+        self.results.fail_all(error)
+        self.verdicts.fail_all(error)
--- a/burdocklead/durable/claims.py
+++ b/burdocklead/durable/claims.py
@@ -11,11 +11,12 @@
 
 
 class ClaimState(enum.StrEnum):
-    """State of a keyed call."""
+    """State of a keyed call; ``released`` means that nothing ran."""
 
     running = 'running'
     finished = 'finished'
     unknown = 'unknown'
+    released = 'released'
 
 
 class StoredAnswer(msgspec.Struct, frozen=True, array_like=True):
@@ -24,12 +25,14 @@
     Attributes:
         status: HTTP status.
         headers: Headers in order.
-        body: Whole body.
+        body: Whole body; empty if not kept.
+        kept: False if the answer was too large to be kept.
     """
 
     status: int
     headers: tuple[tuple[str, str], ...]
     body: bytes
+    kept: bool = True
 
 
 class Claim(msgspec.Struct, frozen=True):
@@ -96,10 +99,12 @@
     """Return the claim in force after a request to start."""
     if current is None:
         return request.claim
-    if current.state is not ClaimState.running:
+    if current.fingerprint != request.claim.fingerprint:
         return current
-    same_call = current.fingerprint == request.claim.fingerprint
-    if same_call and request.replaces == current.attempt_id:
+    if current.state is ClaimState.released:
+        return request.claim
+    replaced = request.replaces == current.attempt_id
+    if replaced and current.state is ClaimState.running:
         return request.claim
     return current
 
@@ -110,4 +115,6 @@
         return current or request.claim
     if current.attempt_id != request.claim.attempt_id:
         return current
+    if current.state is ClaimState.released:
+        return current
     return request.claim
--- a/burdocklead/metrics.py
+++ b/burdocklead/metrics.py
@@ -68,6 +68,11 @@
 REFUSALS = _counter('refusals', 'Calls refused to clients.', 'cause')
 ATTEMPTS = _counter('attempts', 'Attempts by result.', 'result')
 CONTROL_BYTES = _counter('control_bytes', 'Control traffic.', 'direction')
+INTERNAL_ERRORS = _counter('internal_errors', 'Calls that failed within.')
+LATE_RESULTS = _counter('late_results', 'Results that nobody waited for.')
+LINK_ENDS = _counter('link_ends', 'Links ended by reason.', 'reason')
+LINK_PINGS = _counter('link_pings', 'Pings on links in use.')
+LINKS_OPEN = _gauge('links_open', 'Links of other daemons.')
 VERSION = _gauge('version_in_force', 'Configuration version in force.')
 
 DECLARED = (
@@ -76,6 +81,11 @@
     REFUSALS,
     ATTEMPTS,
     CONTROL_BYTES,
+    INTERNAL_ERRORS,
+    LATE_RESULTS,
+    LINK_ENDS,
+    LINK_PINGS,
+    LINKS_OPEN,
     VERSION,
 )
 
--- a/burdocklead/options.py
+++ b/burdocklead/options.py
@@ -88,6 +88,15 @@
         return Address(host.strip('[]'), int(port))
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class OptionalAddress:
+    """An IP number and a port, or nothing."""
+
+    def parse(self, text: str) -> Address | None:
+        """Return the address, None for an empty text."""
+        return SocketAddress().parse(text) if text else None
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class NamedAddresses:
     """Names and addresses, as ``a=127.0.0.1:1,b=127.0.0.1:2``."""
--- a/burdocklead/process/admin_http.py
+++ b/burdocklead/process/admin_http.py
@@ -77,9 +77,10 @@
     await runner.setup()
     site = web.TCPSite(runner, address.host, address.port)
     await site.start()
-    port = _port_of(runner.addresses)
+    port = port_of(runner.addresses)
     return runner, Address(address.host, port)
 
 
-def _port_of(addresses: Iterable[tuple[str, int]]) -> int:
+def port_of(addresses: Iterable[tuple[str, int]]) -> int:
+    """Return the port of the first address."""
     return next(iter(addresses))[1]
--- a/burdocklead/process/caller_http.py
+++ b/burdocklead/process/caller_http.py
@@ -4,32 +4,41 @@
 
 import asyncio
 
+import logbook
 from aiohttp import web
 
 from burdocklead.events import EventKind, EventRing
-from burdocklead.metrics import CALL_SECONDS, CALLS, REFUSALS, MetricSet
+from burdocklead.metrics import (
+    CALL_SECONDS,
+    CALLS,
+    INTERNAL_ERRORS,
+    REFUSALS,
+    MetricSet,
+)
 from burdocklead.process.directory import DaemonDirectory
-from burdocklead.request.call import Call, CallResult, not_run
-from burdocklead.request.dispatch import Dispatcher
-from burdocklead.request.headers import (
-    CALL_HEADER,
-    CAUSE_HEADER,
-    DEADLINE_HEADER,
-    KEY_HEADER,
-    OUTCOME_HEADER,
-    forwarded_headers,
+from burdocklead.request.call import Call, CallResult, not_run, unknown
+from burdocklead.request.call_response import response_of
+from burdocklead.request.caller_input import (
+    CallerInputError,
+    check_headers,
+    check_target,
+    read_deadline,
+    read_key,
 )
+from burdocklead.request.dispatch import Dispatcher
+from burdocklead.request.headers import forwarded_headers
 from burdocklead.request.keyed_call import KeyedCalls
-from burdocklead.settings import DaemonSettings
 from burdocklead.values import Outcome, RefusalCause
 from burdocklead.version.route_table import RouteMatch
 
 MS_PER_S = 1000
+CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 EVENT_BY_OUTCOME = {
     Outcome.answered: EventKind.call_answered,
     Outcome.not_run: EventKind.call_refused,
     Outcome.unknown: EventKind.call_unknown,
 }
+log = logbook.Logger('callers')
 
 
 class CallerPages:
@@ -37,11 +46,11 @@
 
     Attributes:
         in_progress: Calls without an answer yet.
+        draining: True if callers are asked to open no more calls here.
     """
 
     def __init__(
         self,
-        settings: DaemonSettings,
         directory: DaemonDirectory,
         dispatcher: Dispatcher,
         keyed_calls: KeyedCalls,
@@ -49,23 +58,15 @@
         metrics: MetricSet,
     ) -> None:
         """Prepare the interface of one daemon."""
-        self.settings = settings
         self.directory = directory
         self.dispatcher = dispatcher
         self.keyed_calls = keyed_calls
         self.events = events
         self.metrics = metrics
         self.in_progress = 0
+        self.draining = False
 
-    def application(self) -> web.Application:
-        """Return the application that takes every path."""
-        application = web.Application(
-            client_max_size=self.settings.max_body_bytes
-        )
-        application.router.add_route('*', '/{target:.*}', self.take_call)
-        return application
-
-    async def take_call(self, request: web.Request) -> web.Response:
+    async def take_call(self, request: web.BaseRequest) -> web.Response:
         """Return the answer to one call with its outcome."""
         started = asyncio.get_running_loop().time()
         call_id = self.dispatcher.new_id()
@@ -80,10 +81,13 @@
             call_id=call_id,
             detail=result.cause,
         )
-        return _response_of(result, call_id)
+        response = response_of(result, call_id)
+        if self.draining or not request.content.is_eof():
+            response.force_close()
+        return response
 
     def _count(
-        self, request: web.Request, result: CallResult, started: float
+        self, request: web.BaseRequest, result: CallResult, started: float
     ) -> None:
         service = ''
         if self.directory.table is not None:
@@ -97,22 +101,21 @@
             self.metrics.count(REFUSALS, result.cause)
 
     async def _result_of(
-        self, request: web.Request, call_id: str
+        self, request: web.BaseRequest, call_id: str
     ) -> CallResult:
-        if self.directory.table is None:
-            return not_run(RefusalCause.unknown_service)
-        match = self.directory.table.find_route(
-            request.method, request.raw_path
-        )
-        if match is None:
-            return not_run(RefusalCause.unknown_route)
+        """Return the outcome; an error before the dispatch ran nothing."""
+        call: Call | None = None
         try:
-            call = await self._read_call(request, call_id, match)
-        except web.HTTPRequestEntityTooLarge:
-            return not_run(RefusalCause.body_too_large)
-        except ValueError:
-            return not_run(RefusalCause.bad_request)
-        return await self._run_call(call)
+            call = await self._read_call(request, call_id)
+            return await self._run_call(call)
+        except CallerInputError as error:
+            return not_run(error.cause, error.reason)
+        except Exception:
+            self.metrics.count(INTERNAL_ERRORS)
+            log.exception('call failed', call=call_id)
+        if call is None:
+            return not_run(RefusalCause.internal_error)
+        return unknown(RefusalCause.internal_error.value)
 
     async def _run_call(self, call: Call) -> CallResult:
         route = call.match.route
@@ -122,40 +125,50 @@
             return not_run(RefusalCause.key_required)
         return await self.dispatcher.run(call)
 
-    async def _read_call(
-        self, request: web.Request, call_id: str, match: RouteMatch
-    ) -> Call:
+    async def _read_call(self, request: web.BaseRequest, call_id: str) -> Call:
         started = asyncio.get_running_loop().time()
-        limit_ms = match.route.timeout_ms
-        asked_ms = request.headers.get(DEADLINE_HEADER)
-        if asked_ms is not None:
-            limit_ms = min(limit_ms, _positive(asked_ms))
-        body = await request.read()
+        headers = [(name, text) for name, text in request.headers.items()]
+        check_target(request.raw_path)
+        check_headers(headers)
+        match = self._find_route(request)
+        limit_ms = min(match.route.timeout_ms, read_deadline(headers))
         return Call(
             call_id=call_id,
             match=match,
             method=request.method,
-            headers=forwarded_headers(request.headers.items()),
-            body=body,
-            key=request.headers.get(KEY_HEADER, ''),
+            headers=forwarded_headers(headers),
+            key=read_key(headers),
             deadline=started + limit_ms / MS_PER_S,
+            body=await _read_body(request, limit_ms / MS_PER_S),
         )
 
-
-def _positive(text: str) -> float:
-    number = float(text)
-    if not 0 < number < float('inf'):
-        raise ValueError('must be a positive number')
-    return number
-
-
-def _response_of(result: CallResult, call_id: str) -> web.Response:
-    response = web.Response(body=result.body, status=result.status)
-    response.headers.popall('Content-Type', None)
-    for name, text in result.headers:
-        response.headers.add(name, text)
-    response.headers[OUTCOME_HEADER] = result.outcome.value
-    response.headers[CALL_HEADER] = call_id
-    if result.cause:
-        response.headers[CAUSE_HEADER] = result.cause
-    return response
+    def _find_route(self, request: web.BaseRequest) -> RouteMatch:
+        table = self.directory.table
+        if table is None:
+            reason = 'this daemon has no configuration yet'
+            raise CallerInputError(RefusalCause.no_configuration, reason)
+        if table.find_service(request.raw_path) is None:
+            reason = 'no service has this name'
+            raise CallerInputError(RefusalCause.unknown_service, reason)
+        match = table.find_route(request.method, request.raw_path)
+        if match is None:
+            reason = 'no route of the service covers the method and the path'
+            raise CallerInputError(RefusalCause.unknown_route, reason)
+        return match
+
+
+async def _read_body(request: web.BaseRequest, limit_s: float) -> bytes:
+    if request.headers.get('Expect', '').lower() == '100-continue':
+        await request.writer.write(CONTINUE)
+        request.writer.output_size = 0
+    try:
+        async with asyncio.timeout(limit_s):
+            return await request.read()
+    except TimeoutError:
+        reason = 'the body did not come before the deadline'
+        raise CallerInputError(RefusalCause.deadline, reason) from None
+    except web.HTTPRequestEntityTooLarge as error:
+        reason = str(error.text)
+        raise CallerInputError(RefusalCause.body_too_large, reason) from None
+    except (web.RequestPayloadError, ConnectionError, ValueError) as error:
+        raise CallerInputError(RefusalCause.bad_body, str(error)) from None
--- a/burdocklead/process/daemon_admin_http.py
+++ b/burdocklead/process/daemon_admin_http.py
@@ -61,7 +61,7 @@
             return json_response({'error': str(error)}, BAD_REQUEST)
         now = asyncio.get_running_loop().time()
         self.own.announce(announcement, address, now)
-        return json_response({'draining': self.own.executor.draining})
+        return json_response({'draining': self.own.draining})
 
     async def withdraw(self, request: web.Request) -> web.Response:
         """Forget the upstream."""
--- a/burdocklead/process/daemon_parts.py
+++ b/burdocklead/process/daemon_parts.py
@@ -8,16 +8,17 @@
 
 from burdocklead.clock import HybridClock
 from burdocklead.connection.control_client import ControlGroup
-from burdocklead.connection.frames import Hello
 from burdocklead.connection.link_server import LinkServer
 from burdocklead.events import EventRing
 from burdocklead.metrics import MetricSet
 from burdocklead.process.caller_http import CallerPages
+from burdocklead.process.credentials import link_identity
 from burdocklead.process.directory import DaemonDirectory
 from burdocklead.request.attempt_runner import AttemptRunner
 from burdocklead.request.dispatch import Dispatcher
 from burdocklead.request.execution import AttemptExecutor
 from burdocklead.request.keyed_call import KeyedCalls
+from burdocklead.request.local_link import LocalLink
 from burdocklead.request.routing import Router
 from burdocklead.settings import DaemonSettings
 from burdocklead.values import LoadReport
@@ -34,12 +35,17 @@
         self.metrics = MetricSet()
         self.incarnation = time.time_ns()
         self.rng = random.Random(self.incarnation)
-        self.executor = AttemptExecutor(self.incarnation)
+        self.executor = AttemptExecutor(settings, self.incarnation)
         self.router = Router(settings.zone, self.rng)
         self.control = ControlGroup(settings.control)
-        hello = Hello(settings.daemon_id, self.incarnation)
+        identity = link_identity(settings, self.incarnation)
         self.directory = DaemonDirectory(
-            hello, self.executor, self.events, self.observe_load
+            settings,
+            identity,
+            LocalLink(self.executor),
+            self.events,
+            self.metrics,
+            self.observe_load,
         )
         prefix = f'{settings.daemon_id}.{self.incarnation:x}'
         self.dispatcher = Dispatcher(
@@ -49,20 +55,33 @@
             self.router,
             self.rng,
         )
-        keyed_calls = KeyedCalls(
-            self.dispatcher, self.control, self.directory.find_member
+        self.keyed_calls = KeyedCalls(
+            self.dispatcher, self.control.request, self.answer_limit
         )
         self.callers = CallerPages(
-            settings,
             self.directory,
             self.dispatcher,
-            keyed_calls,
+            self.keyed_calls,
             self.events,
             self.metrics,
         )
-        self.links = LinkServer(self.executor)
+        self.links = LinkServer(self.executor, identity, settings, self.metrics)
 
     def observe_load(self, daemon_id: str, load: LoadReport) -> None:
         """Pass a load report to the router."""
         now = asyncio.get_running_loop().time()
         self.router.observe_load(daemon_id, load, now)
+
+    def answer_limit(self) -> int:
+        """Return the largest answer of a keyed call that is kept in bytes."""
+        deployment = self.directory.deployment()
+        return deployment.claims.max_answer_bytes if deployment else 0
+
+    def is_working(self) -> bool:
+        """Return True while a call or an attempt is in progress here."""
+        return bool(
+            self.links.tasks
+            or self.executor.executions
+            or self.callers.in_progress
+            or self.keyed_calls.pending
+        )
--- a/burdocklead/process/daemon_process.py
+++ b/burdocklead/process/daemon_process.py
@@ -5,21 +5,28 @@
 import asyncio
 from dataclasses import dataclass
 
+import logbook
 from aiohttp import web
 
 from burdocklead.process.admin_http import start_site
+from burdocklead.process.caller_server import (
+    CallerServer,
+    start_caller_server,
+)
 from burdocklead.process.control_agent import ControlAgent
+from burdocklead.process.credentials import caller_tls
 from burdocklead.process.daemon_admin_http import DaemonPages
 from burdocklead.process.daemon_parts import DaemonParts
 from burdocklead.process.lifecycle import Lifecycle, write_ready_file
 from burdocklead.process.own_member import OwnMember
+from burdocklead.request.upstream_client import HttpUpstreamClient
 from burdocklead.settings import DaemonSettings
 from burdocklead.values import Address, Member
 
-DRAIN_NOTICE_S = 1.5
-DRAIN_LIMIT_S = 60
 DRAIN_POLL_S = 0.02
+IDLE_CALLERS_S = 1.0
 LEASE_CHECK_S = 0.2
+log = logbook.Logger('daemon')
 
 
 @dataclass(frozen=True, slots=True)
@@ -34,7 +41,7 @@
     """
 
     own: OwnMember
-    callers: web.AppRunner
+    callers: web.ServerRunner
     admin: web.AppRunner
     addresses: dict[str, str]
 
@@ -53,7 +60,9 @@
         """Serve until a signal asks to stop, then drain."""
         lifecycle = Lifecycle(self.parts.events)
         lifecycle.watch_signals()
-        self.parts.executor.start()
+        self.parts.executor.client = HttpUpstreamClient(
+            self.parts.settings.max_answer_bytes
+        )
         servers = await self._start_servers()
         tasks = self._start_tasks(servers.own)
         lifecycle.start_serving()
@@ -61,6 +70,7 @@
         await lifecycle.stop_requested.wait()
         lifecycle.start_draining()
         servers.own.start_draining()
+        self.parts.callers.draining = True
         await self._drain(servers.callers)
         for task in tasks:
             task.cancel()
@@ -69,20 +79,23 @@
 
     async def _start_servers(self) -> DaemonServers:
         link = await self.parts.links.start(self.parts.settings.link_listen)
-        callers, http = await start_site(
-            self.parts.callers.application(),
-            self.parts.settings.listen,
-            DRAIN_LIMIT_S,
+        settings = self.parts.settings
+        callers, http = await start_caller_server(
+            CallerServer(self.parts.callers.take_call, settings.max_body_bytes),
+            settings.listen,
+            caller_tls(settings),
+            IDLE_CALLERS_S,
         )
         own = OwnMember(
-            self._describe(link, http), self.parts.executor, self.parts.events
+            self._describe(settings.link_advertise or link, http),
+            self.parts.executor,
+            self.parts.events,
+            notice=settings.drain_notice,
         )
         pages = DaemonPages(
             own, self.parts.directory, self.parts.metrics
         ).application()
-        admin_runner, admin = await start_site(
-            pages, self.parts.settings.admin_listen
-        )
+        admin_runner, admin = await start_site(pages, settings.admin_listen)
         addresses = {'http': str(http), 'link': str(link), 'admin': str(admin)}
         return DaemonServers(own, callers, admin_runner, addresses)
 
@@ -109,14 +122,22 @@
             http=http,
         )
 
-    async def _drain(self, callers: web.AppRunner) -> None:
-        await asyncio.sleep(DRAIN_NOTICE_S)
-        while self.parts.links.tasks or self.parts.callers.in_progress:
-            await asyncio.sleep(DRAIN_POLL_S)
+    async def _drain(self, callers: web.ServerRunner) -> None:
+        """Let all work end, within the limit for a graceful stop."""
+        settings = self.parts.settings
+        try:
+            async with asyncio.timeout(settings.drain_limit):
+                await asyncio.sleep(settings.drain_notice)
+                for site in tuple(callers.sites):
+                    await site.stop()
+                while self.parts.is_working():
+                    await asyncio.sleep(DRAIN_POLL_S)
+        except TimeoutError:
+            log.warning('drain limit reached', limit=settings.drain_limit)
         await callers.cleanup()
 
     async def _close(self, servers: DaemonServers) -> None:
-        self.parts.links.close()
+        await self.parts.links.close()
         self.parts.directory.close()
         await servers.admin.cleanup()
         await self.parts.executor.close()
--- a/burdocklead/process/directory.py
+++ b/burdocklead/process/directory.py
@@ -7,12 +7,15 @@
 import logbook
 
 from burdocklead.connection.control_messages import MemberUpdate
-from burdocklead.connection.frames import Hello
+from burdocklead.connection.frame_protocol import LinkEnd
+from burdocklead.connection.handshake import LinkIdentity
 from burdocklead.connection.peer_link import LoadHandler, PeerLink
 from burdocklead.durable.configuration import AcceptedFile
 from burdocklead.events import EventKind, EventRing
+from burdocklead.metrics import MetricSet
 from burdocklead.request.attempt_runner import Link
-from burdocklead.request.execution import AttemptExecutor, LocalLink
+from burdocklead.request.local_link import LocalLink
+from burdocklead.settings import DaemonSettings
 from burdocklead.values import Member
 from burdocklead.version.configuration_file import decode_deployment
 from burdocklead.version.deployment import Deployment
@@ -31,14 +34,18 @@
 
     def __init__(
         self,
-        own: Hello,
-        executor: AttemptExecutor,
+        settings: DaemonSettings,
+        identity: LinkIdentity,
+        local_link: LocalLink,
         events: EventRing,
+        metrics: MetricSet,
         on_load: LoadHandler,
     ) -> None:
         """Start without members and without a configuration."""
-        self.own = own
-        self.local_link = LocalLink(executor)
+        self.settings = settings
+        self.identity = identity
+        self.local_link = local_link
+        self.metrics = metrics
         self.events = events
         self.on_load = on_load
         self.members: dict[str, Member] = {}
@@ -68,14 +75,19 @@
 
     def link_to(self, member: Member) -> Link:
         """Return the link to a daemon."""
-        if member.daemon_id == self.own.daemon_id:
+        if member.daemon_id == self.settings.daemon_id:
             return self.local_link
         link = self.links.get(member.daemon_id)
         if link is None or link.address != member.link:
             if link is not None:
-                link.close('address changed')
+                link.close(LinkEnd.replaced)
             link = PeerLink(
-                self.own, member.daemon_id, member.link, self.on_load
+                self.identity,
+                member.daemon_id,
+                member.link,
+                self.on_load,
+                self.settings,
+                self.metrics,
             )
             self.links[member.daemon_id] = link
         return link
@@ -108,7 +120,7 @@
     def close(self) -> None:
         """Close all links."""
         for link in self.links.values():
-            link.close('daemon stops')
+            link.close(LinkEnd.stopping)
 
     def _add(self, member: Member) -> None:
         known = self.members.get(member.daemon_id)
@@ -123,5 +135,5 @@
             return
         link = self.links.pop(daemon_id, None)
         if link is not None:
-            link.close('member left')
+            link.close(LinkEnd.replaced)
         self.events.record(EventKind.member_left, peer=daemon_id)
--- a/burdocklead/process/own_member.py
+++ b/burdocklead/process/own_member.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import enum
 from dataclasses import dataclass, field
 
 import msgspec
@@ -35,6 +36,14 @@
     draining: bool = False
 
 
+class DrainReason(enum.StrEnum):
+    """Who wants no new work for an upstream."""
+
+    stopping = 'stopping'
+    operator = 'operator'
+    upstream = 'upstream'
+
+
 @dataclass(slots=True)
 class OwnMember:
     """The present description of this daemon.
@@ -45,7 +54,9 @@
         events: Ring for announcements.
         changed: Set when control should be told at once.
         lease_ends: Loop time at which the upstream's lease ends in s.
-        draining: True if this daemon drains.
+        drains: Who wants no new work here.
+        notice: Time between announcing a drain and refusing work in s.
+        refusing: Starts to refuse work after the notice.
     """
 
     member: Member
@@ -53,7 +64,14 @@
     events: EventRing
     changed: asyncio.Event = field(default_factory=asyncio.Event)
     lease_ends: float = 0
-    draining: bool = False
+    drains: set[DrainReason] = field(default_factory=set)
+    notice: float = 0
+    refusing: asyncio.TimerHandle | None = None
+
+    @property
+    def draining(self) -> bool:
+        """Return True if this daemon wants no new work for its upstream."""
+        return bool(self.drains)
 
     def announce(
         self, announcement: Announcement, address: Address, now: float
@@ -61,7 +79,7 @@
         """Take over an announcement of the upstream."""
         executor = self.executor
         if executor.upstream != address:
-            executor.queue = AdmissionQueue(announcement.slots)
+            executor.gate.queue = AdmissionQueue(announcement.slots)
             self.events.record(
                 EventKind.upstream_announced,
                 service=announcement.service,
@@ -69,8 +87,8 @@
             )
         executor.upstream = address
         executor.service = announcement.service
-        executor.queue.slots = announcement.slots
-        executor.draining = announcement.draining or self.draining
+        executor.gate.queue.slots = announcement.slots
+        self._set_drain(DrainReason.upstream, announcement.draining)
         self.lease_ends = now + announcement.lease_seconds
         self._refresh(self.member.version_in_force)
 
@@ -91,11 +109,39 @@
             self.withdraw()
 
     def start_draining(self) -> None:
-        """Take no new work from now on."""
-        self.draining = True
-        self.executor.draining = True
+        """Announce that this daemon stops."""
+        self._set_drain(DrainReason.stopping, True)
         self._refresh(self.member.version_in_force)
 
+    def set_operator_drain(self, drained: bool) -> None:
+        """Take over whether operators drain this daemon."""
+        self._set_drain(DrainReason.operator, drained)
+        self._refresh(self.member.version_in_force)
+
+    def _set_drain(self, reason: DrainReason, wanted: bool) -> None:
+        """Announce a drain at once and refuse work a little later.
+
+        Until the others know of the drain, what they send still runs.
+        """
+        if wanted:
+            self.drains.add(reason)
+        else:
+            self.drains.discard(reason)
+        if not self.drains:
+            self._stop_refusing()
+        elif self.refusing is None:
+            loop = asyncio.get_running_loop()
+            self.refusing = loop.call_later(self.notice, self._refuse)
+
+    def _refuse(self) -> None:
+        self.executor.draining = True
+
+    def _stop_refusing(self) -> None:
+        self.executor.draining = False
+        if self.refusing is not None:
+            self.refusing.cancel()
+            self.refusing = None
+
     def describe(self, version: int) -> Member:
         """Return the present description for control."""
         self._refresh(version)
@@ -105,8 +151,8 @@
         following = msgspec.structs.replace(
             self.member,
             service=self.executor.service,
-            slots=self.executor.queue.slots,
-            draining=self.executor.draining,
+            slots=self.executor.gate.queue.slots,
+            draining=self.draining,
             version_in_force=version,
         )
         if following == self.member:
--- a/burdocklead/request/attempt_table.py
+++ b/burdocklead/request/attempt_table.py
@@ -1,13 +1,23 @@
-"""Attempts known to the daemon beside an upstream, without I/O."""
+"""Attempts known to the daemon beside an upstream, without I/O.
+
+An attempt id ends with a number that grows within one entry process. When a
+record is evicted, its number becomes the low-water mark of that process: an
+unknown attempt at or below the mark is forgotten, neither run nor vouched
+for.
+"""
 
 from __future__ import annotations
 
 from collections import OrderedDict
 from dataclasses import dataclass, field
 
-from burdocklead.connection.frames import AttemptResult, AttemptState
+from burdocklead.connection.frames import Answer, AttemptResult, AttemptState
 
 REMEMBERED_ATTEMPTS = 10_000
+REMEMBERED_BYTES = 16 * 1024 * 1024
+REMEMBERED_ENTRIES = 4096
+RECORD_BYTES = 300
+HEXADECIMAL = 16
 
 
 @dataclass(frozen=True, slots=True)
@@ -22,6 +32,73 @@
     state: AttemptState
     result: AttemptResult | None = None
 
+    def size(self) -> int:
+        """Return the memory that the record takes, roughly, in bytes."""
+        body = self.result.body if isinstance(self.result, Answer) else b''
+        return RECORD_BYTES + len(body)
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptName:
+    """The parts of an attempt id.
+
+    Attributes:
+        entry_id: Daemon that made the attempt.
+        incarnation: Incarnation of that daemon.
+        number: Grows with each attempt of that incarnation.
+    """
+
+    entry_id: str
+    incarnation: int
+    number: int
+
+
+def parse_attempt_id(attempt_id: str) -> AttemptName:
+    """Return the parts of an attempt id; ids of no form have number 0."""
+    entry, _, number = attempt_id.rpartition('.')
+    entry_id, _, incarnation = entry.rpartition('.')
+    try:
+        return AttemptName(
+            entry_id, int(incarnation, HEXADECIMAL), int(number, HEXADECIMAL)
+        )
+    except ValueError:
+        return AttemptName(attempt_id, 0, 0)
+
+
+@dataclass(slots=True)
+class LowWaterMarks:
+    """Highest evicted attempt number of each entry process.
+
+    Attributes:
+        limit: Entry processes that are told apart.
+        numbers: Marks by entry and incarnation, least recent first.
+        retired: By entry, the highest incarnation whose mark was dropped;
+            all attempts up to it count as forgotten.
+    """
+
+    limit: int = REMEMBERED_ENTRIES
+    numbers: OrderedDict[tuple[str, int], int] = field(
+        default_factory=OrderedDict
+    )
+    retired: dict[str, int] = field(default_factory=dict)
+
+    def raise_to(self, name: AttemptName) -> None:
+        """Note that the record of an attempt was evicted."""
+        process = (name.entry_id, name.incarnation)
+        self.numbers[process] = max(self.numbers.get(process, 0), name.number)
+        self.numbers.move_to_end(process)
+        while len(self.numbers) > self.limit:
+            entry_id, incarnation = self.numbers.popitem(last=False)[0]
+            earlier = self.retired.get(entry_id, 0)
+            self.retired[entry_id] = max(earlier, incarnation)
+
+    def cover(self, name: AttemptName) -> bool:
+        """Return True if an attempt may be one that was evicted."""
+        mark = self.numbers.get((name.entry_id, name.incarnation))
+        if mark is not None:
+            return name.number <= mark
+        return name.incarnation <= self.retired.get(name.entry_id, -1)
+
 
 @dataclass(slots=True)
 class AttemptTable:
@@ -29,38 +106,70 @@
 
     Attributes:
         limit: Finished and fenced attempts that are remembered.
+        max_bytes: Memory for those in bytes.
         records: Records by attempt, oldest first.
+        marks: What is known of evicted attempts.
+        bytes_held: Memory of all records in bytes.
     """
 
     limit: int = REMEMBERED_ATTEMPTS
+    max_bytes: int = REMEMBERED_BYTES
     records: OrderedDict[str, AttemptRecord] = field(
         default_factory=OrderedDict
     )
+    marks: LowWaterMarks = field(default_factory=LowWaterMarks)
+    bytes_held: int = 0
 
     def begin(self, attempt_id: str) -> AttemptRecord | None:
-        """Note an attempt; return its record if it was known before."""
-        known = self.records.get(attempt_id)
+        """Note an attempt; return its record if it must not start now."""
+        known = self._find(attempt_id)
         if known is None:
-            self.records[attempt_id] = AttemptRecord(AttemptState.running)
+            self._store(attempt_id, AttemptRecord(AttemptState.running))
         return known
 
     def finish(self, attempt_id: str, result: AttemptResult) -> None:
         """Note the result of an attempt."""
-        self.records[attempt_id] = AttemptRecord(AttemptState.done, result)
-        self.records.move_to_end(attempt_id)
-        self._forget_oldest()
+        self._store(attempt_id, AttemptRecord(AttemptState.done, result))
 
     def query(self, attempt_id: str) -> AttemptRecord:
         """Return the record of an attempt; fence it if it was never seen."""
-        known = self.records.get(attempt_id)
+        known = self._find(attempt_id)
         if known is None:
             known = AttemptRecord(AttemptState.never_seen)
-            self.records[attempt_id] = known
+            self._store(attempt_id, known)
         return known
 
-    def _forget_oldest(self) -> None:
-        while len(self.records) > self.limit:
-            attempt_id, record = self.records.popitem(last=False)
-            if record.state is AttemptState.running:
-                self.records[attempt_id] = record
-                return
+    def _find(self, attempt_id: str) -> AttemptRecord | None:
+        known = self.records.get(attempt_id)
+        if known is not None:
+            return known
+        if self.marks.cover(parse_attempt_id(attempt_id)):
+            return AttemptRecord(AttemptState.forgotten)
+        return None
+
+    def _store(self, attempt_id: str, record: AttemptRecord) -> None:
+        earlier = self.records.pop(attempt_id, None)
+        if earlier is not None:
+            self.bytes_held -= earlier.size()
+        self.records[attempt_id] = record
+        self.bytes_held += record.size()
+        self._evict()
+
+    def _evict(self) -> None:
+        looked_at = 0
+        while self._is_over_limit() and looked_at < len(self.records):
+            looked_at += 1
+            self._evict_oldest()
+
+    def _is_over_limit(self) -> bool:
+        return (
+            len(self.records) > self.limit or self.bytes_held > self.max_bytes
+        )
+
+    def _evict_oldest(self) -> None:
+        attempt_id, record = self.records.popitem(last=False)
+        if record.state is AttemptState.running:
+            self.records[attempt_id] = record
+            return
+        self.bytes_held -= record.size()
+        self.marks.raise_to(parse_attempt_id(attempt_id))
--- a/burdocklead/request/call.py
+++ b/burdocklead/request/call.py
@@ -6,6 +6,7 @@
 
 from burdocklead.connection.frames import Answer, Headers
 from burdocklead.durable.claims import StoredAnswer
+from burdocklead.request.headers import ANSWER_HEADER
 from burdocklead.values import Outcome, RefusalCause
 from burdocklead.version.route_table import RouteMatch
 
@@ -13,6 +14,12 @@
     RefusalCause.unknown_service: 404,
     RefusalCause.unknown_route: 404,
     RefusalCause.bad_request: 400,
+    RefusalCause.bad_target: 400,
+    RefusalCause.bad_headers: 400,
+    RefusalCause.bad_deadline: 400,
+    RefusalCause.bad_key: 400,
+    RefusalCause.bad_body: 400,
+    RefusalCause.internal_error: 500,
     RefusalCause.body_too_large: 413,
     RefusalCause.key_required: 400,
     RefusalCause.key_reused: 422,
@@ -55,6 +62,7 @@
         headers: Headers of the upstream's answer.
         body: Whole body.
         cause: Why the call was refused or its outcome is unknown.
+        detail: More about the cause for a person, empty if there is none.
     """
 
     outcome: Outcome
@@ -62,6 +70,7 @@
     headers: Headers = ()
     body: bytes = b''
     cause: str = ''
+    detail: str = ''
 
 
 def answered(answer: Answer | StoredAnswer) -> CallResult:
@@ -71,12 +80,18 @@
     )
 
 
-def not_run(cause: RefusalCause) -> CallResult:
+def not_run(cause: RefusalCause, detail: str = '') -> CallResult:
     """Return the result of a call that did not run."""
     status = STATUS_BY_CAUSE.get(cause, UNAVAILABLE)
-    return CallResult(Outcome.not_run, status, cause=cause.value)
+    return CallResult(Outcome.not_run, status, cause=cause.value, detail=detail)
 
 
 def unknown(cause: str) -> CallResult:
     """Return the result of a call that may have run."""
     return CallResult(Outcome.unknown, GATEWAY_TIMEOUT, cause=cause)
+
+
+def answered_without_body(stored: StoredAnswer) -> CallResult:
+    """Return the result of a call that ran and whose answer is not kept."""
+    headers = ((ANSWER_HEADER, 'not-kept'),)
+    return CallResult(Outcome.answered, stored.status, headers)
--- a/burdocklead/request/execution.py
+++ b/burdocklead/request/execution.py
@@ -3,15 +3,18 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import assert_never
 
-import aiohttp
+import logbook
+import msgspec
 
 from burdocklead.connection.frames import (
     Answer,
     Attempt,
     AttemptResult,
-    Headers,
+    AttemptState,
+    Cancel,
     Lost,
     Query,
     Refusal,
@@ -19,23 +22,45 @@
 )
 from burdocklead.request.admission import (
     AdmissionQueue,
-    Admitted,
-    Decision,
-    Queued,
     Refused,
     Ticket,
 )
-from burdocklead.request.attempt_table import AttemptTable
-from burdocklead.request.headers import (
-    ATTEMPT_HEADER,
-    ATTEMPT_NUMBER_HEADER,
-    DEADLINE_HEADER,
-    NOT_RUN_HEADER,
-    forwarded_headers,
+from burdocklead.request.attempt_table import AttemptRecord, AttemptTable
+from burdocklead.request.headers import ANSWER_HEADER
+from burdocklead.request.slot_gate import SlotGate
+from burdocklead.request.upstream_client import (
+    AnswerTooLarge,
+    UpstreamAnswer,
+    UpstreamClient,
+    UpstreamLost,
+    UpstreamRefused,
+    UpstreamResult,
 )
+from burdocklead.settings import DaemonSettings
 from burdocklead.values import Address, LoadReport, RefusalCause
 
 MS_PER_S = 1000
+BAD_GATEWAY = 502
+log = logbook.Logger('execution')
+
+
+@dataclass(slots=True, eq=False)
+class Execution:
+    """One attempt in progress.
+
+    Attributes:
+        attempt: The attempt.
+        deadline: Loop time of its deadline in s.
+        sent: True once the upstream may have seen it.
+        withdrawn: True if it must not be sent any more.
+        task: Carries the attempt to its result.
+    """
+
+    attempt: Attempt
+    deadline: float
+    sent: bool = False
+    withdrawn: bool = False
+    task: asyncio.Task[AttemptResult] | None = None
 
 
 class AttemptExecutor:
@@ -46,62 +71,53 @@
         service: Service of the upstream, empty while there is none.
         upstream: Address of the upstream, None while there is none.
         draining: True if no new work is taken.
-        queue: Admission of the upstream.
+        gate: Lets attempts wait for a slot of the upstream.
         table: Attempts seen so far.
+        client: Carries attempts to the upstream, None before the start.
+        executions: Attempts in progress by id.
     """
 
-    def __init__(self, incarnation: int) -> None:
+    def __init__(self, settings: DaemonSettings, incarnation: int) -> None:
         """Start without an upstream."""
+        self.settings = settings
         self.incarnation = incarnation
         self.service = ''
         self.upstream: Address | None = None
         self.draining = False
-        self.queue = AdmissionQueue(0)
-        self.table = AttemptTable()
-        self.session: aiohttp.ClientSession | None = None
-        self.waiters: dict[str, asyncio.Future[Admitted | Refused]] = {}
-        self.tasks: dict[str, asyncio.Task[AttemptResult]] = {}
-
-    def start(self) -> None:
-        """Open the HTTP client; needs a running loop."""
-        self.session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0),
-            auto_decompress=False,
-            skip_auto_headers=('User-Agent', 'Accept', 'Accept-Encoding'),
+        self.gate = SlotGate(AdmissionQueue(0))
+        self.table = AttemptTable(
+            settings.remembered_attempts, settings.remembered_bytes
         )
+        self.client: UpstreamClient | None = None
+        self.executions: dict[str, Execution] = {}
 
     async def close(self) -> None:
-        """Close the HTTP client."""
-        if self.session is not None:
-            await self.session.close()
+        """Close the client."""
+        if self.client is not None:
+            await self.client.close()
 
     def load(self) -> LoadReport:
         """Return the present load."""
-        return self.queue.load()
+        return self.gate.queue.load()
 
     async def run(self, attempt: Attempt) -> AttemptResult:
         """Return the result of an attempt; a repeated one gets the first."""
         known = self.table.begin(attempt.attempt_id)
         if known is not None:
-            if known.result is not None:
-                return known.result
-            return self._refusal(attempt, RefusalCause.duplicate)
-        task = asyncio.ensure_future(self._admit_and_run(attempt))
-        self.tasks[attempt.attempt_id] = task
-        try:
-            result = await task
-        except asyncio.CancelledError:
-            result = Lost(attempt.attempt_id, 'cancelled', False, self.load())
-        finally:
-            self.tasks.pop(attempt.attempt_id, None)
-        self.table.finish(attempt.attempt_id, result)
-        return result
+            return await self._repeated(attempt, known)
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + attempt.remaining_ms / MS_PER_S
+        execution = Execution(attempt, deadline)
+        self.executions[attempt.attempt_id] = execution
+        execution.task = loop.create_task(self._execute(execution))
+        return await asyncio.shield(execution.task)
 
-    def cancel(self, attempt_id: str) -> None:
-        """Cancel an attempt that is waiting or running."""
-        task = self.tasks.get(attempt_id)
-        if task is not None:
-            task.cancel()
+    async def follow(self, attempt_id: str) -> AttemptResult | None:
+        """Return the result of an attempt in progress, None if it is not."""
+        execution = self.executions.get(attempt_id)
+        if execution is None or execution.task is None:
+            return self.table.query(attempt_id).result
+        return await asyncio.shield(execution.task)
 
     def query(self, query: Query) -> Verdict:
         """Return what is known of an attempt and fence it if unseen."""
@@ -110,22 +126,70 @@
             query.attempt_id, self.incarnation, record.state, record.result
         )
 
-    async def _admit_and_run(self, attempt: Attempt) -> AttemptResult:
+    def cancel(self, cancel: Cancel) -> Verdict:
+        """Withdraw or cut an attempt and return what was true."""
+        execution = self.executions.get(cancel.attempt_id)
+        if execution is None:
+            return self.query(Query(cancel.attempt_id, cancel.incarnation))
+        attempt = execution.attempt
+        result: AttemptResult | None = None
+        if not execution.sent:
+            execution.withdrawn = True
+            self.gate.withdraw(attempt.attempt_id)
+            result = self._refusal(attempt, RefusalCause.cancelled)
+        elif attempt.idempotent and execution.task is not None:
+            execution.task.cancel()
+            result = self._lost(attempt, 'cancelled', crashed=False)
+        state = AttemptState.done if result else AttemptState.running
+        return Verdict(attempt.attempt_id, self.incarnation, state, result)
+
+    async def _repeated(
+        self, attempt: Attempt, known: AttemptRecord
+    ) -> AttemptResult:
+        result = known.result
+        match known.state:
+            case AttemptState.never_seen:
+                return self._refusal(attempt, RefusalCause.fenced)
+            case AttemptState.running:
+                result = await self.follow(attempt.attempt_id)
+        if result is None:
+            return self._lost(attempt, 'forgotten', crashed=False)
+        return result
+
+    async def _execute(self, execution: Execution) -> AttemptResult:
+        attempt = execution.attempt
+        try:
+            result = await self._admit_and_send(execution)
+        except asyncio.CancelledError:
+            result = self._unfinished(execution, 'cancelled')
+        except Exception as error:
+            log.exception('attempt failed', attempt=attempt.attempt_id)
+            result = self._unfinished(execution, type(error).__name__)
+        self.executions.pop(attempt.attempt_id, None)
+        self.table.finish(attempt.attempt_id, result)
+        return result
+
+    def _unfinished(self, execution: Execution, reason: str) -> AttemptResult:
+        if execution.sent:
+            return self._lost(execution.attempt, reason, crashed=False)
+        cause = RefusalCause.internal_error
+        return self._refusal(execution.attempt, cause)
+
+    async def _admit_and_send(self, execution: Execution) -> AttemptResult:
+        attempt = execution.attempt
         cause = self._refusal_cause(attempt)
         if cause is not None:
             return self._refusal(attempt, cause)
-        verdict = await self._admit(attempt)
+        verdict = await self.gate.admit(_ticket_of(execution))
         if isinstance(verdict, Refused):
             return self._refusal(attempt, verdict.cause)
         loop = asyncio.get_running_loop()
         started = loop.time()
         try:
-            return await self._send(attempt)
+            return await self._send(execution)
         finally:
             service_ms = (loop.time() - started) * MS_PER_S
-            self._settle(
-                self.queue.release(attempt.attempt_id, service_ms, loop.time())
-            )
+            self.gate.release(attempt.attempt_id, service_ms)
 
     def _refusal_cause(self, attempt: Attempt) -> RefusalCause | None:
         if attempt.incarnation != self.incarnation:
@@ -134,82 +198,47 @@
             return RefusalCause.draining
         if self.upstream is None or self.service != attempt.service:
             return RefusalCause.no_upstream
+        if len(self.executions) > self.settings.max_pending_attempts:
+            return RefusalCause.too_many_pending
         return None
 
-    async def _admit(self, attempt: Attempt) -> Admitted | Refused:
-        loop = asyncio.get_running_loop()
-        ticket = Ticket(
-            attempt_id=attempt.attempt_id,
-            route=f'{attempt.service}/{attempt.route}',
-            priority=attempt.priority,
-            cost_ms=attempt.cost_ms,
-            deadline=loop.time() + attempt.remaining_ms / MS_PER_S,
-            queue_limit=attempt.queue_limit,
-        )
-        offer = self.queue.offer(ticket, loop.time())
-        self._settle(offer.displaced)
-        if not isinstance(offer.verdict, Queued):
-            return offer.verdict
-        waiter: asyncio.Future[Admitted | Refused] = loop.create_future()
-        self.waiters[attempt.attempt_id] = waiter
-        try:
-            async with asyncio.timeout_at(ticket.deadline):
-                return await waiter
-        except TimeoutError:
-            self.queue.withdraw(attempt.attempt_id)
-            return Refused(RefusalCause.deadline)
-        except asyncio.CancelledError:
-            self.queue.withdraw(attempt.attempt_id)
-            return Refused(RefusalCause.fenced)
-        finally:
-            self.waiters.pop(attempt.attempt_id, None)
-
-    def _settle(self, decisions: Sequence[Decision]) -> None:
-        for decision in decisions:
-            waiter = self.waiters.get(decision.ticket.attempt_id)
-            if waiter is not None and not waiter.done():
-                waiter.set_result(decision.verdict)
-
-    async def _send(self, attempt: Attempt) -> AttemptResult:
-        if self.session is None or self.upstream is None:
+    async def _send(self, execution: Execution) -> AttemptResult:
+        attempt = execution.attempt
+        if execution.withdrawn:
+            return self._refusal(attempt, RefusalCause.cancelled)
+        remaining = execution.deadline - asyncio.get_running_loop().time()
+        if remaining <= 0:
+            return self._refusal(attempt, RefusalCause.deadline)
+        if self.client is None or self.upstream is None:
             return self._refusal(attempt, RefusalCause.no_upstream)
+        limit = execution.deadline
+        if not attempt.idempotent:
+            limit += self.settings.finish_limit
+        execution.sent = True
         try:
-            async with asyncio.timeout(attempt.remaining_ms / MS_PER_S):
-                return await self._exchange(attempt, self.session)
-        except aiohttp.ClientConnectorError:
-            return self._refusal(attempt, RefusalCause.upstream_unreachable)
+            async with asyncio.timeout_at(limit):
+                result = await self.client.exchange(
+                    self.upstream, attempt, remaining * MS_PER_S
+                )
         except TimeoutError:
             return self._lost(attempt, 'deadline passed', crashed=False)
-        except aiohttp.ClientError as error:
-            return self._lost(attempt, type(error).__name__, crashed=True)
+        return self._result_of(attempt, result)
 
-    async def _exchange(
-        self, attempt: Attempt, session: aiohttp.ClientSession
+    def _result_of(
+        self, attempt: Attempt, result: UpstreamResult
     ) -> AttemptResult:
-        headers = [
-            *attempt.headers,
-            (DEADLINE_HEADER, f'{attempt.remaining_ms:.0f}'),
-            (ATTEMPT_HEADER, attempt.attempt_id),
-            (ATTEMPT_NUMBER_HEADER, str(attempt.number)),
-        ]
-        async with session.request(
-            attempt.method,
-            f'http://{self.upstream}{attempt.path}',
-            headers=headers,
-            data=attempt.body or None,
-            allow_redirects=False,
-        ) as response:
-            body = await response.read()
-            if NOT_RUN_HEADER in response.headers:
-                return self._refusal(attempt, RefusalCause.upstream_refused)
-            answered: Headers = forwarded_headers(response.headers.items())
-            return Answer(
-                attempt.attempt_id,
-                response.status,
-                answered,
-                body,
-                self.load(),
-            )
+        match result:
+            case UpstreamAnswer(status, headers, body):
+                return Answer(
+                    attempt.attempt_id, status, headers, body, self.load()
+                )
+            case AnswerTooLarge(status):
+                return _too_large(attempt, status, self.load())
+            case UpstreamRefused(cause):
+                return self._refusal(attempt, cause)
+            case UpstreamLost(reason, crashed):
+                return self._lost(attempt, reason, crashed=crashed)
+        assert_never(result)
 
     def _refusal(self, attempt: Attempt, cause: RefusalCause) -> Refusal:
         return Refusal(attempt.attempt_id, cause, self.load())
@@ -218,24 +247,28 @@
         return Lost(attempt.attempt_id, reason, crashed, self.load())
 
 
-class LocalLink:
-    """Runs attempts of this daemon's own callers without a connection."""
-
-    def __init__(self, executor: AttemptExecutor) -> None:
-        """Lead to the executor."""
-        self.executor = executor
-
-    async def run_attempt(self, attempt: Attempt) -> AttemptResult:
-        """Return the result of an attempt."""
-        return await self.executor.run(attempt)
-
-    async def query(self, query: Query) -> Verdict:
-        """Return what is known of an attempt."""
-        return self.executor.query(query)
+def _ticket_of(execution: Execution) -> Ticket:
+    attempt = execution.attempt
+    return Ticket(
+        attempt_id=attempt.attempt_id,
+        route=f'{attempt.service}/{attempt.route}',
+        priority=attempt.priority,
+        cost_ms=attempt.cost_ms,
+        deadline=execution.deadline,
+        queue_limit=attempt.queue_limit,
+    )
 
-    def cancel(self, attempt_id: str) -> None:
-        """Cancel an attempt."""
-        self.executor.cancel(attempt_id)
 
-    def close(self, reason: str) -> None:
-        """Do nothing; there is no connection."""
+def _too_large(attempt: Attempt, status: int, load: LoadReport) -> Answer:
+    content = {
+        'outcome': 'answered',
+        'cause': 'answer-too-large',
+        'call_id': attempt.call_id,
+        'upstream_status': status,
+    }
+    headers = (
+        (ANSWER_HEADER, 'too-large'),
+        ('Content-Type', 'application/json'),
+    )
+    body = msgspec.json.encode(content)
+    return Answer(attempt.attempt_id, BAD_GATEWAY, headers, body, load)
--- a/burdocklead/request/headers.py
+++ b/burdocklead/request/headers.py
@@ -7,33 +7,41 @@
 OUTCOME_HEADER = 'Burdocklead-Outcome'
 CAUSE_HEADER = 'Burdocklead-Cause'
 CALL_HEADER = 'Burdocklead-Call-Id'
+ANSWER_HEADER = 'Burdocklead-Answer'
 DEADLINE_HEADER = 'Burdocklead-Deadline-Ms'
 ATTEMPT_HEADER = 'Burdocklead-Attempt-Id'
 ATTEMPT_NUMBER_HEADER = 'Burdocklead-Attempt'
 NOT_RUN_HEADER = 'Burdocklead-Not-Run'
 KEY_HEADER = 'Idempotency-Key'
+LENGTH_HEADER = 'Content-Length'
 
-HOP_HEADERS = frozenset(
+PRODUCT_HEADERS = frozenset(
+    name.lower()
+    for name in (
+        OUTCOME_HEADER,
+        CAUSE_HEADER,
+        CALL_HEADER,
+        ANSWER_HEADER,
+        DEADLINE_HEADER,
+        ATTEMPT_HEADER,
+        ATTEMPT_NUMBER_HEADER,
+        NOT_RUN_HEADER,
+    )
+)
+HOP_HEADERS = PRODUCT_HEADERS | frozenset(
     (
         'connection',
         'content-length',
-        'date',
+        'expect',
         'host',
         'keep-alive',
         'proxy-authenticate',
         'proxy-authorization',
-        'server',
+        'proxy-connection',
         'te',
         'trailer',
         'transfer-encoding',
         'upgrade',
-        DEADLINE_HEADER.lower(),
-        ATTEMPT_HEADER.lower(),
-        ATTEMPT_NUMBER_HEADER.lower(),
-        NOT_RUN_HEADER.lower(),
-        OUTCOME_HEADER.lower(),
-        CAUSE_HEADER.lower(),
-        CALL_HEADER.lower(),
     )
 )
 
@@ -41,9 +49,30 @@
 def forwarded_headers(
     headers: Iterable[tuple[str, str]],
 ) -> tuple[tuple[str, str], ...]:
-    """Return the headers that travel with a call or its answer."""
+    """Return the headers that travel with a call or its answer.
+
+    Headers of one connection are left out, also those that ``Connection``
+    names; all others keep their order and their repetitions.
+    """
+    pairs = [(str(name), text) for name, text in headers]
+    dropped = HOP_HEADERS | _named_by_connection(pairs)
     return tuple(
-        (str(name), text)
-        for name, text in headers
-        if name.lower() not in HOP_HEADERS
+        (name, _readable(text))
+        for name, text in pairs
+        if name.lower() not in dropped
+    )
+
+
+def _named_by_connection(pairs: Iterable[tuple[str, str]]) -> frozenset[str]:
+    return frozenset(
+        token.strip().lower()
+        for name, text in pairs
+        if name.lower() == 'connection'
+        for token in text.split(',')
     )
+
+
+def _readable(text: str) -> str:
+    if text.isascii():
+        return text
+    return text.encode('utf-8', 'surrogateescape').decode('utf-8', 'replace')
--- /dev/null
+++ b/burdocklead/request/slot_gate.py
@@ -0,0 +1,73 @@
+"""Waiting for a slot of the upstream beside this daemon."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Sequence
+
+from burdocklead.request.admission import (
+    AdmissionQueue,
+    Admitted,
+    Decision,
+    Queued,
+    Refused,
+    Ticket,
+)
+from burdocklead.values import RefusalCause
+
+
+class SlotGate:
+    """Lets attempts wait for the decisions of the admission queue.
+
+    Attributes:
+        queue: Admission of the upstream.
+        waiters: Attempts without a decision.
+    """
+
+    def __init__(self, queue: AdmissionQueue) -> None:
+        """Start without waiting attempts."""
+        self.queue = queue
+        self.waiters: dict[str, asyncio.Future[Admitted | Refused]] = {}
+
+    async def admit(self, ticket: Ticket) -> Admitted | Refused:
+        """Return the decision on an attempt, at its deadline at the latest."""
+        loop = asyncio.get_running_loop()
+        offer = self.queue.offer(ticket, loop.time())
+        self._settle(offer.displaced)
+        if not isinstance(offer.verdict, Queued):
+            return offer.verdict
+        waiter: asyncio.Future[Admitted | Refused] = loop.create_future()
+        self.waiters[ticket.attempt_id] = waiter
+        try:
+            async with asyncio.timeout_at(ticket.deadline):
+                return await waiter
+        except TimeoutError:
+            return self._give_up(ticket.attempt_id, waiter)
+        finally:
+            self.waiters.pop(ticket.attempt_id, None)
+
+    def withdraw(self, attempt_id: str) -> None:
+        """Let a waiting attempt wait no longer."""
+        self.queue.withdraw(attempt_id)
+        waiter = self.waiters.get(attempt_id)
+        if waiter is not None and not waiter.done():
+            waiter.set_result(Refused(RefusalCause.cancelled))
+
+    def release(self, attempt_id: str, service_ms: float) -> None:
+        """Give a slot back; waiting attempts may get it."""
+        now = asyncio.get_running_loop().time()
+        self._settle(self.queue.release(attempt_id, service_ms, now))
+
+    def _give_up(
+        self, attempt_id: str, waiter: asyncio.Future[Admitted | Refused]
+    ) -> Admitted | Refused:
+        if waiter.done() and not waiter.cancelled():
+            return waiter.result()
+        self.queue.withdraw(attempt_id)
+        return Refused(RefusalCause.deadline)
+
+    def _settle(self, decisions: Sequence[Decision]) -> None:
+        for decision in decisions:
+            waiter = self.waiters.get(decision.ticket.attempt_id)
+            if waiter is not None and not waiter.done():
+                waiter.set_result(decision.verdict)
--- a/burdocklead/settings.py
+++ b/burdocklead/settings.py
@@ -10,6 +10,7 @@
     FilePath,
     NamedAddresses,
     Number,
+    OptionalAddress,
     SocketAddress,
     Text,
     option,
@@ -46,15 +47,77 @@
     max_body_bytes: int = option(
         Number(1, 64 * MEBIBYTE, whole=True), '1048576', 'largest body in bytes'
     )
+    max_answer_bytes: int = option(
+        Number(1, 64 * MEBIBYTE, whole=True),
+        '16777216',
+        'largest body of an answer in bytes',
+    )
+    max_pending_attempts: int = option(
+        Number(1, 1000000, whole=True),
+        '10000',
+        'attempts without a result, of one link and beside the upstream',
+    )
+    max_links: int = option(
+        Number(1, 100000, whole=True), '2000', 'links of other daemons'
+    )
+    link_backlog_bytes: int = option(
+        Number(1, 1024 * MEBIBYTE, whole=True),
+        '67108864',
+        'bytes that may wait for one link before calls are refused',
+    )
+    link_idle: float = option(
+        Number(1, 86400), '60', 'time after which an unused link closes in s'
+    )
+    link_advertise: Address | None = option(
+        OptionalAddress(), '', 'link address told to other daemons'
+    )
+    remembered_attempts: int = option(
+        Number(1, 10000000, whole=True), '10000', 'finished attempts remembered'
+    )
+    remembered_bytes: int = option(
+        Number(1, 1024 * MEBIBYTE, whole=True),
+        '16777216',
+        'memory for their answers in bytes',
+    )
+    finish_limit: float = option(
+        Number(0, 600),
+        '30',
+        'time that a non-idempotent call may run past its deadline in s',
+    )
+    drain_notice: float = option(
+        Number(0, 60), '1.2', 'time between announcing a drain and it in s'
+    )
+    drain_limit: float = option(
+        Number(0, 3600), '60', 'longest graceful stop in s'
+    )
     cluster_key_file: Path | None = option(
         FilePath(must_exist=True), '', 'file with the shared cluster key'
     )
+    link_certificate: Path | None = option(
+        FilePath(must_exist=True), '', 'certificate chain of links (PEM)'
+    )
+    link_private_key: Path | None = option(
+        FilePath(must_exist=True), '', 'private key of links (PEM)'
+    )
+    link_authority: Path | None = option(
+        FilePath(must_exist=True), '', 'authority of all links (PEM)'
+    )
+    caller_certificate: Path | None = option(
+        FilePath(must_exist=True), '', 'certificate chain for callers (PEM)'
+    )
+    caller_private_key: Path | None = option(
+        FilePath(must_exist=True), '', 'private key for callers (PEM)'
+    )
     ready_file: Path | None = option(
         FilePath(), '', 'file to write the addresses to once serving'
     )
     log_form: str = option(Choice(LOG_FORMS), 'text', 'form of log lines')
     log_level: str = option(Choice(LOG_LEVELS), 'info', 'lowest log level')
 
+    def max_frame_bytes(self) -> int:
+        """Return the size of the largest frame of a link."""
+        return max(self.max_body_bytes, self.max_answer_bytes) + MEBIBYTE
+
 
 @dataclass(frozen=True, slots=True)
 class ControlSettings:
--- a/burdocklead/values.py
+++ b/burdocklead/values.py
@@ -34,9 +34,15 @@
 class RefusalCause(enum.StrEnum):
     """Why a call was refused; a refused call did not run."""
 
+    no_configuration = 'no-configuration'
     unknown_service = 'unknown-service'
     unknown_route = 'unknown-route'
     bad_request = 'bad-request'
+    bad_target = 'bad-target'
+    bad_headers = 'bad-headers'
+    bad_deadline = 'bad-deadline'
+    bad_key = 'bad-key'
+    bad_body = 'bad-body'
     body_too_large = 'body-too-large'
     key_required = 'key-required'
     key_reused = 'key-reused'
@@ -44,6 +50,9 @@
     queue_full = 'queue-full'
     shed = 'shed'
     deadline = 'deadline'
+    cancelled = 'cancelled'
+    too_many_pending = 'too-many-pending'
+    internal_error = 'internal-error'
     draining = 'draining'
     fenced = 'fenced'
     duplicate = 'duplicate'
--- a/devtools/upstream.py
+++ b/devtools/upstream.py
@@ -33,6 +33,7 @@
 
 MS_PER_S = 1000
 CRASH_HEADER = 'Crash-Upstream'
+ANSWER_HEADER = 'Answer'
 WORK_HEADER = 'Work-Ms'
 MARK = 'Mark'
 CRASH_EXIT_CODE = 70
@@ -68,6 +69,20 @@
     answer_bytes: int = 100
 
 
+class ScriptedAnswer(msgspec.Struct, frozen=True):
+    """An answer that a caller asks for with the ``Answer`` header.
+
+    Attributes:
+        status: HTTP status.
+        headers: Headers in order.
+        body: Text of the body.
+    """
+
+    status: int
+    headers: tuple[tuple[str, str], ...] = ()
+    body: str = ''
+
+
 class Executions(msgspec.Struct, frozen=True):
     """What the stand-in ran.
 
@@ -195,14 +210,30 @@
             await asyncio.sleep(0.01)
 
     def _answer(self, request: web.Request, body: bytes) -> web.Response:
+        scripted = request.headers.get(ANSWER_HEADER)
+        if scripted is not None:
+            return _scripted_answer(scripted)
         mark = request.headers.get(MARK, '')
         filler = 'x' * max(self.behaviour.answer_bytes - len(mark), 0)
         return web.Response(
             text=f'{mark}\n{filler}',
-            headers={MARK: mark, 'Received-Bytes': str(len(body))},
+            headers={
+                MARK: mark,
+                'Received-Bytes': str(len(body)),
+                'Received-Headers': ','.join(request.headers).lower(),
+            },
         )
 
 
+def _scripted_answer(text: str) -> web.Response:
+    scripted = msgspec.json.decode(text, type=ScriptedAnswer)
+    response = web.Response(status=scripted.status, body=scripted.body.encode())
+    response.headers.popall('Content-Type', None)
+    for name, header in scripted.headers:
+        response.headers.add(name, header)
+    return response
+
+
 def _number(request: web.Request, name: str, default: float) -> float:
     text = request.headers.get(name)
     return default if text is None else float(text)
