--- a/burdocklead/connection/tls.py
+++ b/burdocklead/connection/tls.py
@@ -101,6 +101,30 @@
     return files
 
 
+def load_caller_tls(
+    certificate: Path | None, key: Path | None
+) -> ssl.SSLContext | None:
+    """Return the checked TLS of the callers' interface, None if not set.
+
+    Raises:
+        SettingsError: If only one file is set, or one can't be used.
+    """
+    if certificate is None and key is None:
+        return None
+    if certificate is None or key is None:
+        reason = 'certificate and key for callers must be set together'
+        raise SettingsError(reason, step=STEP)
+    _check_dates(certificate)
+    context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+    try:
+        context.load_cert_chain(certificate, key)
+    except (OSError, ValueError) as error:
+        raise SettingsError(
+            f'can not be used: {error}', step=STEP, peer=str(key)
+        ) from error
+    return context
+
+
 def _check_dates(path: Path) -> None:
     try:
         certificates = x509.load_pem_x509_certificates(path.read_bytes())
--- a/burdocklead/metrics.py
+++ b/burdocklead/metrics.py
@@ -72,6 +72,11 @@
     'control_unproved', 'Control messages without proof of the cluster key.'
 )
 CONTROL_BAD = _counter('control_bad', 'Control messages not decoded.')
+INTERNAL_ERRORS = _counter('internal_errors', 'Calls that failed within.')
+LATE_RESULTS = _counter('late_results', 'Results that nobody waited for.')
+LINK_ENDS = _counter('link_ends', 'Links ended by reason.', 'reason')
+LINK_PINGS = _counter('link_pings', 'Pings on links in use.')
+LINKS_OPEN = _gauge('links_open', 'Links of other daemons.')
 VERSION = _gauge('version_in_force', 'Configuration version in force.')
 
 DECLARED = (
@@ -82,6 +87,11 @@
     CONTROL_BYTES,
     CONTROL_UNPROVED,
     CONTROL_BAD,
+    INTERNAL_ERRORS,
+    LATE_RESULTS,
+    LINK_ENDS,
+    LINK_PINGS,
+    LINKS_OPEN,
     VERSION,
 )
 
