Route by expected time to an answer, from what the entry saw itself

Cause: the better of two by the last report sent work to stragglers, above all to those that report themselves idle, and each choice built a list of all upstreams of the service. The daemon's own upstream never showed its load to the router: results over the local link passed no load on.

Change: three draws plus one in the own availability zone; score from own attempts in flight, others' load (trusted for 20 ms), slowness against the route's usual time over all upstreams, penalties that decay, overdue answers. Upstreams that refuse as leaving are a last resort for 1 s. Members are sorted by service once a change; a choice scores at most 4 of them.

--- a/burdocklead/process/daemon_parts.py
+++ b/burdocklead/process/daemon_parts.py
@@ -39,7 +39,12 @@
         self.control = ControlGroup(settings.control)
         hello = Hello(settings.daemon_id, self.incarnation)
         self.directory = DaemonDirectory(
-            hello, self.executor, self.events, self.observe_load
+            hello,
+            self.executor,
+            self.events,
+            self.observe_load,
+            self.router.forget,
+            settings.zone,
         )
         prefix = f'{settings.daemon_id}.{self.incarnation:x}'
         self.dispatcher = Dispatcher(
--- a/burdocklead/process/directory.py
+++ b/burdocklead/process/directory.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import logbook
 
@@ -13,11 +13,14 @@
 from burdocklead.events import EventKind, EventRing
 from burdocklead.request.attempt_runner import Link
 from burdocklead.request.execution import AttemptExecutor, LocalLink
+from burdocklead.request.routing import Candidates
 from burdocklead.values import Member
 from burdocklead.version.configuration_file import decode_deployment
 from burdocklead.version.deployment import Deployment
 from burdocklead.version.route_table import RouteTable
 
+NO_CANDIDATES = Candidates()
+GoneHandler = Callable[[str], None]
 log = logbook.Logger('directory')
 
 
@@ -26,6 +29,7 @@
 
     Attributes:
         members: Present daemons by name.
+        by_service: Upstreams that may get new work, by service.
         table: Routes of the version in force, None before the first.
     """
 
@@ -35,12 +39,17 @@
         executor: AttemptExecutor,
         events: EventRing,
         on_load: LoadHandler,
+        on_gone: GoneHandler,
+        zone: str,
     ) -> None:
         """Start without members and without a configuration."""
         self.own = own
         self.local_link = LocalLink(executor)
         self.events = events
         self.on_load = on_load
+        self.on_gone = on_gone
+        self.zone = zone
+        self.by_service: dict[str, Candidates] = {}
         self.members: dict[str, Member] = {}
         self.links: dict[str, PeerLink] = {}
         self.table: RouteTable | None = None
@@ -54,13 +63,9 @@
         """Return the configuration in force, None before the first."""
         return self.table.deployment if self.table else None
 
-    def candidates(self, service: str) -> list[Member]:
+    def candidates(self, service: str) -> Candidates:
         """Return the upstreams of a service that may get new work."""
-        return [
-            member
-            for member in self.members.values()
-            if member.service == service and not member.draining
-        ]
+        return self.by_service.get(service, NO_CANDIDATES)
 
     def find_member(self, daemon_id: str) -> Member | None:
         """Return a present daemon by name."""
@@ -94,6 +99,8 @@
                 self._remove(update.member.daemon_id)
             else:
                 self._add(update.member)
+        if updates or whole:
+            self._index()
 
     def take_file(self, file: AcceptedFile) -> None:
         """Put a newer configuration file in force; never an older one."""
@@ -110,6 +117,20 @@
         for link in self.links.values():
             link.close('daemon stops')
 
+    def _index(self) -> None:
+        """Sort the members that may get new work by service."""
+        by_service: dict[str, list[Member]] = {}
+        for member in self.members.values():
+            if member.service and not member.draining:
+                by_service.setdefault(member.service, []).append(member)
+        self.by_service = {
+            service: Candidates(
+                tuple(members),
+                tuple(one for one in members if one.zone == self.zone),
+            )
+            for service, members in by_service.items()
+        }
+
     def _add(self, member: Member) -> None:
         known = self.members.get(member.daemon_id)
         self.members[member.daemon_id] = member
@@ -124,4 +145,5 @@
         link = self.links.pop(daemon_id, None)
         if link is not None:
             link.close('member left')
+        self.on_gone(daemon_id)
         self.events.record(EventKind.member_left, peer=daemon_id)
--- a/burdocklead/request/attempt_runner.py
+++ b/burdocklead/request/attempt_runner.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Sequence
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -18,7 +17,7 @@
 )
 from burdocklead.exceptions import LinkError
 from burdocklead.request.call import Call
-from burdocklead.request.routing import Router
+from burdocklead.request.routing import Candidates, Router
 from burdocklead.values import LoadReport, Member, RefusalCause
 
 RUNNING_POLL_S = 0.05
@@ -41,7 +40,7 @@
 class Directory(Protocol):
     """The upstreams that may get work and the links to them."""
 
-    def candidates(self, service: str) -> Sequence[Member]:
+    def candidates(self, service: str) -> Candidates:
         """Return the upstreams of a service that may get new work."""
 
     def link_to(self, member: Member) -> Link:
@@ -65,15 +64,31 @@
     ) -> AttemptResult:
         """Return the result of one attempt, resolved as far as possible."""
         link = self.directory.link_to(member)
-        self.router.start_attempt(member.daemon_id)
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        route = call.match.key
+        self.router.start_attempt(member.daemon_id, route, started)
+        try:
+            result = await self._run_in_time(call, link, attempt)
+        finally:
+            self.router.finish_attempt(member.daemon_id, route)
+        now = loop.time()
+        if result.load.slots:
+            self.router.observe_load(member.daemon_id, result.load, now)
+        self.router.observe_result(
+            member.daemon_id, route, result, now - started, now
+        )
+        return result
+
+    async def _run_in_time(
+        self, call: Call, link: Link, attempt: Attempt
+    ) -> AttemptResult:
         try:
             async with asyncio.timeout_at(call.deadline):
                 return await self._run_on_link(link, attempt)
         except TimeoutError:
             link.cancel(attempt.attempt_id)
             return Lost(attempt.attempt_id, 'deadline passed', False, NO_LOAD)
-        finally:
-            self.router.finish_attempt(member.daemon_id)
 
     async def _run_on_link(self, link: Link, attempt: Attempt) -> AttemptResult:
         try:
--- a/burdocklead/request/dispatch.py
+++ b/burdocklead/request/dispatch.py
@@ -57,11 +57,10 @@
     def choose(self, call: Call, tried: set[str]) -> Member | None:
         """Return the upstream for the next attempt, None if there is none."""
         candidates = self.directory.candidates(call.match.service_name)
-        untried = [one for one in candidates if one.daemon_id not in tried]
         now = asyncio.get_running_loop().time()
-        if not (untried or candidates):
-            return None
-        return self.router.choose(untried or candidates, now)
+        return self.router.choose(
+            candidates.without(tried), call.match.key, now
+        )
 
     async def run(self, call: Call) -> CallResult:
         """Return the result of a call without a key."""
--- a/burdocklead/request/routing.py
+++ b/burdocklead/request/routing.py
@@ -1,29 +1,79 @@
-"""Choice of an upstream on stale knowledge, without I/O."""
+"""Choice of an upstream on stale knowledge, without I/O.
+
+A few upstreams are drawn at random and the one with the lowest expected time
+to an answer is taken. What this entry saw itself outweighs what was reported.
+"""
 
 from __future__ import annotations
 
 import random
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 from dataclasses import dataclass, field
 
-from burdocklead.values import LoadReport, Member
-
-CHOICES = 2
-
-
-@dataclass(slots=True)
-class UpstreamView:
-    """What an entry daemon knows of one upstream.
+from burdocklead.connection.frames import (
+    Answer,
+    AttemptResult,
+    Lost,
+    Refusal,
+)
+from burdocklead.request.route_costs import QuantileTracker
+from burdocklead.request.upstream_view import UpstreamView
+from burdocklead.values import LoadReport, Member, RefusalCause
+
+CHOICES = 3
+MS_PER_S = 1000
+CROSS_ZONE_MS = 3.0
+CROWDED_SHARE = 0.8
+CROWDED_WEIGHT = 4
+LAST_RESORT_MS = 1e9
+LEAVING_S = 1.0
+RESTART_S = 0.3
+REFUSAL_WEIGHT = 0.5
+LOST_WEIGHT = 4
+FIRST_USUAL_MS = 5
+LEAVING_CAUSES = frozenset(
+    (
+        RefusalCause.draining,
+        RefusalCause.no_upstream,
+        RefusalCause.wrong_incarnation,
+        RefusalCause.upstream_unreachable,
+        RefusalCause.link_failed,
+    )
+)
+BUSY_CAUSES = frozenset(
+    (
+        RefusalCause.queue_full,
+        RefusalCause.shed,
+        RefusalCause.deadline,
+        RefusalCause.overloaded,
+        RefusalCause.upstream_refused,
+    )
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Candidates:
+    """The upstreams of one service that may get new work.
 
     Attributes:
-        in_flight: Attempts of this entry without a result.
-        load: Last load report, None before the first.
-        load_at: Monotonic time of that report in s.
+        members: All of them.
+        local: Those in the availability zone of this daemon.
     """
 
-    in_flight: int = 0
-    load: LoadReport | None = None
-    load_at: float = 0
+    members: tuple[Member, ...] = ()
+    local: tuple[Member, ...] = ()
+
+    def without(self, tried: Collection[str]) -> Candidates:
+        """Return the candidates that were not tried, or all if none is."""
+        if not tried:
+            return self
+        members = tuple(
+            one for one in self.members if one.daemon_id not in tried
+        )
+        if not members:
+            return self
+        local = tuple(one for one in self.local if one.daemon_id not in tried)
+        return Candidates(members, local)
 
 
 @dataclass(slots=True)
@@ -34,42 +84,123 @@
         zone: Availability zone of this daemon.
         rng: Source of the random choices.
         views: What is known by daemon.
+        usual: Usual time to an answer by route, over all upstreams, in ms.
     """
 
     zone: str
     rng: random.Random
     views: dict[str, UpstreamView] = field(default_factory=dict)
+    usual: dict[str, QuantileTracker] = field(default_factory=dict)
 
     def view_of(self, daemon_id: str) -> UpstreamView:
         """Return what is known of an upstream."""
-        return self.views.setdefault(daemon_id, UpstreamView())
-
-    def choose(self, candidates: Sequence[Member], now: float) -> Member:
-        """Return the better of a few upstreams chosen at random."""
-        count = min(CHOICES, len(candidates))
-        chosen = self.rng.sample(list(candidates), count)
-        return min(chosen, key=self.score)
-
-    def score(self, member: Member) -> float:
-        """Return the expected share of slots in use; lower is better."""
+        view = self.views.get(daemon_id)
+        if view is None:
+            view = UpstreamView()
+            self.views[daemon_id] = view
+        return view
+
+    def usual_ms(self, route: str) -> float:
+        """Return the usual time to an answer on a route in ms."""
+        tracker = self.usual.get(route)
+        return FIRST_USUAL_MS if tracker is None else tracker.estimate
+
+    def choose(
+        self, candidates: Candidates, route: str, now: float
+    ) -> Member | None:
+        """Return the best of a few upstreams drawn at random, if any."""
+        drawn = [
+            *self._draw(candidates.members, CHOICES),
+            *self._draw(candidates.local, 1),
+        ]
+        if not drawn:
+            return None
+        usual_ms = self.usual_ms(route)
+        return min(drawn, key=lambda one: self.score(one, usual_ms, now))
+
+    def score(self, member: Member, usual_ms: float, now: float) -> float:
+        """Return the expected time to an answer in ms; lower is better."""
         view = self.view_of(member.daemon_id)
-        reported = 0
+        slots = member.slots
+        reported_ms = float(0)
         if view.load is not None:
-            reported = view.load.busy + view.load.queued
-        return max(view.in_flight, reported) / max(member.slots, 1)
-
-    def start_attempt(self, daemon_id: str) -> None:
+            slots = view.load.slots or slots
+            reported_ms = view.load.expected_wait_ms * view.trust(now)
+        share = view.used_slots(now) / max(slots, 1)
+        crowded = max(share - CROWDED_SHARE, 0) * CROWDED_WEIGHT
+        expected_ms = usual_ms * view.slowness.read(now)
+        expected_ms *= 1 + share + crowded + view.penalty.read(now)
+        expected_ms += reported_ms + view.silence_ms(now)
+        if member.zone != self.zone:
+            expected_ms += CROSS_ZONE_MS
+        if view.avoid_until > now:
+            expected_ms += LAST_RESORT_MS
+        return expected_ms
+
+    def start_attempt(self, daemon_id: str, route: str, now: float) -> None:
         """Note an attempt sent to an upstream."""
-        self.view_of(daemon_id).in_flight += 1
+        self.view_of(daemon_id).start(route, self.usual_ms(route), now)
 
-    def finish_attempt(self, daemon_id: str) -> None:
+    def finish_attempt(self, daemon_id: str, route: str) -> None:
         """Note that an attempt has its result or was given up."""
-        self.view_of(daemon_id).in_flight -= 1
+        self.view_of(daemon_id).finish(route)
 
     def observe_load(
         self, daemon_id: str, load: LoadReport, now: float
     ) -> None:
         """Take note of a load report."""
+        self.view_of(daemon_id).take_load(load, now)
+
+    def observe_result(
+        self,
+        daemon_id: str,
+        route: str,
+        result: AttemptResult,
+        elapsed: float,
+        now: float,
+    ) -> None:
+        """Take note of an attempt's result.
+
+        Args:
+            daemon_id: Daemon beside the upstream.
+            route: Route key, ``service/route``.
+            result: What became of the attempt.
+            elapsed: Time from its start to the result in s.
+            now: Monotonic time in s.
+        """
         view = self.view_of(daemon_id)
-        view.load = load
-        view.load_at = now
+        match result:
+            case Answer():
+                self._take_answer(view, route, elapsed * MS_PER_S, now)
+            case Refusal(cause=cause) if cause in LEAVING_CAUSES:
+                view.avoid_until = now + LEAVING_S
+            case Refusal(cause=cause) if cause in BUSY_CAUSES:
+                view.punish(REFUSAL_WEIGHT, now)
+            case Lost(crash_suspected=True):
+                view.avoid_until = now + RESTART_S
+            case Lost():
+                view.punish(LOST_WEIGHT, now)
+
+    def forget(self, daemon_id: str) -> None:
+        """Forget an upstream that has left, unless attempts are open."""
+        view = self.views.get(daemon_id)
+        if view is not None and not view.sent:
+            self.views.pop(daemon_id)
+
+    def _take_answer(
+        self, view: UpstreamView, route: str, elapsed_ms: float, now: float
+    ) -> None:
+        tracker = self.usual.get(route)
+        if tracker is None:
+            tracker = QuantileTracker(0.5, elapsed_ms)
+            self.usual[route] = tracker
+        ratio = elapsed_ms / tracker.estimate
+        tracker.observe(elapsed_ms)
+        next_ms = max(map(self.usual_ms, view.in_flight), default=float(0))
+        view.note_answer(ratio, next_ms, now)
+
+    def _draw(self, members: Sequence[Member], count: int) -> list[Member]:
+        """Return a few members at random; the cost does not grow with all."""
+        if len(members) <= count:
+            return list(members)
+        return self.rng.sample(members, count)
--- a/burdocklead/version/route_table.py
+++ b/burdocklead/version/route_table.py
@@ -23,6 +23,11 @@
     route: Route
     path: str
 
+    @property
+    def key(self) -> str:
+        """Return the name of the route over all services."""
+        return f'{self.service_name}/{self.route.name}'
+
 
 @dataclass(frozen=True, slots=True)
 class RouteTable:
--- /dev/null
+++ b/tests/steps/routing_simulation.py
@@ -0,0 +1,298 @@
+"""A discrete-event run of entry daemons that share a few upstreams."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import random
+from collections import Counter
+from dataclasses import dataclass, field
+
+from burdocklead.connection.frames import Answer, Refusal
+from burdocklead.request.admission import (
+    Admitted,
+    Queued,
+    Ticket,
+    admission_for,
+)
+from burdocklead.request.routing import Candidates, Router
+from burdocklead.values import Address, LoadReport, Member, RefusalCause
+from burdocklead.version.deployment import Priority
+
+MS = 0.001
+ZONES = ('vancouver', 'victoria', 'nanaimo')
+SLOTS = 4
+COST_S = 0.02
+UPSTREAMS = 6
+TRIES = 3
+LOCAL_DELAY_S = 0.00005
+CROSS_DELAY_S = 0.0015
+NOWHERE = Address('127.0.0.1', 1)
+
+
+def member(number, zones=ZONES):
+    """Return an upstream of the simulation."""
+    return Member(
+        daemon_id=f'u{number}',
+        incarnation=1,
+        revision=1,
+        zone=zones[number % len(zones)],
+        link=NOWHERE,
+        http=NOWHERE,
+        service='sheets',
+        slots=SLOTS,
+    )
+
+
+def candidates_for(zone, members):
+    """Return what the directory of a daemon in a zone would."""
+    local = tuple(one for one in members if one.zone == zone)
+    return Candidates(tuple(members), local)
+
+
+class RandomChoice(Router):
+    """Baseline: any upstream."""
+
+    def choose(self, candidates, route, now):
+        """Return any upstream."""
+        return self.rng.choice(candidates.members)
+
+
+class RoundRobin(Router):
+    """Baseline: one upstream after the other."""
+
+    counter: itertools.count = None
+
+    def choose(self, candidates, route, now):
+        """Return the next upstream."""
+        if self.counter is None:
+            self.counter = itertools.count(self.rng.randrange(UPSTREAMS))
+        members = candidates.members
+        return members[next(self.counter) % len(members)]
+
+
+class LeastReported(Router):
+    """Baseline: the lowest of the last reports."""
+
+    def score(self, member, usual_ms, now):
+        """Return the reported or own share of slots in use."""
+        view = self.view_of(member.daemon_id)
+        reported = view.load.busy + view.load.queued if view.load else 0
+        return max(view.sent, reported) / member.slots
+
+    def choose(self, candidates, route, now):
+        """Return the upstream that reported least."""
+        return min(candidates.members, key=lambda one: self.score(one, 0, now))
+
+
+class TwoChoices(LeastReported):
+    """Baseline: the better of two by the last reports."""
+
+    def choose(self, candidates, route, now):
+        """Return the better of two."""
+        drawn = self.rng.sample(candidates.members, 2)
+        return min(drawn, key=lambda one: self.score(one, 0, now))
+
+
+class NoPreference(Router):
+    """The router without draws in its own availability zone."""
+
+    def choose(self, candidates, route, now):
+        """Return the best of three of all."""
+        return super().choose(Candidates(candidates.members), route, now)
+
+
+@dataclass(frozen=True)
+class Trouble:
+    """What is wrong with upstream ``u0`` and when.
+
+    Attributes:
+        slowdown: Factor on its service times.
+        misleading: True if it reports itself idle.
+        draining: True if it refuses all.
+        begin: From when in s.
+        end: Until when in s.
+    """
+
+    slowdown: float = 1
+    misleading: bool = False
+    draining: bool = False
+    begin: float = 0
+    end: float = 0
+
+    def holds(self, name, now):
+        """Return True if an upstream is in trouble now."""
+        return name == 'u0' and self.begin <= now < self.end
+
+
+@dataclass
+class Trip:
+    """One call on its way."""
+
+    number: int
+    entry: int
+    at: float
+    service: float
+    target: Member | None = None
+    sent_at: float = 0
+    tried: set = field(default_factory=set)
+
+
+@dataclass
+class Outcome:
+    """Latencies by time of arrival, failures and attempts by upstream."""
+
+    latencies: list = field(default_factory=list)
+    failed: list = field(default_factory=list)
+    sent: list = field(default_factory=list)
+
+    def p99(self, begin, end):
+        """Return the 99th percentile latency in ms; a failure is endless."""
+        within = [late for at, late in self.latencies if begin <= at < end]
+        within.extend(float('inf') for at in self.failed if begin <= at < end)
+        return sorted(within)[int(len(within) * 0.99)] / MS
+
+    def attempts(self, begin, end):
+        """Return the attempts by upstream in a time."""
+        return Counter(name for at, name, _ in self.sent if begin <= at < end)
+
+    def local_share(self):
+        """Return the share of attempts that stayed in their zone."""
+        return sum(local for _, _, local in self.sent) / len(self.sent)
+
+
+class Deployment:
+    """Entry daemons and upstreams on one event queue."""
+
+    def __init__(self, policy, seed, trouble):
+        """Prepare the parts."""
+        self.trouble = trouble
+        self.members = [member(number) for number in range(UPSTREAMS)]
+        self.queues = {
+            one.daemon_id: admission_for(SLOTS) for one in self.members
+        }
+        self.routers = [
+            policy(one.zone, random.Random(seed + number))
+            for number, one in enumerate(self.members)
+        ]
+        self.outcome = Outcome()
+        self.events = []
+        self.order = itertools.count()
+        self.trips = {}
+
+    def push(self, at, handler, *details):
+        """Add an event."""
+        heapq.heappush(self.events, (at, next(self.order), handler, details))
+
+    def run(self):
+        """Handle all events."""
+        while self.events:
+            now, _, handler, details = heapq.heappop(self.events)
+            handler(now, *details)
+        return self.outcome
+
+    def delay(self, trip):
+        """Return the one-way delay to a trip's target in s."""
+        own_zone = self.routers[trip.entry].zone
+        local = trip.target.zone == own_zone
+        return LOCAL_DELAY_S if local else CROSS_DELAY_S
+
+    def send(self, now, trip):
+        """Choose an upstream and send the call."""
+        router = self.routers[trip.entry]
+        candidates = candidates_for(router.zone, self.members)
+        trip.target = router.choose(
+            candidates.without(trip.tried), 'sheets/view', now
+        )
+        name = trip.target.daemon_id
+        local = trip.target.zone == router.zone
+        self.outcome.sent.append((now, name, local))
+        trip.sent_at = now
+        trip.tried.add(name)
+        router.start_attempt(name, 'sheets/view', now)
+        self.push(now + self.delay(trip), self.arrive, trip)
+
+    def arrive(self, now, trip):
+        """Offer the call to the upstream's admission."""
+        name = trip.target.daemon_id
+        if self.trouble.draining and self.trouble.holds(name, now):
+            self.reply(now, trip, RefusalCause.draining)
+            return
+        call_id = f'{trip.number}.{len(trip.tried)}'
+        self.trips[call_id] = trip
+        ticket = Ticket(call_id, 'view', Priority.normal, 20, trip.at + 1, 100)
+        offer = self.queues[name].offer(ticket, now)
+        self.settle(now, call_id, offer.verdict)
+        for one in offer.displaced:
+            self.settle(now, one.ticket.attempt_id, one.verdict)
+
+    def settle(self, now, call_id, verdict):
+        """Start or refuse a call at an upstream."""
+        trip = self.trips[call_id]
+        if isinstance(verdict, Admitted):
+            service = trip.service
+            if self.trouble.holds(trip.target.daemon_id, now):
+                service *= self.trouble.slowdown
+            self.push(now + service, self.end, call_id, now)
+        elif not isinstance(verdict, Queued):
+            self.reply(now, trip, verdict.cause)
+
+    def end(self, now, call_id, started):
+        """Finish a call at its upstream."""
+        trip = self.trips[call_id]
+        self.reply(now, trip, None)
+        queue = self.queues[trip.target.daemon_id]
+        for one in queue.release(call_id, (now - started) / MS, now):
+            self.settle(now, one.ticket.attempt_id, one.verdict)
+
+    def reply(self, now, trip, cause):
+        """Send the result and the load back."""
+        name = trip.target.daemon_id
+        load = self.queues[name].load(now)
+        if self.trouble.misleading and self.trouble.holds(name, now):
+            load = LoadReport(0, 0, SLOTS)
+        back = now + self.delay(trip)
+        self.push(back, self.learn, trip, cause, load)
+
+    def learn(self, now, trip, cause, load):
+        """Let the entry learn from a result; retry a refusal."""
+        router = self.routers[trip.entry]
+        name = trip.target.daemon_id
+        router.finish_attempt(name, 'sheets/view')
+        router.observe_load(name, load, now)
+        if cause is None:
+            answer = Answer('', 200, (), b'', load)
+            self.observe(router, trip, answer, now)
+            self.outcome.latencies.append((trip.at, now - trip.at))
+            return
+        self.observe(router, trip, Refusal('', cause, load), now)
+        if len(trip.tried) < TRIES:
+            self.send(now, trip)
+            return
+        self.outcome.failed.append(trip.at)
+
+    def observe(self, router, trip, result, now):
+        """Show a result to the router of an entry."""
+        router.observe_result(
+            trip.target.daemon_id,
+            'sheets/view',
+            result,
+            now - trip.sent_at,
+            now,
+        )
+
+
+def run_policy(policy, seed, load, seconds, trouble):
+    """Run calls at a share of the capacity and return what became of them."""
+    rng = random.Random(seed)
+    deployment = Deployment(policy, seed, trouble)
+    rate = load * UPSTREAMS * SLOTS / COST_S
+    now = float(0)
+    for number in itertools.count():
+        now += rng.expovariate(rate)
+        if now >= seconds:
+            break
+        service = rng.uniform(0.8, 1.2) * COST_S
+        trip = Trip(number, rng.randrange(UPSTREAMS), now, service)
+        deployment.push(now, deployment.send, trip)
+    return deployment.run()
--- /dev/null
+++ b/tests/steps/routing_steps.py
@@ -0,0 +1,202 @@
+"""Steps that run routing on a passed-in clock."""
+
+from __future__ import annotations
+
+import random
+
+from behave import given, then, when
+
+from burdocklead.connection.frames import Refusal
+from burdocklead.request.attempt_runner import NO_LOAD
+from burdocklead.request.routing import Router
+from burdocklead.values import RefusalCause
+from tests.steps.routing_simulation import (
+    LeastReported,
+    NoPreference,
+    RandomChoice,
+    RoundRobin,
+    Trouble,
+    TwoChoices,
+    candidates_for,
+    member,
+    run_policy,
+)
+
+SECONDS = 6
+BASELINES = (RandomChoice, RoundRobin, LeastReported, TwoChoices)
+ROUTE = 'sheets/view'
+
+
+@given(
+    'a routing straggler that is {factor:d} times slower from {begin:d} to '
+    '{end:d} seconds and reports {report}'
+)
+def plan_straggler(context, factor, begin, end, report):
+    """Slow one upstream down."""
+    misleading = report == 'itself as idle'
+    context.trouble = Trouble(factor, misleading, False, begin, end)
+
+
+@given('routing without trouble')
+def plan_no_trouble(context):
+    """Leave all upstreams well."""
+    context.trouble = Trouble()
+
+
+@given(
+    'a routing upstream that refuses all as draining from {begin:d} to '
+    '{end:d} seconds'
+)
+def plan_drain(context, begin, end):
+    """Drain one upstream."""
+    context.trouble = Trouble(draining=True, begin=begin, end=end)
+
+
+@when('routing carries calls at {load:f} of the capacity with seed {seed:d}')
+def run_routing(context, load, seed):
+    """Carry calls with the product's router."""
+    context.load = load
+    context.seed = seed
+    context.outcome = _run(context, Router)
+
+
+def _run(context, policy):
+    return run_policy(
+        policy, context.seed, context.load, SECONDS, context.trouble
+    )
+
+
+def _compare(context, policies, begin, end):
+    own = context.outcome.p99(begin, end)
+    others = {
+        policy.__name__: _run(context, policy).p99(begin, end)
+        for policy in policies
+    }
+    return own, others
+
+
+@then(
+    'the routed 99th percentile in the slow time is below that of every '
+    'baseline'
+)
+def check_slow_time(context):
+    """Compare with every baseline."""
+    trouble = context.trouble
+    own, others = _compare(context, BASELINES, trouble.begin, trouble.end)
+    assert own < min(others.values()), (own, others)
+
+
+@then('the routed 99th percentile is below that of random and two choices')
+def check_steady(context):
+    """Compare with two baselines."""
+    own, others = _compare(context, (RandomChoice, TwoChoices), 1, SECONDS)
+    assert own < min(others.values()), (own, others)
+
+
+@then('the routed 99th percentile is not above that without the preference')
+def check_preference_cost(context):
+    """Compare with the same router without the preference."""
+    own, others = _compare(context, (NoPreference,), 1, SECONDS)
+    assert own <= min(others.values()), (own, others)
+
+
+@then('fewer than 1 of {share:d} routed attempts went to the straggler')
+def check_straggler_share(context, share):
+    """Check that the straggler got less than a third of its fair share."""
+    trouble = context.trouble
+    attempts = context.outcome.attempts(trouble.begin, trouble.end)
+    assert attempts['u0'] * share < attempts.total(), attempts
+
+
+@then('at least {share:f} of routed attempts stay in their availability zone')
+def check_local_share(context, share):
+    """Check the preference for the own availability zone."""
+    seen = context.outcome.local_share()
+    assert seen >= share, seen
+
+
+@then('at most {count:d} routed attempts reach it in its first second')
+def check_drained(context, count):
+    """Check that work moved away at once."""
+    begin = context.trouble.begin
+    attempts = context.outcome.attempts(begin, begin + 1)
+    assert attempts['u0'] <= count, attempts
+
+
+@then('every routed call is answered')
+def check_all_answered(context):
+    """Check that nothing failed."""
+    assert not context.outcome.failed, len(context.outcome.failed)
+
+
+def _two_upstreams(context):
+    context.router = Router('vancouver', random.Random(1))
+    zones = ('vancouver', 'vancouver')
+    members = [member(number, zones) for number in range(2)]
+    context.candidates = candidates_for('vancouver', members)
+    context.now = 1
+
+
+@when('a router sees a refusal as "{cause}" from one of 2 upstreams')
+def see_refusal(context, cause):
+    """Show a refusal to a router."""
+    _two_upstreams(context)
+    refusal = Refusal('a', RefusalCause(cause), NO_LOAD)
+    context.router.observe_result('u0', ROUTE, refusal, 0, context.now)
+
+
+@when(
+    'a router waits for {count:d} answers of {usual:d} ms of one of 2 '
+    'upstreams for {waited:d} ms'
+)
+def wait_for_answers(context, count, usual, waited):
+    """Let answers be overdue; the other upstream has more in flight."""
+    _two_upstreams(context)
+    for _ in range(count):
+        context.router.start_attempt('u0', ROUTE, context.now)
+    context.now += waited / 1000
+    for _ in range(count + 1):
+        context.router.start_attempt('u1', ROUTE, context.now)
+
+
+@then('it chooses the other one {count:d} times')
+def check_other(context, count):
+    """Check the choices."""
+    seen = {
+        context.router.choose(context.candidates, ROUTE, context.now).daemon_id
+        for _ in range(count)
+    }
+    assert seen == {'u1'}, seen
+
+
+@then('it still chooses the one that is left if the other is tried')
+def check_last_resort(context):
+    """Check the last resort."""
+    left = context.candidates.without({'u1'})
+    chosen = context.router.choose(left, ROUTE, context.now)
+    assert chosen.daemon_id == 'u0', chosen
+
+
+@when('a router chooses among {count:d} upstreams')
+def choose_among_many(context, count):
+    """Choose once."""
+    context.router = Router('vancouver', random.Random(1))
+    members = [member(number) for number in range(count)]
+    context.candidates = candidates_for('vancouver', members)
+    assert context.router.choose(context.candidates, ROUTE, 1)
+
+
+@then('it scored at most {count:d} of them')
+def check_scored(context, count):
+    """Check how many upstreams were looked at."""
+    assert 0 < len(context.router.views) <= count, len(context.router.views)
+
+
+@then('it chooses at least {count:d} of 100 times in its own availability zone')
+def check_own_zone(context, count):
+    """Count choices among idle upstreams."""
+    zones = [
+        context.router.choose(context.candidates, ROUTE, 1).zone
+        for _ in range(100)
+    ]
+    assert zones.count(context.router.zone) >= count, zones
