--- a/burdocklead/process/admin_http.py
+++ b/burdocklead/process/admin_http.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import ssl
 from collections.abc import Callable, Iterable
 
 import msgspec
@@ -10,6 +11,7 @@
 from burdocklead.events import EventRing
 from burdocklead.exceptions import BurdockleadError
 from burdocklead.metrics import MetricSet
+from burdocklead.timeline.selection import parse_selection, select_events
 from burdocklead.values import Address
 
 JSON = 'application/json'
@@ -46,7 +48,12 @@
         return json_response({'ready': ready}, 200 if ready else UNAVAILABLE)
 
     async def show_events(request: web.Request) -> web.Response:
-        return json_response(list(events.ring))
+        try:
+            selection = parse_selection(request.query.items())
+        except ValueError as error:
+            refusal = BurdockleadError(str(error), step='events')
+            return error_response(refusal, BAD_REQUEST)
+        return json_response(select_events(events, selection))
 
     async def show_metrics(
         request: web.Request,
@@ -65,7 +72,10 @@
 
 
 async def start_site(
-    application: web.Application, address: Address, shutdown_s: float = 1
+    application: web.Application,
+    address: Address,
+    shutdown_s: float = 1,
+    tls: ssl.SSLContext | None = None,
 ) -> tuple[web.AppRunner, Address]:
     """Serve an application and return its runner and its address."""
     runner = web.AppRunner(
@@ -75,7 +85,7 @@
         shutdown_timeout=shutdown_s,
     )
     await runner.setup()
-    site = web.TCPSite(runner, address.host, address.port)
+    site = web.TCPSite(runner, address.host, address.port, ssl_context=tls)
     await site.start()
     port = _port_of(runner.addresses)
     return runner, Address(address.host, port)
--- a/burdocklead/process/daemon_parts.py
+++ b/burdocklead/process/daemon_parts.py
@@ -10,10 +10,12 @@
 from burdocklead.connection.control_client import ControlGroup
 from burdocklead.connection.frames import Hello
 from burdocklead.connection.link_server import LinkServer
+from burdocklead.connection.peer_access import load_peer_access
 from burdocklead.events import EventRing
 from burdocklead.metrics import MetricSet
 from burdocklead.process.caller_http import CallerPages
 from burdocklead.process.directory import DaemonDirectory
+from burdocklead.request.attempt_journal import AttemptJournal
 from burdocklead.request.attempt_runner import AttemptRunner
 from burdocklead.request.dispatch import Dispatcher
 from burdocklead.request.execution import AttemptExecutor
@@ -34,9 +36,12 @@
         self.metrics = MetricSet()
         self.incarnation = time.time_ns()
         self.rng = random.Random(self.incarnation)
-        self.executor = AttemptExecutor(self.incarnation)
+        self.executor = AttemptExecutor(
+            self.incarnation, AttemptJournal(self.events, self.metrics)
+        )
         self.router = Router(settings.zone, self.rng)
-        self.control = ControlGroup(settings.control)
+        self.access = load_peer_access(settings)
+        self.control = ControlGroup(settings.control, self.access)
         hello = Hello(settings.daemon_id, self.incarnation)
         self.directory = DaemonDirectory(
             hello,
--- a/burdocklead/settings.py
+++ b/burdocklead/settings.py
@@ -49,6 +49,15 @@
     cluster_key_file: Path | None = option(
         FilePath(must_exist=True), '', 'file with the shared cluster key'
     )
+    tls_certificate: Path | None = option(
+        FilePath(must_exist=True), '', 'file with the certificate chain'
+    )
+    tls_key: Path | None = option(
+        FilePath(must_exist=True), '', 'file with the private key'
+    )
+    tls_authority: Path | None = option(
+        FilePath(must_exist=True), '', 'file with the authorities'
+    )
     ready_file: Path | None = option(
         FilePath(), '', 'file to write the addresses to once serving'
     )
@@ -81,6 +90,18 @@
     cluster_key_file: Path | None = option(
         FilePath(must_exist=True), '', 'file with the shared cluster key'
     )
+    operator_token_file: Path | None = option(
+        FilePath(must_exist=True), '', 'file with the operator token'
+    )
+    tls_certificate: Path | None = option(
+        FilePath(must_exist=True), '', 'file with the certificate chain'
+    )
+    tls_key: Path | None = option(
+        FilePath(must_exist=True), '', 'file with the private key'
+    )
+    tls_authority: Path | None = option(
+        FilePath(must_exist=True), '', 'file with the authorities'
+    )
     ready_file: Path | None = option(
         FilePath(), '', 'file to write the addresses to once serving'
     )
@@ -98,6 +119,9 @@
         'control replicas as NAME=IP:PORT,... (their admin addresses)',
     )
     timeout: float = option(Number(0.1, 600), '10', 'time limit in s')
-    token_file: Path | None = option(
+    operator_token_file: Path | None = option(
         FilePath(must_exist=True), '', 'file with the operator token'
     )
+    tls_authority: Path | None = option(
+        FilePath(must_exist=True), '', 'file with the authorities'
+    )
