Hold measuring to a budget; tell dead load signals

Cause: nothing limited what may be spent on asking upstreams for their load, and a report that stays away or never changes was used without a word.

--- a/burdocklead/metrics.py
+++ b/burdocklead/metrics.py
@@ -72,6 +72,14 @@
     'control_unproved', 'Control messages without proof of the cluster key.'
 )
 CONTROL_BAD = _counter('control_bad', 'Control messages not decoded.')
+PROBES = _counter('probes', 'Probes of upstreams.', 'result')
+MEASURING_MESSAGES = _counter('measuring_messages', 'Probes and their replies.')
+MEASURING_BYTES = _counter(
+    'measuring_bytes', 'Bytes of those with packet headers.'
+)
+SIGNAL_DEAD = _counter(
+    'signal_dead', 'Load signals found dead under traffic.', 'reason'
+)
 VERSION = _gauge('version_in_force', 'Configuration version in force.')
 
 DECLARED = (
@@ -82,6 +90,10 @@
     CONTROL_BYTES,
     CONTROL_UNPROVED,
     CONTROL_BAD,
+    PROBES,
+    MEASURING_MESSAGES,
+    MEASURING_BYTES,
+    SIGNAL_DEAD,
     VERSION,
 )
 
--- a/burdocklead/process/daemon_admin_http.py
+++ b/burdocklead/process/daemon_admin_http.py
@@ -16,6 +16,7 @@
 )
 from burdocklead.process.directory import DaemonDirectory
 from burdocklead.process.own_member import Announcement, OwnMember
+from burdocklead.request.signal_watch import SignalWatch
 
 
 class DaemonPages:
@@ -26,11 +27,13 @@
         own: OwnMember,
         directory: DaemonDirectory,
         metrics: MetricSet,
+        signals: SignalWatch,
     ) -> None:
         """Prepare the pages of a daemon."""
         self.own = own
         self.directory = directory
         self.metrics = metrics
+        self.signals = signals
 
     def application(self) -> web.Application:
         """Return the application with all pages."""
@@ -74,6 +77,7 @@
             'daemon': self.own.member,
             'version': self.directory.version,
             'load': self.own.executor.load(),
+            'dead_signals': self.signals.dead(),
             'members': list(self.directory.members.values()),
         }
         return json_response(content)
--- a/burdocklead/process/daemon_parts.py
+++ b/burdocklead/process/daemon_parts.py
@@ -11,8 +11,8 @@
 from burdocklead.connection.frames import Hello
 from burdocklead.connection.link_server import LinkServer
 from burdocklead.connection.peer_access import load_peer_access
-from burdocklead.events import EventRing
-from burdocklead.metrics import MetricSet
+from burdocklead.events import EventKind, EventRing
+from burdocklead.metrics import SIGNAL_DEAD, MetricSet
 from burdocklead.process.caller_http import CallerPages
 from burdocklead.process.directory import DaemonDirectory
 from burdocklead.request.attempt_journal import AttemptJournal
@@ -21,6 +21,7 @@
 from burdocklead.request.execution import AttemptExecutor
 from burdocklead.request.keyed_call import KeyedCalls
 from burdocklead.request.routing import Router
+from burdocklead.request.signal_watch import SignalWatch
 from burdocklead.settings import DaemonSettings
 from burdocklead.values import LoadReport
 
@@ -39,7 +40,9 @@
         self.executor = AttemptExecutor(
             self.incarnation, AttemptJournal(self.events, self.metrics)
         )
-        self.router = Router(settings.zone, self.rng)
+        self.router = Router(
+            settings.zone, self.rng, SignalWatch(self.tell_signal)
+        )
         self.access = load_peer_access(settings)
         self.control = ControlGroup(settings.control, self.access)
         hello = Hello(settings.daemon_id, self.incarnation)
@@ -76,3 +79,13 @@
         """Pass a load report to the router."""
         now = asyncio.get_running_loop().time()
         self.router.observe_load(daemon_id, load, now)
+
+    def tell_signal(self, daemon_id: str, reason: str) -> None:
+        """Count and record a load signal that died or came back."""
+        if reason:
+            self.metrics.count(SIGNAL_DEAD, reason.replace(' ', '-'))
+        self.events.record(
+            EventKind.signal_dead,
+            peer=daemon_id,
+            detail=reason or 'alive again',
+        )
--- a/burdocklead/process/daemon_process.py
+++ b/burdocklead/process/daemon_process.py
@@ -79,7 +79,10 @@
             self._describe(link, http), self.parts.executor, self.parts.events
         )
         pages = DaemonPages(
-            own, self.parts.directory, self.parts.metrics
+            own,
+            self.parts.directory,
+            self.parts.metrics,
+            self.parts.router.signals,
         ).application()
         admin_runner, admin = await start_site(
             pages, self.parts.settings.admin_listen
--- /dev/null
+++ b/burdocklead/request/measuring.py
@@ -0,0 +1,111 @@
+"""The budget for measuring upstreams and what it is spent on, without I/O."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from burdocklead.request.routing import Candidates, Router
+from burdocklead.values import Member
+from burdocklead.version.deployment import Measuring
+
+WINDOW_S = 1.0
+STALE_S = 0.25
+RECENT_S = 10.0
+
+
+@dataclass(frozen=True, slots=True)
+class Spending:
+    """Messages of one probe and its reply.
+
+    Attributes:
+        at: Monotonic time in s.
+        messages: Number of messages.
+        size: Their bytes with the headers of their packets.
+    """
+
+    at: float
+    messages: int
+    size: int
+
+
+@dataclass(slots=True)
+class MeasuringBudget:
+    """Messages and bytes spent in the last second, never above the limits.
+
+    Attributes:
+        limits: Limits of the configuration in force.
+        spent: What was spent within the last second.
+        messages: Sum of messages of ``spent``.
+        size: Sum of bytes of ``spent``.
+    """
+
+    limits: Measuring = field(default_factory=Measuring)
+    spent: deque[Spending] = field(default_factory=deque)
+    messages: int = 0
+    size: int = 0
+
+    def take(self, messages: int, size: int, now: float) -> bool:
+        """Spend messages and bytes; return False if a limit forbids it."""
+        self._forget(now)
+        if self.messages + messages > self.limits.messages_per_second:
+            return False
+        if self.size + size > self.limits.bytes_per_second:
+            return False
+        self.spent.append(Spending(now, messages, size))
+        self.messages += messages
+        self.size += size
+        return True
+
+    def _forget(self, now: float) -> None:
+        while self.spent and self.spent[0].at + WINDOW_S <= now:
+            oldest = self.spent.popleft()
+            self.messages -= oldest.messages
+            self.size -= oldest.size
+
+
+@dataclass(slots=True)
+class ProbePlanner:
+    """Finds upstreams whose load is worth asking for.
+
+    Attributes:
+        router: What is known of the upstreams.
+        probed_at: Monotonic time of the last probe by daemon in s.
+    """
+
+    router: Router
+    probed_at: dict[str, float] = field(default_factory=dict)
+
+    def plan(
+        self, services: Mapping[str, Candidates], now: float
+    ) -> list[Member]:
+        """Return at most one upstream of each service called lately.
+
+        It is the one that a call would go to now, if its report is old.
+        """
+        planned = []
+        for service, called_at in tuple(self.router.called_at.items()):
+            if called_at + RECENT_S < now:
+                self.router.called_at.pop(service)
+                continue
+            candidates = services.get(service, Candidates())
+            best = self.router.best_drawn(candidates, now)
+            if best is not None and self._is_stale(best.daemon_id, now):
+                planned.append(best)
+        return planned
+
+    def note_probe(self, daemon_id: str, now: float) -> None:
+        """Note that a probe was sent."""
+        self.probed_at[daemon_id] = now
+
+    def forget(self, daemon_id: str) -> None:
+        """Forget an upstream that has left."""
+        self.probed_at.pop(daemon_id, None)
+
+    def _is_stale(self, daemon_id: str, now: float) -> bool:
+        known_at = max(
+            self.router.view_of(daemon_id).load_at,
+            self.probed_at.get(daemon_id, float('-inf')),
+        )
+        return known_at + STALE_S <= now
--- a/burdocklead/request/routing.py
+++ b/burdocklead/request/routing.py
@@ -17,6 +17,7 @@
     Refusal,
 )
 from burdocklead.request.route_costs import QuantileTracker
+from burdocklead.request.signal_watch import SignalWatch
 from burdocklead.request.upstream_view import UpstreamView
 from burdocklead.values import LoadReport, Member, RefusalCause
 
@@ -85,12 +86,16 @@
         rng: Source of the random choices.
         views: What is known by daemon.
         usual: Usual time to an answer by route, over all upstreams, in ms.
+        signals: Detects load reports that are dead.
+        called_at: Monotonic time of the last choice by service in s.
     """
 
     zone: str
     rng: random.Random
+    signals: SignalWatch = field(default_factory=SignalWatch)
     views: dict[str, UpstreamView] = field(default_factory=dict)
     usual: dict[str, QuantileTracker] = field(default_factory=dict)
+    called_at: dict[str, float] = field(default_factory=dict)
 
     def view_of(self, daemon_id: str) -> UpstreamView:
         """Return what is known of an upstream."""
@@ -109,15 +114,29 @@
         self, candidates: Candidates, route: str, now: float
     ) -> Member | None:
         """Return the best of a few upstreams drawn at random, if any."""
-        drawn = [
-            *self._draw(candidates.members, CHOICES),
-            *self._draw(candidates.local, 1),
-        ]
+        drawn = self.draw(candidates)
         if not drawn:
             return None
+        self.called_at[drawn[0].service] = now
         usual_ms = self.usual_ms(route)
         return min(drawn, key=lambda one: self.score(one, usual_ms, now))
 
+    def best_drawn(self, candidates: Candidates, now: float) -> Member | None:
+        """Return the best of a few upstreams for no call in particular."""
+        drawn = self.draw(candidates)
+        return min(
+            drawn,
+            key=lambda one: self.score(one, FIRST_USUAL_MS, now),
+            default=None,
+        )
+
+    def draw(self, candidates: Candidates) -> list[Member]:
+        """Return a few upstreams at random, one of them local if any is."""
+        return [
+            *self._draw(candidates.members, CHOICES),
+            *self._draw(candidates.local, 1),
+        ]
+
     def score(self, member: Member, usual_ms: float, now: float) -> float:
         """Return the expected time to an answer in ms; lower is better."""
         view = self.view_of(member.daemon_id)
@@ -150,6 +169,8 @@
     ) -> None:
         """Take note of a load report."""
         self.view_of(daemon_id).take_load(load, now)
+        report = (load.busy, load.queued, load.slots)
+        self.signals.observe_report(daemon_id, report, now)
 
     def observe_result(
         self,
@@ -172,6 +193,7 @@
         match result:
             case Answer():
                 self._take_answer(view, route, elapsed * MS_PER_S, now)
+                self.signals.observe_answer(daemon_id, view.sent, now)
             case Refusal(cause=cause) if cause in LEAVING_CAUSES:
                 view.avoid_until = now + LEAVING_S
             case Refusal(cause=cause) if cause in BUSY_CAUSES:
@@ -186,6 +208,7 @@
         view = self.views.get(daemon_id)
         if view is not None and not view.sent:
             self.views.pop(daemon_id)
+        self.signals.forget(daemon_id)
 
     def _take_answer(
         self, view: UpstreamView, route: str, elapsed_ms: float, now: float
--- /dev/null
+++ b/burdocklead/request/signal_watch.py
@@ -0,0 +1,100 @@
+"""Detection of load reports that are dead under traffic, without I/O."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+SignalHandler = Callable[[str, str], None]
+DEAD_ANSWERS = 50
+DEAD_AFTER_S = 2.0
+DEAD_SWING = 3
+
+
+def _ignore_change(daemon_id: str, reason: str) -> None:
+    """Do nothing; the dead signals can still be read."""
+
+
+@dataclass(slots=True)
+class Signal:
+    """The load reports of one upstream since they last told something new.
+
+    Attributes:
+        since: Monotonic time in s.
+        answers: Answers since then.
+        fewest: Fewest attempts of this entry in flight at an answer.
+        most: Most of those.
+        dead: Why the signal counts as dead, empty while it is alive.
+    """
+
+    since: float
+    answers: int = 0
+    fewest: int = 0
+    most: int = 0
+    dead: str = ''
+
+
+@dataclass(slots=True)
+class SignalWatch:
+    """Detects load reports that stay away or never change under traffic.
+
+    Attributes:
+        on_change: Called with the daemon and why its signal is dead, or with
+            an empty reason once it is alive again.
+        signals: State by daemon.
+        reports: Last report by daemon as busy, queued and slots.
+    """
+
+    on_change: SignalHandler = _ignore_change
+    signals: dict[str, Signal] = field(default_factory=dict)
+    reports: dict[str, tuple[int, int, int]] = field(default_factory=dict)
+
+    def observe_report(
+        self, daemon_id: str, report: tuple[int, int, int], now: float
+    ) -> None:
+        """Take note of a report; a new content revives the signal."""
+        if self.reports.get(daemon_id) == report:
+            return
+        self.reports[daemon_id] = report
+        signal = self.signals.pop(daemon_id, None)
+        self.signals[daemon_id] = Signal(now)
+        if signal is not None and signal.dead:
+            self.on_change(daemon_id, '')
+
+    def observe_answer(self, daemon_id: str, sent: int, now: float) -> None:
+        """Take note of an answer while some attempts were in flight."""
+        signal = self.signals.get(daemon_id)
+        if signal is None:
+            signal = Signal(now, fewest=sent, most=sent)
+            self.signals[daemon_id] = signal
+        if not signal.answers:
+            signal.fewest = sent
+            signal.most = sent
+        signal.answers += 1
+        signal.fewest = min(signal.fewest, sent)
+        signal.most = max(signal.most, sent)
+        if not signal.dead and self._is_dead(daemon_id, signal, now):
+            known = daemon_id in self.reports
+            signal.dead = 'never changes' if known else 'never came'
+            self.on_change(daemon_id, signal.dead)
+
+    def dead(self) -> dict[str, str]:
+        """Return the reasons of all dead signals by daemon."""
+        return {
+            daemon_id: signal.dead
+            for daemon_id, signal in self.signals.items()
+            if signal.dead
+        }
+
+    def forget(self, daemon_id: str) -> None:
+        """Forget an upstream that has left."""
+        self.signals.pop(daemon_id, None)
+        self.reports.pop(daemon_id, None)
+
+    def _is_dead(self, daemon_id: str, signal: Signal, now: float) -> bool:
+        if signal.answers < DEAD_ANSWERS:
+            return False
+        if now - signal.since < DEAD_AFTER_S:
+            return False
+        swing = signal.most - signal.fewest
+        return daemon_id not in self.reports or swing >= DEAD_SWING
--- /dev/null
+++ b/tests/request/measuring.feature
@@ -0,0 +1,37 @@
+Feature: Measuring stays within its budget
+
+  Scenario Outline: The budget holds whatever the number of upstreams
+    Given a measuring budget of <messages> messages and <bytes> bytes a second
+    When <services> services of <members> upstreams are measured for 5 seconds
+    Then no second sees more messages or bytes than the measuring budget
+    And measuring uses at least 0.9 of one limit
+
+    Examples:
+      | messages | bytes | services | members |
+      | 20       | 4000  | 4        | 5       |
+      | 20       | 4000  | 120      | 7       |
+      | 1000     | 4000  | 120      | 300     |
+      | 0        | 4000  | 120      | 7       |
+
+  Scenario: Fresh knowledge and services that nobody calls are not measured
+    Given a measuring budget of 1000 messages and 100000 bytes a second
+    When a service with fresh reports is planned for measuring
+    Then nothing is measured
+    When 11 seconds without a call go by before measuring is planned
+    Then nothing is measured
+
+  Scenario Outline: A load signal that is dead under traffic is told
+    When 60 answers in 3 seconds come with <reports> and 0 to 5 attempts in flight
+    Then the dead signals are "<dead>"
+
+    Examples:
+      | reports         | dead          |
+      | no reports      | never came    |
+      | equal reports   | never changes |
+      | living reports  |               |
+
+  Scenario: A signal that comes back is told too
+    When 60 answers in 3 seconds come with no reports and 0 to 5 attempts in flight
+    And a new load report comes
+    Then the dead signals are ""
+    And the signal changes told are "never came,"
--- /dev/null
+++ b/tests/steps/measuring_steps.py
@@ -0,0 +1,152 @@
+"""Steps for the measuring budget and dead signals."""
+
+from __future__ import annotations
+
+import random
+
+import msgspec
+from behave import given, then, when
+
+from burdocklead.process.prober import PROBE_BYTES, PROBE_MESSAGES
+from burdocklead.request.measuring import MeasuringBudget, ProbePlanner
+from burdocklead.request.routing import Candidates, Router
+from burdocklead.request.signal_watch import SignalWatch
+from burdocklead.values import LoadReport
+from burdocklead.version.deployment import Measuring
+from tests.steps.routing_simulation import candidates_for, member
+
+TURN_S = 0.05
+
+
+@given(
+    'a measuring budget of {messages:d} messages and {size:d} bytes a second'
+)
+def plan_budget(context, messages, size):
+    """Set the limits."""
+    limits = Measuring(messages_per_second=messages, bytes_per_second=size)
+    context.budget = MeasuringBudget(limits)
+    context.router = Router('vancouver', random.Random(3))
+    context.planner = ProbePlanner(context.router)
+    context.spent = []
+
+
+def _services(count, size):
+    services = {}
+    for number in range(count):
+        name = f's{number}'
+        members = [
+            msgspec.structs.replace(
+                member(index), service=name, daemon_id=f'{name}-{index}'
+            )
+            for index in range(size)
+        ]
+        services[name] = candidates_for('vancouver', members)
+    return services
+
+
+@when(
+    '{count:d} services of {size:d} upstreams are measured for {seconds:d} '
+    'seconds'
+)
+def measure(context, count, size, seconds):
+    """Call every service all the time and probe as the daemon would."""
+    services = _services(count, size)
+    for turn in range(int(seconds / TURN_S)):
+        now = turn * TURN_S
+        context.router.called_at = dict.fromkeys(services, now)
+        for one in context.planner.plan(services, now):
+            if not context.budget.take(PROBE_MESSAGES, PROBE_BYTES, now):
+                break
+            context.planner.note_probe(one.daemon_id, now)
+            context.spent.append(now)
+
+
+def _fullest_second(spent):
+    return max(
+        (sum(at <= one < at + 1 for one in spent) for at in spent), default=0
+    )
+
+
+@then('no second sees more messages or bytes than the measuring budget')
+def check_budget(context):
+    """Count in every window of a second."""
+    probes = _fullest_second(context.spent)
+    limits = context.budget.limits
+    assert probes * PROBE_MESSAGES <= limits.messages_per_second, probes
+    assert probes * PROBE_BYTES <= limits.bytes_per_second, probes
+
+
+@then('measuring uses at least {share:f} of one limit')
+def check_budget_used(context, share):
+    """Check that the budget is not simply left unused."""
+    limits = context.budget.limits
+    possible = min(
+        limits.messages_per_second // PROBE_MESSAGES,
+        limits.bytes_per_second // PROBE_BYTES,
+    )
+    probes = _fullest_second(context.spent)
+    assert probes >= share * possible, (probes, possible)
+
+
+@when('a service with fresh reports is planned for measuring')
+def plan_with_fresh_reports(context):
+    """Plan while every report is fresh."""
+    context.services = _services(1, 3)
+    context.router.called_at['s0'] = 1
+    for index in range(3):
+        load = LoadReport(1, 0, 4)
+        context.router.observe_load(f's0-{index}', load, 0.9)
+    context.planned = context.planner.plan(context.services, 1)
+    assert context.planner.plan(context.services, 2), 'stale is not measured'
+
+
+@when('{seconds:d} seconds without a call go by before measuring is planned')
+def plan_without_calls(context, seconds):
+    """Plan long after the last call."""
+    context.planned = context.planner.plan(context.services, 1 + seconds)
+
+
+@then('nothing is measured')
+def check_nothing_planned(context):
+    """Check that no probe is planned."""
+    assert not context.planned, context.planned
+    assert not context.planner.plan({'s0': Candidates()}, 1)
+
+
+@when(
+    '{count:d} answers in {seconds:d} seconds come with {reports} and '
+    '{low:d} to {high:d} attempts in flight'
+)
+def watch_answers(context, count, seconds, reports, low, high):
+    """Show answers and reports to the watch."""
+    context.told = []
+    context.watch = SignalWatch(
+        lambda daemon_id, reason: context.told.append(reason)
+    )
+    for number in range(count):
+        now = number * seconds / count
+        sent = low + number % (high - low + 1)
+        if reports == 'equal reports':
+            context.watch.observe_report('u0', (0, 0, 4), now)
+        if reports == 'living reports':
+            context.watch.observe_report('u0', (sent, 0, 4), now)
+        context.watch.observe_answer('u0', sent, now)
+
+
+@when('a new load report comes')
+def report_again(context):
+    """Show a new report."""
+    context.watch.observe_report('u0', (3, 1, 4), 10)
+
+
+@then('the dead signals are "{reason}"')
+@then('the dead signals are ""')
+def check_dead(context, reason=''):
+    """Compare the reasons."""
+    assert ','.join(context.watch.dead().values()) == reason
+
+
+@then('the signal changes told are "{reasons}"')
+def check_told(context, reasons):
+    """Compare what was told."""
+    assert ','.join(context.told) == reasons, context.told
