--- a/burdocklead/metrics.py
+++ b/burdocklead/metrics.py
@@ -77,6 +77,14 @@
 LINK_ENDS = _counter('link_ends', 'Links ended by reason.', 'reason')
 LINK_PINGS = _counter('link_pings', 'Pings on links in use.')
 LINKS_OPEN = _gauge('links_open', 'Links of other daemons.')
+PROBES = _counter('probes', 'Probes of upstreams.', 'result')
+MEASURING_MESSAGES = _counter('measuring_messages', 'Probes and their replies.')
+MEASURING_BYTES = _counter(
+    'measuring_bytes', 'Bytes of those with packet headers.'
+)
+SIGNAL_DEAD = _counter(
+    'signal_dead', 'Load signals found dead under traffic.', 'reason'
+)
 VERSION = _gauge('version_in_force', 'Configuration version in force.')
 
 DECLARED = (
@@ -92,6 +100,10 @@
     LINK_ENDS,
     LINK_PINGS,
     LINKS_OPEN,
+    PROBES,
+    MEASURING_MESSAGES,
+    MEASURING_BYTES,
+    SIGNAL_DEAD,
     VERSION,
 )
 
--- a/burdocklead/process/daemon_parts.py
+++ b/burdocklead/process/daemon_parts.py
@@ -10,8 +10,8 @@
 from burdocklead.connection.control_client import ControlGroup
 from burdocklead.connection.link_server import LinkServer
 from burdocklead.connection.peer_access import load_peer_access
-from burdocklead.events import EventRing
-from burdocklead.metrics import MetricSet
+from burdocklead.events import EventKind, EventRing
+from burdocklead.metrics import SIGNAL_DEAD, MetricSet
 from burdocklead.process.caller_http import CallerPages
 from burdocklead.process.credentials import link_identity
 from burdocklead.process.directory import DaemonDirectory
@@ -22,6 +22,7 @@
 from burdocklead.request.keyed_call import KeyedCalls
 from burdocklead.request.local_link import LocalLink
 from burdocklead.request.routing import Router
+from burdocklead.request.signal_watch import SignalWatch
 from burdocklead.settings import DaemonSettings
 from burdocklead.values import LoadReport
 
@@ -42,7 +43,9 @@
             self.incarnation,
             AttemptJournal(self.events, self.metrics),
         )
-        self.router = Router(settings.zone, self.rng)
+        self.router = Router(
+            settings.zone, self.rng, SignalWatch(self.tell_signal)
+        )
         access = load_peer_access(settings)
         self.control = ControlGroup(settings.control, access)
         identity = link_identity(settings, self.incarnation, access)
@@ -53,6 +56,7 @@
             self.events,
             self.metrics,
             self.observe_load,
+            self.router.forget,
         )
         prefix = f'{settings.daemon_id}.{self.incarnation:x}'
         self.dispatcher = Dispatcher(
@@ -92,3 +96,13 @@
             or self.callers.in_progress
             or self.keyed_calls.pending
         )
+
+    def tell_signal(self, daemon_id: str, reason: str) -> None:
+        """Count and record a load signal that died or came back."""
+        if reason:
+            self.metrics.count(SIGNAL_DEAD, reason.replace(' ', '-'))
+        self.events.record(
+            EventKind.signal_dead,
+            peer=daemon_id,
+            detail=reason or 'alive again',
+        )
--- a/burdocklead/process/daemon_process.py
+++ b/burdocklead/process/daemon_process.py
@@ -94,7 +94,10 @@
             notice=settings.drain_notice,
         )
         pages = DaemonPages(
-            own, self.parts.directory, self.parts.metrics
+            own,
+            self.parts.directory,
+            self.parts.metrics,
+            self.parts.router.signals,
         ).application()
         admin_runner, admin = await start_site(pages, settings.admin_listen)
         own.member = msgspec.structs.replace(own.member, admin=admin)
--- a/burdocklead/process/directory.py
+++ b/burdocklead/process/directory.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import logbook
 
@@ -15,12 +15,15 @@
 from burdocklead.metrics import MetricSet
 from burdocklead.request.attempt_runner import Link
 from burdocklead.request.local_link import LocalLink
+from burdocklead.request.routing import Candidates
 from burdocklead.settings import DaemonSettings
 from burdocklead.values import Member
 from burdocklead.version.configuration_file import decode_deployment
 from burdocklead.version.deployment import Deployment
 from burdocklead.version.route_table import RouteTable
 
+NO_CANDIDATES = Candidates()
+GoneHandler = Callable[[str], None]
 log = logbook.Logger('directory')
 
 
@@ -29,6 +32,7 @@
 
     Attributes:
         members: Present daemons by name.
+        by_service: Upstreams that may get new work, by service.
         table: Routes of the version in force, None before the first.
     """
 
@@ -40,6 +44,7 @@
         events: EventRing,
         metrics: MetricSet,
         on_load: LoadHandler,
+        on_gone: GoneHandler,
     ) -> None:
         """Start without members and without a configuration."""
         self.settings = settings
@@ -48,6 +53,8 @@
         self.metrics = metrics
         self.events = events
         self.on_load = on_load
+        self.on_gone = on_gone
+        self.by_service: dict[str, Candidates] = {}
         self.members: dict[str, Member] = {}
         self.links: dict[str, PeerLink] = {}
         self.table: RouteTable | None = None
@@ -61,13 +68,9 @@
         """Return the configuration in force, None before the first."""
         return self.table.deployment if self.table else None
 
-    def candidates(self, service: str) -> list[Member]:
+    def candidates(self, service: str) -> Candidates:
         """Return the upstreams of a service that may get new work."""
-        return [
-            member
-            for member in self.members.values()
-            if member.service == service and not member.draining
-        ]
+        return self.by_service.get(service, NO_CANDIDATES)
 
     def find_member(self, daemon_id: str) -> Member | None:
         """Return a present daemon by name."""
@@ -106,6 +109,8 @@
                 self._remove(update.member.daemon_id)
             else:
                 self._add(update.member)
+        if updates or whole:
+            self._index()
 
     def take_file(self, file: AcceptedFile) -> None:
         """Put a newer configuration file in force; never an older one."""
@@ -122,6 +127,20 @@
         for link in self.links.values():
             link.close(LinkEnd.stopping)
 
+    def _index(self) -> None:
+        """Sort the members that may get new work by service."""
+        by_service: dict[str, list[Member]] = {}
+        for member in self.members.values():
+            if member.service and not member.draining:
+                by_service.setdefault(member.service, []).append(member)
+        self.by_service = {
+            service: Candidates(
+                tuple(members),
+                tuple(one for one in members if one.zone == self.settings.zone),
+            )
+            for service, members in by_service.items()
+        }
+
     def _add(self, member: Member) -> None:
         known = self.members.get(member.daemon_id)
         self.members[member.daemon_id] = member
@@ -136,4 +155,5 @@
         link = self.links.pop(daemon_id, None)
         if link is not None:
             link.close(LinkEnd.replaced)
+        self.on_gone(daemon_id)
         self.events.record(EventKind.member_left, peer=daemon_id)
