Start the path of a call at its entry; refuse pages that repeat events

Cause: in a browser's screenshot of the page the path began beside the upstream, the head scrolled away and labels of the last lane were cut; with paging cut off after the first page no test failed.

--- a/burdocklead/events.py
+++ b/burdocklead/events.py
@@ -27,6 +27,7 @@
     member_joined = 'member-joined'
     member_left = 'member-left'
     member_draining = 'member-draining'
+    call_received = 'call-received'
     call_refused = 'call-refused'
     call_answered = 'call-answered'
     call_unknown = 'call-unknown'
--- a/burdocklead/process/caller_http.py
+++ b/burdocklead/process/caller_http.py
@@ -70,23 +70,24 @@
         started = asyncio.get_running_loop().time()
         call_id = self.dispatcher.new_id()
         self.in_progress += 1
+        service = self._service_of(request)
+        self.events.record(
+            EventKind.call_received, call_id=call_id, service=service
+        )
         try:
             result = await self._result_of(request, call_id)
         finally:
             self.in_progress -= 1
-        self._count(request, result, started)
+        self._count(service, result, started)
         self.events.record(
             EVENT_BY_OUTCOME[result.outcome],
             call_id=call_id,
-            service=self._service_of(request),
+            service=service,
             detail=result.cause,
         )
         return _response_of(result, call_id)
 
-    def _count(
-        self, request: web.Request, result: CallResult, started: float
-    ) -> None:
-        service = self._service_of(request)
+    def _count(self, service: str, result: CallResult, started: float) -> None:
         elapsed = asyncio.get_running_loop().time() - started
         outcome = result.outcome.value
         self.metrics.count(CALLS, service, outcome)
--- a/burdocklead/timeline/gathering.py
+++ b/burdocklead/timeline/gathering.py
@@ -17,7 +17,7 @@
     send_request,
 )
 from burdocklead.events import Event
-from burdocklead.exceptions import BurdockleadError
+from burdocklead.exceptions import BadAnswerError, BurdockleadError
 from burdocklead.timeline.selection import EventPage, Selection
 
 STEP = 'timeline'
@@ -81,17 +81,25 @@
             path = f'/v1/events?{urlencode(selection.query())}'
             request = Request(STEP, 'GET', path)
             answer = await send_request(peer, request, self.limit_s)
-            page = _page_of(answer)
+            page = _page_of(answer, selection)
             pages.append(page)
             more = page.more and bool(page.events)
             if more:
                 selection = replace(selection, since=page.events[-1].time)
 
 
-def _page_of(answer: HttpAnswer) -> EventPage:
+def _page_of(answer: HttpAnswer, selection: Selection) -> EventPage:
     if answer.status != OK:
         raise answer.failure()
-    return answer.decode(EventPage)
+    page = answer.decode(EventPage)
+    latest = selection.since
+    for event in page.events:
+        if event.time <= latest:
+            raise BadAnswerError(
+                'gave events out of order', step=STEP, peer=answer.peer
+            )
+        latest = event.time
+    return page
 
 
 def _gathered(
--- a/burdocklead/timeline/html_page.py
+++ b/burdocklead/timeline/html_page.py
@@ -19,7 +19,7 @@
 TIME_WIDTH_PX = 210
 DOT_INSET_PX = 12
 DOT_RADIUS_PX = 4
-LABEL_CHARACTERS = 26
+LABEL_CHARACTERS = 25
 ASSETS = files('burdocklead.timeline') / 'assets'
 
 
@@ -43,7 +43,7 @@
         problems=''.join(_problem_items(processes)),
         heads=''.join(_head(lane) for lane in lanes),
         calls=''.join(_call_options(events)),
-        width=TIME_WIDTH_PX + LANE_WIDTH_PX * max(len(lanes), 1),
+        width=TIME_WIDTH_PX + LANE_WIDTH_PX * (len(lanes) + 1),
         height=ROW_HEIGHT_PX * (len(events) + 1),
         lines=''.join(_lane_lines(lanes, len(events))),
         events=''.join(_event_groups(events, lanes)),
