--- a/burdocklead/commands/control_pages.py
+++ b/burdocklead/commands/control_pages.py
@@ -71,7 +71,11 @@
 
 def control_peers(context: CommandContext) -> tuple[Peer, ...]:
     """Return the control replicas named in the settings."""
-    return tuple(Peer(*named) for named in context.settings.control_admin)
+    settings = context.settings
+    return tuple(
+        Peer(name, address, settings.tls_authority)
+        for name, address in settings.control_admin
+    )
 
 
 async def view_replicas(
--- a/burdocklead/commands/http_client.py
+++ b/burdocklead/commands/http_client.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import ssl
 from collections.abc import Mapping
 from dataclasses import dataclass, field
+from pathlib import Path
 from typing import TypeVar
 
 import aiohttp
@@ -57,10 +59,29 @@
 
 @dataclass(frozen=True, slots=True)
 class Peer:
-    """A process with an admin address."""
+    """A process with an admin address.
+
+    Attributes:
+        name: Name of the process.
+        address: Its admin address.
+        authority: File with the authorities of its TLS; None without TLS.
+    """
 
     name: str
     address: Address
+    authority: Path | None = None
+
+    def url(self, path: str) -> str:
+        """Return the URL of a page."""
+        scheme = 'http' if self.authority is None else 'https'
+        return f'{scheme}://{self.address}{path}'
+
+    def connector(self) -> aiohttp.TCPConnector:
+        """Return a connector that trusts the authorities."""
+        if self.authority is None:
+            return aiohttp.TCPConnector()
+        context = ssl.create_default_context(cafile=self.authority)
+        return aiohttp.TCPConnector(ssl=context)
 
 
 @dataclass(frozen=True, slots=True)
@@ -122,7 +143,9 @@
         total=limit_s, sock_connect=min(CONNECT_TIMEOUT_S, limit_s)
     )
     try:
-        async with aiohttp.ClientSession(timeout=timeout) as session:
+        async with aiohttp.ClientSession(
+            connector=peer.connector(), timeout=timeout
+        ) as session:
             return await _exchange(session, peer, request)
     except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
         raise UnreachableError(
@@ -140,10 +163,9 @@
 async def _exchange(
     session: aiohttp.ClientSession, peer: Peer, request: Request
 ) -> HttpAnswer:
-    url = f'http://{peer.address}{request.path}'
     async with session.request(
         request.method,
-        url,
+        peer.url(request.path),
         data=request.body,
         headers=request.headers,
         allow_redirects=False,
