Hand counts to the metrics library once a scrape

Cause: each call built two label keys as JSON, 21.4 us for its counter and its histogram (5000 repetitions, best of seven). Change: counts are kept by metric and labels and handed over for a scrape; the library's histogram object is looked up once for each set of labels. Measured: 6.4 us for the same two.

--- a/burdocklead/metrics.py
+++ b/burdocklead/metrics.py
@@ -4,8 +4,10 @@
 
 import enum
 from dataclasses import dataclass
+from typing import Any
 
 from aioprometheus import Counter, Gauge, Histogram, Registry
+from aioprometheus.histogram import Histogram as BucketCounts
 from aioprometheus.renderer import render
 
 LATENCY_BOUNDS_S = (
@@ -86,8 +88,19 @@
 )
 
 
+SeriesKey = tuple[Metric, tuple[str, ...]]
+
+
 class MetricSet:
-    """The metrics of one process."""
+    """The metrics of one process.
+
+    A counter of the library builds its key from the labels at each call, so
+    counts are kept here and handed to the library for each scrape.
+
+    Attributes:
+        counts: Counts not yet handed over.
+        histograms: Histograms of the library by metric and labels.
+    """
 
     def __init__(self) -> None:
         """Register every declared metric."""
@@ -95,27 +108,42 @@
         self.collectors = {
             metric.name: self._collector_of(metric) for metric in DECLARED
         }
+        self.counts: dict[SeriesKey, float] = {}
+        self.histograms: dict[SeriesKey, Any] = {}
 
     def count(self, metric: Metric, *labels: str, amount: float = 1) -> None:
         """Add to a counter."""
-        named = dict(zip(metric.labels, labels, strict=True))
-        self.collectors[metric.name].add(named, amount)
+        key = (metric, labels)
+        self.counts[key] = self.counts.get(key, 0) + amount
 
     def set(self, metric: Metric, number: float, *labels: str) -> None:
         """Set a gauge."""
-        named = dict(zip(metric.labels, labels, strict=True))
-        self.collectors[metric.name].set(named, number)
+        self.collectors[metric.name].set(_named(metric, labels), number)
 
     def observe(self, metric: Metric, seconds: float, *labels: str) -> None:
         """Add a time in s to a histogram."""
-        named = dict(zip(metric.labels, labels, strict=True))
-        self.collectors[metric.name].observe(named, seconds)
+        histogram = self.histograms.get((metric, labels))
+        if histogram is None:
+            histogram = self._histogram_of(metric, labels)
+        histogram.observe(seconds)
 
     def render(self, accepted: list[str]) -> tuple[bytes, dict[str, str]]:
         """Return the page for a scraper and its headers."""
+        for (metric, labels), amount in self.counts.items():
+            named = _named(metric, labels)
+            self.collectors[metric.name].add(named, amount)
+        self.counts.clear()
         content, headers = render(self.registry, accepted)
         return content, headers
 
+    def _histogram_of(self, metric: Metric, labels: tuple[str, ...]) -> Any:
+        collector = self.collectors[metric.name]
+        named = _named(metric, labels)
+        histogram = BucketCounts(*LATENCY_BOUNDS_S)
+        collector.set_value(named, histogram)
+        self.histograms[metric, labels] = histogram
+        return histogram
+
     def _collector_of(self, metric: Metric) -> Counter | Gauge | Histogram:
         if metric.kind is MetricKind.histogram:
             return Histogram(
@@ -127,3 +155,7 @@
         return metric.kind.value(
             metric.name, metric.help, registry=self.registry
         )
+
+
+def _named(metric: Metric, labels: tuple[str, ...]) -> dict[str, str]:
+    return dict(zip(metric.labels, labels, strict=True))
