--- a/devtools/bench/__main__.py
+++ b/devtools/bench/__main__.py
@@ -10,11 +10,17 @@
 from collections.abc import Callable
 from pathlib import Path
 
+from devtools.bench.blocking import run_blocking
+from devtools.bench.crest import run_crest
+from devtools.bench.growth import run_growth
 from devtools.bench.latency import run_latency
 from devtools.bench.machine import describe_machine, revision
 from devtools.bench.profiled_daemon import PROFILE_VARIABLE
 from devtools.bench.report import BenchResult, table, write_result
+from devtools.bench.resting import run_resting
 from devtools.bench.scene import Findings, Options
+from devtools.bench.spreading import run_claims, run_restarting, run_spreading
+from devtools.bench.tail import run_tail
 from devtools.processes import source_root, use_repository_sources
 
 RESULT_FOLDER = source_root() / 'bench-results'
@@ -23,6 +29,14 @@
 
 SCENARIOS: dict[str, Callable[[Options], Findings]] = {
     'latency': run_latency,
+    'tail': run_tail,
+    'crest': run_crest,
+    'blocking': run_blocking,
+    'resting': run_resting,
+    'growth': run_growth,
+    'spreading': run_spreading,
+    'restarting': run_restarting,
+    'claims': run_claims,
 }
 
 
--- /dev/null
+++ b/devtools/bench/blocking.py
@@ -0,0 +1,87 @@
+"""Short calls behind long ones, against the same load without them."""
+
+from __future__ import annotations
+
+import msgspec
+
+from devtools.bench.histograms import Row
+from devtools.bench.load_pool import LoadReport, run_load
+from devtools.bench.plan import Arm, CallKind, Plan, Step, interleaved
+from devtools.bench.scene import Findings, Layout, Options, running_deployment
+from devtools.bench.shapes import SHAPES, SLOTS, Shape, Way, arm_of
+from devtools.local_deployment import LocalDeployment
+
+SHORT_MS = 50
+LONG_MS = 1000
+LONG_WEIGHT = 0.1
+RATE_PER_TARGET = 100
+SLICE_S = 4
+PAUSE_S = 2
+ALONE = 'short alone'
+MIXED = 'with long'
+WAYS = (Way.random, Way.round_robin, Way.product)
+
+
+def run_blocking(options: Options) -> Findings:
+    """Compare ways by what long calls do to short ones.
+
+    The rate of short calls is the same with and without long ones; the long
+    ones come on top and take about half of the slots.
+    """
+    shape = SHAPES[options.variant or 'cedarline']
+    rate = RATE_PER_TARGET * shape.targets
+    findings = Findings(settings={'shape': shape.name, 'rate': rate})
+    layout = Layout({shape.service: shape.targets}, SLOTS, controls=1)
+    with running_deployment(layout) as deployment:
+        arms = blocking_arms(deployment, shape)
+        steps = interleaved(
+            tuple(arms), rate, options.seconds, SLICE_S, PAUSE_S
+        )
+        faster = tuple(with_long_rate(step) for step in steps)
+        load = run_load(Plan(options.seed, arms, faster))
+    findings.add(load)
+    for way in WAYS:
+        findings.facts.update(ratios(load, way))
+    return findings
+
+
+def blocking_arms(deployment: LocalDeployment, shape: Shape) -> dict[str, Arm]:
+    """Return each way twice, without and with long calls."""
+    short = CallKind('short', shape.path, work_ms=SHORT_MS)
+    long = CallKind(
+        'long', shape.path, work_ms=LONG_MS, weight=LONG_WEIGHT, limit_ms=10000
+    )
+    arms = {}
+    for way in WAYS:
+        arms[f'{way}, {ALONE}'] = arm_of(deployment, shape, way, (short,))
+        arms[f'{way}, {MIXED}'] = arm_of(deployment, shape, way, (short, long))
+    return arms
+
+
+def with_long_rate(step: Step) -> Step:
+    """Return a step with the rate of long calls added if it has them."""
+    if not step.label.endswith(MIXED):
+        return step
+    return msgspec.structs.replace(step, rate=step.rate * (1 + LONG_WEIGHT))
+
+
+def ratios(load: LoadReport, way: Way) -> dict[str, float]:
+    """Return the latency of short calls with long ones over that without."""
+    alone = load.row(f'{way}, {ALONE}', 'short')
+    mixed = load.row(f'{way}, {MIXED}', 'short')
+    return {
+        f'{way}, {name}, with long over alone': read(mixed) / read(alone)
+        for name, read in (('p50', _p50), ('p99', _p99), ('p99.9', _p999))
+    }
+
+
+def _p50(row: Row) -> float:
+    return row.p50_ms
+
+
+def _p99(row: Row) -> float:
+    return row.p99_ms
+
+
+def _p999(row: Row) -> float:
+    return row.p999_ms
--- /dev/null
+++ b/devtools/bench/growth.py
@@ -0,0 +1,109 @@
+"""How the processor time of a call grows with rate and body size."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+import msgspec
+
+from devtools.bench.histograms import slope
+from devtools.bench.latency import (
+    ANSWER_BYTES,
+    MS_PER_S,
+    SERVICE,
+    latency_arms,
+    rest_shares,
+)
+from devtools.bench.load_pool import run_load
+from devtools.bench.plan import Arm, Plan, Step
+from devtools.bench.scene import (
+    CALLS_PER_S,
+    CpuMeter,
+    Findings,
+    Layout,
+    Options,
+    running_deployment,
+)
+from devtools.local_deployment import LocalDeployment
+
+RATES = (100, 250, CALLS_PER_S)
+BODY_BYTES = (0, 10_000, 100_000)
+BODY_RATE = 100
+WAYS = ('local', 'link')
+WARM_S = 1
+REST = ''
+KB = 1000
+
+
+def run_growth(options: Options) -> Findings:
+    """Measure processor time per call over rate, then over body size."""
+    findings = Findings()
+    counts = {SERVICE: 1, 'archive': 1}
+    with running_deployment(Layout(counts, controls=1)) as deployment:
+        deployment.set_behaviour(
+            f'{SERVICE}-0', service_ms=0, answer_bytes=ANSWER_BYTES
+        )
+        rest = rest_shares({REST: deployment})[REST]
+        meter = CallMeter(options.seed, deployment, rest, findings)
+        seconds = options.seconds / len(WAYS)
+        for way in WAYS:
+            over_rates(meter, way, seconds / 2)
+            over_sizes(meter, way, seconds / 2)
+    return findings
+
+
+def over_rates(meter: CallMeter, way: str, seconds: float) -> None:
+    """Measure one way at each rate."""
+    for rate in RATES:
+        label = f'{way}, {rate} calls a s'
+        meter.measure(Step(label, way, seconds / len(RATES), rate), 0)
+
+
+def over_sizes(meter: CallMeter, way: str, seconds: float) -> None:
+    """Measure one way at each size of the body, in bytes."""
+    points = []
+    for size in BODY_BYTES:
+        label = f'{way}, {size} bytes'
+        step = Step(label, way, seconds / len(BODY_BYTES), BODY_RATE)
+        points.append((size / KB, meter.measure(step, size)))
+    name = f'{way}, cpu ms per call and kB'
+    meter.findings.facts[name] = slope(points)[0]
+
+
+@dataclass(frozen=True, slots=True)
+class CallMeter:
+    """Measures the processor time of calls.
+
+    Attributes:
+        seed: Seed of all schedules.
+        deployment: What runs.
+        rest: Share of a core that its daemons use at rest.
+        findings: Where the figures go.
+    """
+
+    seed: int
+    deployment: LocalDeployment
+    rest: float
+    findings: Findings
+
+    def measure(self, step: Step, body_bytes: int) -> float:
+        """Return the processor time of a call in ms over both daemons."""
+        arms = {step.arm: self.arm_with(step.arm, body_bytes)}
+        warm = msgspec.structs.replace(step, seconds=WARM_S)
+        run_load(Plan(self.seed, arms, (warm,)))
+        meter = CpuMeter(self.deployment.daemons, self.rest)
+        load = run_load(Plan(self.seed, arms, (step,)))
+        self.findings.add(load)
+        calls = load.row(step.label).calls
+        spent = meter.above_rest() * MS_PER_S / calls
+        self.findings.facts[f'{step.label}, cpu ms per call'] = spent
+        return spent
+
+    def arm_with(self, way: str, body_bytes: int) -> Arm:
+        """Return a way whose calls have a body of a size in bytes."""
+        arm = latency_arms(self.deployment, '')[way]
+        kinds = tuple(
+            msgspec.structs.replace(kind, body_bytes=body_bytes)
+            for kind in arm.kinds
+        )
+        return msgspec.structs.replace(arm, kinds=kinds)
--- /dev/null
+++ b/devtools/bench/members.py
@@ -0,0 +1,78 @@
+"""Light stand-ins: one process that heartbeats as many members."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import time
+
+import uvloop
+
+from burdocklead.clock import HybridClock
+from burdocklead.connection.cluster_key import ClusterKey
+from burdocklead.connection.control_client import ControlClient
+from burdocklead.connection.control_messages import (
+    Cursor,
+    Heartbeat,
+    HeartbeatReply,
+)
+from burdocklead.connection.peer_access import PeerAccess
+from burdocklead.options import SocketAddress
+from burdocklead.values import Address, Member
+
+INTERVAL_S = 0.5
+REPLY_TIMEOUT_S = 5
+NOWHERE = Address('127.0.0.1', 9)
+
+
+async def beat_forever(
+    client: ControlClient, number: int, interval_s: float
+) -> None:
+    """Heartbeat one member until cancelled, as a daemon does."""
+    clock = HybridClock()
+    cursor = Cursor()
+    member = Member(
+        daemon_id=f'stand-in-{number}',
+        incarnation=time.time_ns(),
+        revision=0,
+        zone='vancouver',
+        link=NOWHERE,
+        http=NOWHERE,
+        service='survey',
+        slots=20,
+    )
+    version = 0
+    while True:
+        message = Heartbeat(member, cursor, version, clock.issue())
+        reply = await client.request(message, REPLY_TIMEOUT_S)
+        if isinstance(reply, HeartbeatReply):
+            cursor = reply.cursor
+            version = reply.file.version if reply.file else version
+        await asyncio.sleep(interval_s)
+
+
+async def run_members(flags: argparse.Namespace) -> None:
+    """Heartbeat all members over one socket, spread over the interval."""
+    access = PeerAccess(ClusterKey(b''))
+    address = SocketAddress().parse(flags.control)
+    client = ControlClient('control', address, access)
+    tasks = []
+    for number in range(flags.count):
+        tasks.append(
+            asyncio.create_task(beat_forever(client, number, flags.interval))
+        )
+        await asyncio.sleep(flags.interval / flags.count)
+    await asyncio.gather(*tasks)
+
+
+def main() -> None:
+    """Run the stand-ins until ended."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--control', required=True)
+    parser.add_argument('--count', type=int, required=True)
+    parser.add_argument('--interval', type=float, default=INTERVAL_S)
+    uvloop.run(run_members(parser.parse_args()))
+
+
+if __name__ == '__main__':
+    main()
--- a/devtools/bench/report.py
+++ b/devtools/bench/report.py
@@ -78,7 +78,8 @@
 def write_result(result: BenchResult, folder: Path) -> Path:
     """Write a run as JSON and return the file."""
     folder.mkdir(parents=True, exist_ok=True)
-    name = f'{result.scenario}-{result.revision}-{result.seed}.json'
+    variant = result.settings.get('shape', 'all')
+    name = f'{result.scenario}-{variant}-{result.revision}-{result.seed}.json'
     path = folder / name
     encoded = msgspec.json.format(msgspec.json.encode(result), indent=2)
     path.write_bytes(encoded)
--- /dev/null
+++ b/devtools/bench/resting.py
@@ -0,0 +1,123 @@
+"""What a daemon costs at rest, over the number of members known."""
+
+from __future__ import annotations
+
+import contextlib
+import subprocess
+import sys
+import time
+from collections.abc import Iterator
+
+import requests
+
+from devtools.bench.histograms import slope
+from devtools.bench.machine import Usage
+from devtools.bench.scene import (
+    Findings,
+    Layout,
+    Options,
+    running_deployment,
+    usage,
+)
+from devtools.local_deployment import (
+    HTTP_TIMEOUT_S,
+    LocalDeployment,
+    wait_until,
+)
+
+MEMBER_COUNTS = (1, 30, 300)
+SETTLE_S = 3
+SERVICE = 'job-sheets'
+DAEMON = f'{SERVICE}-0'
+CONTROL = 'control-0'
+BYTES_METRIC = 'burdocklead_control_bytes_total'
+
+
+def run_resting(options: Options) -> Findings:
+    """Measure one daemon and its replica with ever more members."""
+    findings = Findings(settings={'heartbeat interval s': 0.5})
+    points: list[tuple[int, float]] = []
+    seconds = options.seconds / len(MEMBER_COUNTS)
+    with running_deployment(Layout({SERVICE: 1}, controls=1)) as deployment:
+        for count in MEMBER_COUNTS:
+            with stand_ins(deployment, count):
+                measure(deployment, count, seconds, findings)
+            memory = findings.facts[f'daemon, {count} members, memory MiB']
+            points.append((count, memory))
+    gradient, start = slope(points)
+    findings.facts['daemon memory per member KiB'] = gradient * 1024
+    findings.facts['daemon memory MiB without members'] = start
+    return findings
+
+
+@contextlib.contextmanager
+def stand_ins(deployment: LocalDeployment, count: int) -> Iterator[None]:
+    """Run light stand-ins until the daemon has known them for a while."""
+    arguments = [
+        '--control',
+        deployment.replica_list.partition('=')[2],
+        '--count',
+        str(count),
+    ]
+    process = subprocess.Popen(
+        [sys.executable, '-m', 'devtools.bench.members', *arguments]
+    )
+    try:
+        wait_until(lambda: knows(deployment, count), f'{count} members')
+        time.sleep(SETTLE_S)
+        yield
+    finally:
+        process.terminate()
+        process.wait()
+
+
+def measure(
+    deployment: LocalDeployment, count: int, seconds: float, findings: Findings
+) -> None:
+    """Measure the daemon and its replica over a time in s."""
+    processes = {
+        'daemon': deployment.daemons[DAEMON],
+        'control': deployment.controls[CONTROL],
+    }
+    before = {name: usage(one) for name, one in processes.items()}
+    bytes_before = control_bytes(deployment)
+    time.sleep(seconds)
+    for name, process in processes.items():
+        label = f'{name}, {count} members'
+        findings.facts.update(
+            differences(label, before[name], usage(process), seconds)
+        )
+    traffic = (control_bytes(deployment) - bytes_before) / seconds
+    findings.facts[f'daemon, {count} members, control bytes a s'] = traffic
+
+
+def differences(
+    label: str, before: Usage, after: Usage, seconds: float
+) -> dict[str, float]:
+    """Return figures of a process over a time in s."""
+    return {
+        f'{label}, share of a core': (after.cpu_s - before.cpu_s) / seconds,
+        f'{label}, wake-ups a s': (after.wakeups - before.wakeups) / seconds,
+        f'{label}, memory MiB': after.memory_mib,
+        f'{label}, threads': after.threads,
+    }
+
+
+def knows(deployment: LocalDeployment, count: int) -> bool:
+    """Return True if the daemon knows so many stand-ins."""
+    status = deployment.daemon_status(deployment.daemons[DAEMON])
+    known = [
+        member
+        for member in status['members']
+        if member['daemon_id'].startswith('stand-in')
+    ]
+    return len(known) >= count
+
+
+def control_bytes(deployment: LocalDeployment) -> float:
+    """Return the control bytes that the daemon counted so far."""
+    address = deployment.daemons[DAEMON].addresses['admin']
+    page = requests.get(f'http://{address}/metrics', timeout=HTTP_TIMEOUT_S)
+    lines = page.text.splitlines()
+    counted = [line for line in lines if line.startswith(BYTES_METRIC)]
+    return sum(float(line.split()[-1]) for line in counted)
--- /dev/null
+++ b/devtools/bench/shapes.py
@@ -0,0 +1,124 @@
+"""The two deployments that are measured, one service of each at a time."""
+
+from __future__ import annotations
+
+import enum
+from dataclasses import dataclass
+
+from devtools.bench.plan import Arm, CallKind, Policy
+from devtools.local_deployment import LocalDeployment
+
+SLOTS = 20
+WORK_MS = 100
+LONG_FACTOR = 10
+LONG_SHARE = 0.02
+LIMIT_MS = 1000
+MS_PER_S = 1000
+
+
+@dataclass(frozen=True, slots=True)
+class Shape:
+    """One service of a deployment.
+
+    The bench's file gives both deployments the routes of the example, so a
+    shape differs by its number of targets.
+
+    Attributes:
+        name: Deployment.
+        service: Service of the example file.
+        path: Path of its cheap idempotent route.
+        targets: Upstreams of the service.
+    """
+
+    name: str
+    service: str
+    path: str
+    targets: int
+
+    @property
+    def saturation(self) -> float:
+        """Return the calls a second that fill all slots."""
+        mean_ms = WORK_MS * (1 + LONG_SHARE * (LONG_FACTOR - 1))
+        return self.targets * SLOTS * MS_PER_S / mean_ms
+
+    def target(self, number: int) -> str:
+        """Return the name of one target's daemon."""
+        return f'{self.service}-{number}'
+
+
+CEDARLINE = Shape('cedarline', 'archive', '/records/9', 5)
+GARANTIEWERK = Shape('garantiewerk', 'job-sheets', '/sheets/17', 3)
+SHAPES = {shape.name: shape for shape in (CEDARLINE, GARANTIEWERK)}
+
+
+class Way(enum.StrEnum):
+    """A way to an upstream that is compared."""
+
+    random = 'random, straight'
+    round_robin = 'round robin, straight'
+    least_stale = 'least stale, straight'
+    product = 'product'
+
+
+POLICY_BY_WAY = {
+    Way.random: Policy.random,
+    Way.round_robin: Policy.round_robin,
+    Way.least_stale: Policy.least_stale,
+    Way.product: Policy.round_robin,
+}
+
+
+def arm_of(
+    deployment: LocalDeployment,
+    shape: Shape,
+    way: Way,
+    kinds: tuple[CallKind, ...],
+) -> Arm:
+    """Return the arm of a way; the product is entered at each daemon in turn.
+
+    Args:
+        deployment: What runs.
+        shape: Service and targets.
+        way: The product or a baseline.
+        kinds: Mix of calls with paths at the upstream.
+    """
+    policy = POLICY_BY_WAY[way]
+    if way is not Way.product:
+        upstreams = deployment.upstreams.values()
+        straight = tuple(one.addresses['http'] for one in upstreams)
+        return Arm(straight, kinds, policy)
+    daemons = deployment.daemons.values()
+    entries = tuple(one.addresses['http'] for one in daemons)
+    return Arm(entries, tuple(_through(kind, shape) for kind in kinds), policy)
+
+
+def _through(kind: CallKind, shape: Shape) -> CallKind:
+    return CallKind(
+        kind.name,
+        f'/{shape.service}{kind.path}',
+        kind.method,
+        kind.work_ms,
+        kind.weight,
+        kind.body_bytes,
+        kind.limit_ms,
+    )
+
+
+def mixed_kinds(shape: Shape) -> tuple[CallKind, ...]:
+    """Return usual calls and a few that run many times longer."""
+    return (
+        CallKind(
+            'short',
+            shape.path,
+            work_ms=WORK_MS,
+            weight=1 - LONG_SHARE,
+            limit_ms=LIMIT_MS,
+        ),
+        CallKind(
+            'long',
+            shape.path,
+            work_ms=WORK_MS * LONG_FACTOR,
+            weight=LONG_SHARE,
+            limit_ms=LIMIT_MS * LONG_FACTOR,
+        ),
+    )
--- /dev/null
+++ b/devtools/bench/spreading.py
@@ -0,0 +1,174 @@
+"""Time of claims, of a change in force, and of a restart, as slopes."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable
+from pathlib import Path
+
+import requests
+
+from burdocklead.connection.cluster_key import ClusterKey
+from burdocklead.connection.control_client import ControlClient
+from burdocklead.connection.peer_access import PeerAccess
+from burdocklead.durable.claims import Claim, ClaimStart
+from burdocklead.options import SocketAddress
+from devtools.bench.histograms import slope
+from devtools.bench.scene import Findings, Layout, Options, running_deployment
+from devtools.local_deployment import (
+    HTTP_TIMEOUT_S,
+    LocalDeployment,
+    wait_until,
+)
+
+DAEMON_COUNTS = (2, 5, 10)
+FILE_COUNTS = (20, 100, 300)
+CHANGES = 5
+CLAIMERS = (1, 16)
+CLAIM_TIMEOUT_S = 10
+MS_PER_S = 1000
+SERVICE = 'job-sheets'
+
+
+def run_spreading(options: Options) -> Findings:
+    """Measure changes in force over the number of daemons."""
+    findings = Findings(settings={'changes': CHANGES})
+    points: list[tuple[float, float]] = []
+    for count in DAEMON_COUNTS:
+        layout = Layout({SERVICE: count})
+        with running_deployment(layout) as deployment:
+            times = [
+                change_time(deployment, layout, version)
+                for version in range(2, 2 + CHANGES)
+            ]
+        name = f'{count} daemons, slowest change in force ms'
+        findings.facts[name] = max(times) * MS_PER_S
+        mean = sum(times) / len(times) * MS_PER_S
+        findings.facts[f'{count} daemons, mean in force ms'] = mean
+        points.append((count, mean))
+    gradient, start = slope(points)
+    findings.facts['in force, ms per daemon'] = gradient
+    findings.facts['in force, ms without daemons'] = start
+    return findings
+
+
+def file_text(source: Path, version: int) -> str:
+    """Return a file's text with another version."""
+    return source.read_text().replace('version = 1', f'version = {version}', 1)
+
+
+def change_time(
+    deployment: LocalDeployment, layout: Layout, version: int
+) -> float:
+    """Return the time from the request until all daemons serve it, in s."""
+    started = time.monotonic()
+    put_file(deployment, file_text(layout.file, version))
+    deployment.wait_in_force(version)
+    return time.monotonic() - started
+
+
+def put_file(deployment: LocalDeployment, text: str) -> None:
+    """Apply a file at the first replica."""
+    control = next(iter(deployment.controls.values()))
+    requests.put(
+        f'http://{control.addresses["admin"]}/v1/configuration',
+        data=text.encode(),
+        timeout=HTTP_TIMEOUT_S,
+    ).raise_for_status()
+
+
+def run_restarting(options: Options) -> Findings:
+    """Measure the restart of a replica over the number of files applied."""
+    findings = Findings()
+    points: list[tuple[float, float]] = []
+    layout = Layout({SERVICE: 1})
+    with running_deployment(layout) as deployment:
+        before = 1
+        for count in FILE_COUNTS:
+            rate = apply_rate(deployment, layout, before, count)
+            before = count
+            findings.facts[f'up to {count} files, applies a s'] = rate
+            restart_ms = restart_time(deployment) * MS_PER_S
+            findings.facts[f'{count} files, restart ms'] = restart_ms
+            findings.facts[f'{count} files, data KiB'] = data_kib(deployment)
+            points.append((count, restart_ms))
+    gradient, start = slope(points)
+    findings.facts['restart, ms per file'] = gradient
+    findings.facts['restart, ms without files'] = start
+    return findings
+
+
+def apply_rate(
+    deployment: LocalDeployment, layout: Layout, before: int, last: int
+) -> float:
+    """Apply the versions after one up to another; return how many a s."""
+    started = time.monotonic()
+    for version in range(before + 1, last + 1):
+        put_file(deployment, file_text(layout.file, version))
+    return (last - before) / (time.monotonic() - started)
+
+
+def restart_time(deployment: LocalDeployment) -> float:
+    """Return the time from a kill until the replica is ready again, in s."""
+    replica = list(deployment.controls.values())[-1]
+    replica.kill()
+    started = time.monotonic()
+    replica.start()
+    replica.wait_ready()
+    url = f'http://{replica.addresses["admin"]}/readyz'
+    wait_until(_answers(url), 'replica ready')
+    return time.monotonic() - started
+
+
+def _answers(url: str) -> Callable[[], bool]:
+    def is_ready() -> bool:
+        return requests.get(url, timeout=HTTP_TIMEOUT_S).ok
+
+    return is_ready
+
+
+def data_kib(deployment: LocalDeployment) -> float:
+    """Return the size of the last replica's data folder in KiB."""
+    folder = deployment.folder / list(deployment.controls)[-1]
+    sizes = [path.stat().st_size for path in folder.rglob('*')]
+    return sum(sizes) / 1024
+
+
+def run_claims(options: Options) -> Findings:
+    """Measure claims a second over claimers at the same time."""
+    findings = Findings()
+    with running_deployment(Layout({SERVICE: 1})) as deployment:
+        for claimers in CLAIMERS:
+            seconds = options.seconds / len(CLAIMERS)
+            count, mean_ms = asyncio.run(claim(deployment, claimers, seconds))
+            findings.facts[f'{claimers} claimers, claims a s'] = count / seconds
+            findings.facts[f'{claimers} claimers, mean ms'] = mean_ms
+    return findings
+
+
+async def claim(
+    deployment: LocalDeployment, claimers: int, seconds: float
+) -> tuple[int, float]:
+    """Return the number of claims in a time and their mean time in ms."""
+    address = SocketAddress().parse(
+        deployment.replica_list.partition(',')[0].partition('=')[2]
+    )
+    client = ControlClient('control', address, PeerAccess(ClusterKey(b'')))
+    ends = time.monotonic() + seconds
+    counts = await asyncio.gather(
+        *(claim_until(client, number, ends) for number in range(claimers))
+    )
+    client.close()
+    return sum(counts), seconds * claimers / sum(counts) * MS_PER_S
+
+
+async def claim_until(client: ControlClient, number: int, ends: float) -> int:
+    """Claim new keys one after the other until a time; return how many."""
+    count = 0
+    while time.monotonic() < ends:
+        key = f'claim/{time.time_ns()}-{number}-{count}'
+        claimed = Claim('fingerprint', key, 'daemon', 1)
+        await client.request(ClaimStart(key, claimed), CLAIM_TIMEOUT_S)
+        count += 1
+    return count
--- /dev/null
+++ b/devtools/bench/tail.py
@@ -0,0 +1,119 @@
+"""Tail latency of the product and the baselines, in quiet and disturbed."""
+
+from __future__ import annotations
+
+import contextlib
+import enum
+import itertools
+import threading
+from collections.abc import Iterator
+
+from devtools.bench.load_pool import run_load
+from devtools.bench.plan import Plan, interleaved
+from devtools.bench.scene import Findings, Layout, Options, running_deployment
+from devtools.bench.shapes import (
+    SHAPES,
+    SLOTS,
+    Shape,
+    Way,
+    arm_of,
+    mixed_kinds,
+)
+from devtools.local_deployment import LocalDeployment
+
+USE = 0.5
+SLICE_S = 2
+PAUSE_S = 1
+STRAGGLER_SLOWDOWN = 10
+NEIGHBOUR_SLOWDOWN = 4
+NEIGHBOUR_TURN_S = 0.5
+MISLEADING_SLOTS = 10 * SLOTS
+MISLEADING_SLOWDOWN = 3
+
+
+class Condition(enum.StrEnum):
+    """How the first upstream behaves during the measurement."""
+
+    quiet = 'quiet'
+    straggler = 'straggler'
+    neighbour = 'noisy neighbour'
+    misleading = 'misleading'
+
+
+def run_tail(options: Options) -> Findings:
+    """Compare all ways under every condition; the variant names the shape."""
+    shape = SHAPES[options.variant or 'garantiewerk']
+    rate = USE * shape.saturation
+    findings = Findings(
+        settings={'shape': shape.name, 'targets': shape.targets, 'rate': rate}
+    )
+    layout = Layout({shape.service: shape.targets}, SLOTS, controls=1)
+    with running_deployment(layout) as deployment:
+        for condition in Condition:
+            with disturbed(deployment, shape, condition):
+                compare(options, deployment, shape, condition, findings)
+    return findings
+
+
+def compare(
+    options: Options,
+    deployment: LocalDeployment,
+    shape: Shape,
+    condition: Condition,
+    findings: Findings,
+) -> None:
+    """Give every way its turns under one condition."""
+    kinds = mixed_kinds(shape)
+    arms = {
+        f'{way.value}, {condition.value}': arm_of(deployment, shape, way, kinds)
+        for way in Way
+    }
+    seconds = options.seconds / len(Condition)
+    rate = USE * shape.saturation
+    steps = interleaved(tuple(arms), rate, seconds, SLICE_S, PAUSE_S)
+    findings.add(run_load(Plan(options.seed, arms, steps)))
+
+
+@contextlib.contextmanager
+def disturbed(
+    deployment: LocalDeployment, shape: Shape, condition: Condition
+) -> Iterator[None]:
+    """Disturb the first upstream for a while."""
+    first = shape.target(0)
+    ended = threading.Event()
+    neighbour = threading.Thread(
+        target=_alternate, args=(deployment, first, ended)
+    )
+    match condition:
+        case Condition.straggler:
+            deployment.set_behaviour(first, slowdown=STRAGGLER_SLOWDOWN)
+        case Condition.misleading:
+            deployment.set_behaviour(
+                first,
+                slowdown=MISLEADING_SLOWDOWN,
+                reported_slots=MISLEADING_SLOTS,
+            )
+        case Condition.neighbour:
+            neighbour.start()
+    try:
+        yield
+    finally:
+        ended.set()
+        _restore(deployment, first, neighbour)
+
+
+def _restore(
+    deployment: LocalDeployment, name: str, neighbour: threading.Thread
+) -> None:
+    if neighbour.is_alive():
+        neighbour.join()
+    deployment.set_behaviour(name)
+
+
+def _alternate(
+    deployment: LocalDeployment, name: str, ended: threading.Event
+) -> None:
+    for slowdown in itertools.cycle((NEIGHBOUR_SLOWDOWN, 1)):
+        deployment.set_behaviour(name, slowdown=slowdown)
+        if ended.wait(NEIGHBOUR_TURN_S):
+            return
