--- a/devtools/bench/members.py
+++ b/devtools/bench/members.py
@@ -25,6 +25,12 @@
 NOWHERE = Address('127.0.0.1', 9)
 
 
+def client_of(address: str) -> ControlClient:
+    """Return a client of a replica at IP:PORT that needs no key."""
+    parsed = SocketAddress().parse(address)
+    return ControlClient('control', parsed, PeerAccess(ClusterKey(b'')))
+
+
 async def beat_forever(
     client: ControlClient, number: int, interval_s: float
 ) -> None:
@@ -53,9 +59,7 @@
 
 async def run_members(flags: argparse.Namespace) -> None:
     """Heartbeat all members over one socket, spread over the interval."""
-    access = PeerAccess(ClusterKey(b''))
-    address = SocketAddress().parse(flags.control)
-    client = ControlClient('control', address, access)
+    client = client_of(flags.control)
     tasks = []
     for number in range(flags.count):
         tasks.append(
--- a/devtools/bench/resting.py
+++ b/devtools/bench/resting.py
@@ -2,16 +2,16 @@
 
 from __future__ import annotations
 
+import asyncio
 import contextlib
 import subprocess
 import sys
 import time
 from collections.abc import Iterator
 
-import requests
-
 from devtools.bench.histograms import slope
 from devtools.bench.machine import Usage
+from devtools.bench.members import INTERVAL_S, beat_forever, client_of
 from devtools.bench.scene import (
     Findings,
     Layout,
@@ -19,18 +19,14 @@
     running_deployment,
     usage,
 )
-from devtools.local_deployment import (
-    HTTP_TIMEOUT_S,
-    LocalDeployment,
-    wait_until,
-)
+from devtools.local_deployment import LocalDeployment, wait_until
 
 MEMBER_COUNTS = (1, 30, 300)
 SETTLE_S = 3
 SERVICE = 'job-sheets'
 DAEMON = f'{SERVICE}-0'
 CONTROL = 'control-0'
-BYTES_METRIC = 'burdocklead_control_bytes_total'
+EXTRA = 1_000_000
 
 
 def run_resting(options: Options) -> Findings:
@@ -80,14 +76,12 @@
         'control': deployment.controls[CONTROL],
     }
     before = {name: usage(one) for name, one in processes.items()}
-    bytes_before = control_bytes(deployment)
-    time.sleep(seconds)
+    traffic = asyncio.run(heartbeat_traffic(deployment, seconds))
     for name, process in processes.items():
         label = f'{name}, {count} members'
         findings.facts.update(
             differences(label, before[name], usage(process), seconds)
         )
-    traffic = (control_bytes(deployment) - bytes_before) / seconds
     findings.facts[f'daemon, {count} members, control bytes a s'] = traffic
 
 
@@ -114,10 +108,17 @@
     return len(known) >= count
 
 
-def control_bytes(deployment: LocalDeployment) -> float:
-    """Return the control bytes that the daemon counted so far."""
-    address = deployment.daemons[DAEMON].addresses['admin']
-    page = requests.get(f'http://{address}/metrics', timeout=HTTP_TIMEOUT_S)
-    lines = page.text.splitlines()
-    counted = [line for line in lines if line.startswith(BYTES_METRIC)]
-    return sum(float(line.split()[-1]) for line in counted)
+async def heartbeat_traffic(
+    deployment: LocalDeployment, seconds: float
+) -> float:
+    """Return the bytes a second of one more member's heartbeats.
+
+    The first heartbeat, which fetches the whole membership, is not counted.
+    """
+    client = client_of(deployment.replica_list.partition('=')[2])
+    beats = asyncio.create_task(beat_forever(client, EXTRA, INTERVAL_S))
+    await asyncio.sleep(INTERVAL_S)
+    before = client.bytes_sent + client.bytes_received
+    await asyncio.sleep(seconds)
+    beats.cancel()
+    return (client.bytes_sent + client.bytes_received - before) / seconds
--- a/devtools/bench/spreading.py
+++ b/devtools/bench/spreading.py
@@ -9,12 +9,10 @@
 
 import requests
 
-from burdocklead.connection.cluster_key import ClusterKey
 from burdocklead.connection.control_client import ControlClient
-from burdocklead.connection.peer_access import PeerAccess
 from burdocklead.durable.claims import Claim, ClaimStart
-from burdocklead.options import SocketAddress
 from devtools.bench.histograms import slope
+from devtools.bench.members import client_of
 from devtools.bench.scene import Findings, Layout, Options, running_deployment
 from devtools.local_deployment import (
     HTTP_TIMEOUT_S,
@@ -151,10 +149,8 @@
     deployment: LocalDeployment, claimers: int, seconds: float
 ) -> tuple[int, float]:
     """Return the number of claims in a time and their mean time in ms."""
-    address = SocketAddress().parse(
-        deployment.replica_list.partition(',')[0].partition('=')[2]
-    )
-    client = ControlClient('control', address, PeerAccess(ClusterKey(b'')))
+    first = deployment.replica_list.partition(',')[0]
+    client = client_of(first.partition('=')[2])
     ends = time.monotonic() + seconds
     counts = await asyncio.gather(
         *(claim_until(client, number, ends) for number in range(claimers))
