--- a/devtools/bench/latency.py
+++ b/devtools/bench/latency.py
@@ -4,7 +4,7 @@
 
 import contextlib
 import time
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
 
 from devtools.bench.load_pool import LoadReport, run_load
 from devtools.bench.plan import Arm, CallKind, Plan, interleaved
@@ -21,6 +21,7 @@
     running_deployment,
 )
 from devtools.local_deployment import LocalDeployment
+from devtools.processes import ManagedProcess
 
 SLICE_S = 0.25
 WARM_S = 2
@@ -32,6 +33,7 @@
 WAYS = ('local', 'link')
 PATH = f'/{SERVICE}/sheets/17'
 OLD = 'old '
+BARE = 'bare-proxy'
 
 
 def latency_arms(deployment: LocalDeployment, prefix: str) -> dict[str, Arm]:
@@ -69,22 +71,33 @@
             sources = stack.enter_context(checkout(options.baseline))
             old = Layout(layout.counts, controls=1, sources=sources)
             deployments[OLD] = stack.enter_context(running_deployment(old))
-        compare(options, deployments, findings)
+        proxy = stack.enter_context(bare_proxy(deployments['']))
+        compare(options, deployments, proxy, findings)
     return findings
 
 
+@contextlib.contextmanager
+def bare_proxy(deployment: LocalDeployment) -> Iterator[ManagedProcess]:
+    """Run a proxy that does nothing but forward to the upstream."""
+    upstream = deployment.upstreams[f'{SERVICE}-0'].addresses['http']
+    arguments = ('--upstream', upstream)
+    proxy = ManagedProcess(BARE, 'bare-proxy', arguments, deployment.folder)
+    proxy.start()
+    try:
+        proxy.wait_ready()
+        yield proxy
+    finally:
+        proxy.stop()
+
+
 def compare(
     options: Options,
     deployments: Mapping[str, LocalDeployment],
+    proxy: ManagedProcess,
     findings: Findings,
 ) -> None:
     """Send the calls of all arms in turn and take the figures over."""
-    arms: dict[str, Arm] = {}
-    for prefix, deployment in deployments.items():
-        deployment.set_behaviour(
-            f'{SERVICE}-0', service_ms=0, answer_bytes=ANSWER_BYTES
-        )
-        arms.update(latency_arms(deployment, prefix))
+    arms = all_arms(deployments, proxy)
     warm = interleaved(tuple(arms), CALLS_PER_S, WARM_S, SLICE_S)
     run_load(Plan(options.seed, arms, warm))
     rest = rest_shares(deployments)
@@ -93,14 +106,32 @@
         prefix: CpuMeter(deployment.daemons, rest[prefix])
         for prefix, deployment in deployments.items()
     }
+    floor = CpuMeter({BARE: proxy})
     load = run_load(Plan(options.seed, arms, steps))
     findings.add(load)
+    findings.facts[f'{BARE} cpu ms per call'] = (
+        floor.above_rest() * MS_PER_S / load.row(BARE).calls
+    )
     for prefix, meter in meters.items():
-        name = f'{prefix}daemons at rest, share of a core'
-        findings.facts[name] = rest[prefix]
+        findings.facts[f'{prefix}rest, share of a core'] = rest[prefix]
         findings.facts.update(figures_of(load, prefix, meter.above_rest()))
 
 
+def all_arms(
+    deployments: Mapping[str, LocalDeployment], proxy: ManagedProcess
+) -> dict[str, Arm]:
+    """Return the arms of all deployments and of the bare proxy."""
+    arms: dict[str, Arm] = {}
+    for prefix, deployment in deployments.items():
+        deployment.set_behaviour(
+            f'{SERVICE}-0', service_ms=0, answer_bytes=ANSWER_BYTES
+        )
+        arms.update(latency_arms(deployment, prefix))
+    kinds = (CallKind('view-sheet', '/sheets/17'),)
+    arms[BARE] = Arm((proxy.addresses['http'],), kinds)
+    return arms
+
+
 def rest_shares(
     deployments: Mapping[str, LocalDeployment],
 ) -> dict[str, float]:
@@ -136,7 +167,8 @@
     if not load.has_row(f'{prefix}straight{suffix}'):
         return facts
     straight = load.row(f'{prefix}straight{suffix}')
-    for way in WAYS:
+    ways = WAYS if prefix else (*WAYS, BARE)
+    for way in ways:
         label = f'{prefix}{way}{suffix}'
         if load.has_row(label):
             row = load.row(label)
--- a/devtools/bench/scene.py
+++ b/devtools/bench/scene.py
@@ -90,7 +90,15 @@
             start(deployment, layout)
             yield deployment
         finally:
-            deployment.stop()
+            stop(deployment, layout)
+
+
+def stop(deployment: LocalDeployment, layout: Layout) -> None:
+    """End all processes; profiled daemons get the time to write."""
+    if layout.daemon_program != 'daemon':
+        for daemon in deployment.daemons.values():
+            daemon.stop()
+    deployment.stop()
 
 
 def start(deployment: LocalDeployment, layout: Layout) -> None:
--- a/devtools/processes.py
+++ b/devtools/processes.py
@@ -22,6 +22,7 @@
     'daemon': 'burdocklead.programs.daemon',
     'control': 'burdocklead.programs.control',
     'upstream': 'devtools.upstream',
+    'bare-proxy': 'devtools.bench.bare_proxy',
     'profiled-daemon': 'devtools.bench.profiled_daemon',
 }
 
