Fuzz the request path against an oracle of executions

Cause: the promises of the request path hold only if no order of faults breaks them. Change: devtools.fuzz.request_path runs the product's links, attempt table, runner, executor, dispatcher, keyed calls and claims in virtual time over connections that lose, double, delay and reorder frames, with daemons and upstreams that crash and come back, drains, silent links, claims without a quorum and callers that resend through any entry. The oracle counts executions.

--- a/burdocklead/request/dispatch.py
+++ b/burdocklead/request/dispatch.py
@@ -7,24 +7,12 @@
 import random
 from dataclasses import dataclass, field
 
-from burdocklead.connection.frames import (
-    Answer,
-    Attempt,
-    AttemptResult,
-    Lost,
-    Refusal,
-)
+from burdocklead.connection.frames import Attempt, AttemptResult
 from burdocklead.request.attempt_runner import AttemptRunner, Directory
-from burdocklead.request.call import (
-    Call,
-    CallResult,
-    answered,
-    not_run,
-    unknown,
-)
+from burdocklead.request.call import Call, CallResult, outcome_of
 from burdocklead.request.retries import RetryBudget, backoff_s, may_repeat
 from burdocklead.request.routing import Router
-from burdocklead.values import Member, RefusalCause
+from burdocklead.values import Member
 
 MS_PER_S = 1000
 
@@ -67,14 +55,16 @@
         """Return the result of a call without a key."""
         self.budget_of(call).earn()
         tried: set[str] = set()
+        results: list[AttemptResult] = []
         for number in itertools.count(1):
             member = self.choose(call, tried)
             if member is None:
-                return not_run(RefusalCause.no_upstream)
+                return outcome_of(results)
             attempt = self.attempt_of(call, member, self.new_id(), number)
             result = await self.runner.run(call, member, attempt)
+            results.append(result)
             if not await self.repeat_allowed(call, result, number):
-                return result_of(result)
+                return outcome_of(results)
             tried.add(member.daemon_id)
         raise AssertionError('unreachable')
 
@@ -127,14 +117,3 @@
             number=number,
             queue_limit=rules.service.queue_limit,
         )
-
-
-def result_of(result: AttemptResult) -> CallResult:
-    """Return what the caller is told of the last attempt."""
-    match result:
-        case Answer():
-            return answered(result)
-        case Refusal():
-            return not_run(result.cause)
-        case Lost():
-            return unknown(result.reason)
--- /dev/null
+++ b/devtools/fuzz/request_path.py
@@ -0,0 +1,233 @@
+"""Stateful fuzzer of the request path against an oracle of executions."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from typing import assert_never
+
+from hypothesis import HealthCheck, Phase, given, settings, strategies
+from hypothesis import seed as seeded
+
+from devtools.fuzz.request_network import FaultRates
+from devtools.fuzz.request_world import World, track_tasks
+from devtools.fuzz.virtual_loop import VirtualLoop, run_virtually
+
+DAEMONS = 3
+KEYS = 2
+MIN_STEPS = 15
+MAX_STEPS = 50
+
+
+@dataclass(frozen=True)
+class SendCall:
+    """A caller sends a call; the same key is the same call."""
+
+    entry: int
+    idempotent: bool
+
+
+@dataclass(frozen=True)
+class SendKeyed:
+    """A caller sends or resends a keyed call."""
+
+    entry: int
+    key: int
+
+
+@dataclass(frozen=True)
+class CrashDaemon:
+    """A daemon is killed."""
+
+    daemon: int
+
+
+@dataclass(frozen=True)
+class RestartDaemon:
+    """A killed daemon comes back."""
+
+    daemon: int
+
+
+@dataclass(frozen=True)
+class BounceDaemon:
+    """A daemon is killed and comes back at once."""
+
+    daemon: int
+
+
+@dataclass(frozen=True)
+class CrashUpstream:
+    """An upstream is killed."""
+
+    daemon: int
+
+
+@dataclass(frozen=True)
+class RestartUpstream:
+    """A killed upstream comes back."""
+
+    daemon: int
+
+
+@dataclass(frozen=True)
+class SetDrain:
+    """A daemon drains or takes work again."""
+
+    daemon: int
+    wanted: bool
+
+
+@dataclass(frozen=True)
+class SilenceLinks:
+    """The open links of a daemon swallow frames."""
+
+    daemon: int
+
+
+@dataclass(frozen=True)
+class SetClaims:
+    """The claim registers have a quorum or not."""
+
+    down: bool
+
+
+@dataclass(frozen=True)
+class Wait:
+    """Time goes by."""
+
+    seconds: float
+
+
+DaemonStep = (
+    CrashDaemon
+    | RestartDaemon
+    | BounceDaemon
+    | CrashUpstream
+    | RestartUpstream
+    | SetDrain
+)
+Step = SendCall | SendKeyed | SilenceLinks | SetClaims | Wait | DaemonStep
+
+
+@dataclass(frozen=True)
+class Script:
+    """One example.
+
+    Attributes:
+        seed: Seed of the network and the upstreams.
+        rates: Faults of the network.
+        remembered: Attempts that a daemon remembers.
+        steps: What happens.
+    """
+
+    seed: int
+    rates: FaultRates
+    remembered: int
+    steps: tuple[Step, ...]
+
+
+def scripts() -> strategies.SearchStrategy[Script]:
+    """Return the examples to choose from."""
+    daemon = strategies.integers(0, DAEMONS - 1)
+    key = strategies.integers(0, KEYS - 1)
+    step = strategies.one_of(
+        strategies.builds(SendKeyed, daemon, key),
+        strategies.builds(SendKeyed, daemon, key),
+        strategies.builds(SendCall, daemon, strategies.booleans()),
+        strategies.builds(SendCall, daemon, strategies.just(value=False)),
+        strategies.builds(CrashDaemon, daemon),
+        strategies.builds(RestartDaemon, daemon),
+        strategies.builds(BounceDaemon, daemon),
+        strategies.builds(CrashUpstream, daemon),
+        strategies.builds(RestartUpstream, daemon),
+        strategies.builds(SetDrain, daemon, strategies.booleans()),
+        strategies.builds(SilenceLinks, daemon),
+        strategies.builds(SetClaims, strategies.booleans()),
+        strategies.builds(
+            Wait, strategies.sampled_from((0.002, 0.02, 0.2, 1.0, 4.0))
+        ),
+        strategies.builds(
+            Wait, strategies.sampled_from((0.002, 0.005, 0.01, 0.1))
+        ),
+    )
+    share = strategies.sampled_from((0, 0.05, 0.2))
+    return strategies.builds(
+        Script,
+        strategies.integers(0, 2**32),
+        strategies.builds(FaultRates, share, share, share, share),
+        strategies.sampled_from((2, 1000)),
+        strategies.lists(step, min_size=MIN_STEPS, max_size=MAX_STEPS).map(
+            tuple
+        ),
+    )
+
+
+def run_script(script: Script) -> None:
+    """Run one example; raise AssertionError if a promise was broken."""
+
+    async def play(loop: VirtualLoop) -> None:
+        loop.set_task_factory(track_tasks)
+        world = World(script.seed, script.rates, script.remembered, DAEMONS)
+        loop.network = world.network
+        for number, step in enumerate(script.steps):
+            await take_step(world, step, number)
+        await world.settle()
+        world.oracle.check(world.once)
+
+    failures = run_virtually(play)
+    assert not failures, failures
+
+
+async def take_step(world: World, step: Step, number: int) -> None:
+    """Let one thing happen."""
+    match step:
+        case SendCall(entry, idempotent):
+            mark = b'plain-%d' % number
+            world.call(entry, mark, idempotent=idempotent, keyed=False)
+        case SendKeyed(entry, key):
+            mark = b'keyed-%d' % key
+            world.call(entry, mark, idempotent=False, keyed=True)
+        case SilenceLinks(daemon):
+            world.network.silence(world.daemons[daemon])
+        case SetClaims(down):
+            world.claims.down = down
+        case Wait(seconds):
+            await asyncio.sleep(seconds)
+        case _:
+            change_daemon(world, step)
+
+
+def change_daemon(world: World, step: DaemonStep) -> None:
+    """Change a daemon or the upstream beside it."""
+    match step:
+        case CrashDaemon(daemon):
+            world.crash_daemon(daemon)
+        case RestartDaemon(daemon):
+            world.restart_daemon(daemon)
+        case BounceDaemon(daemon):
+            world.crash_daemon(daemon)
+            world.restart_daemon(daemon)
+        case CrashUpstream(daemon):
+            world.upstreams[daemon].crash()
+        case RestartUpstream(daemon):
+            world.upstreams[daemon].restart()
+        case SetDrain(daemon, wanted):
+            world.drain(daemon, wanted)
+        case _:
+            assert_never(step)
+
+
+def run_fuzzer(*, seed: int, count: int, shrink: bool = True) -> None:
+    """Run a number of examples; a failing one raises AssertionError."""
+    phases = (Phase.generate, Phase.shrink) if shrink else (Phase.generate,)
+
+    rules = settings(
+        max_examples=count,
+        database=None,
+        deadline=None,
+        phases=phases,
+        suppress_health_check=list(HealthCheck),
+        print_blob=False,
+    )
+    seeded(seed)(rules(given(scripts())(run_script)))()
--- /dev/null
+++ b/tests/steps/fuzz_steps.py
@@ -0,0 +1,90 @@
+"""Steps that run the fuzzer of the request path, also on broken variants."""
+
+from __future__ import annotations
+
+from unittest import mock
+
+import msgspec
+from behave import given, then, when
+
+from burdocklead.connection.frames import Answer, AttemptState, Refusal
+from burdocklead.request import attempt_runner, dispatch
+from burdocklead.request.attempt_table import (
+    AttemptRecord,
+    AttemptTable,
+    LowWaterMarks,
+)
+from burdocklead.request.execution import AttemptExecutor
+from burdocklead.request.keyed_call import KeyedCalls
+from burdocklead.values import RefusalCause
+from devtools.fuzz.request_path import run_fuzzer
+
+true_verdict = attempt_runner.result_of_verdict
+
+
+def query_without_fence(table, attempt_id):
+    """Return a record and fence nothing."""
+    never_seen = AttemptRecord(AttemptState.never_seen)
+    return table.records.get(attempt_id, never_seen)
+
+
+async def take_over(keyed_calls, call, held):
+    """Take any claim over without asking what became of it."""
+    return Refusal(held.attempt_id, RefusalCause.fenced, attempt_runner.NO_LOAD)
+
+
+def trust_any(verdict, query):
+    """Trust the verdict of another incarnation."""
+    following = msgspec.structs.replace(verdict, incarnation=query.incarnation)
+    return true_verdict(following, query)
+
+
+def refuse_lost(executor, attempt, reason, *, crashed):
+    """Say that a lost attempt did not run."""
+    return executor._refusal(attempt, RefusalCause.shed)
+
+
+VARIANTS = {
+    'the fence': (AttemptTable, 'query', query_without_fence),
+    'fencing before takeover': (KeyedCalls, '_resolve_held', take_over),
+    'the truth about a loss': (AttemptExecutor, '_lost', refuse_lost),
+    'the limit of retries': (
+        dispatch,
+        'may_repeat',
+        lambda call, result: not isinstance(result, Answer),
+    ),
+    'the low-water mark': (LowWaterMarks, 'cover', lambda marks, name: False),
+    'the incarnation check': (attempt_runner, 'result_of_verdict', trust_any),
+}
+
+
+@given('a request path without {part}')
+def break_path(context, part):
+    """Replace a part of the product until the scenario ends."""
+    patch = mock.patch.object(*VARIANTS[part])
+    patch.start()
+    context.add_cleanup(patch.stop)
+
+
+@when(
+    'the fuzzer of the request path runs {count:d} examples with seed {seed:d}'
+)
+def run_examples(context, count, seed):
+    """Run the fuzzer and keep the first broken promise."""
+    context.broken = None
+    try:
+        run_fuzzer(seed=seed, count=count, shrink=False)
+    except AssertionError as error:
+        context.broken = str(error)
+
+
+@then('the fuzzer found no broken promise')
+def check_kept(context):
+    """Check that every promise was kept."""
+    assert context.broken is None, context.broken
+
+
+@then('the fuzzer found a broken promise')
+def check_broken(context):
+    """Check that the oracle saw the broken part."""
+    assert context.broken is not None
