--- a/burdocklead/metrics.py
+++ b/burdocklead/metrics.py
@@ -80,6 +80,11 @@
 SIGNAL_DEAD = _counter(
     'signal_dead', 'Load signals found dead under traffic.', 'reason'
 )
+INTERNAL_ERRORS = _counter('internal_errors', 'Calls that failed within.')
+LATE_RESULTS = _counter('late_results', 'Results that nobody waited for.')
+LINK_ENDS = _counter('link_ends', 'Links ended by reason.', 'reason')
+LINK_PINGS = _counter('link_pings', 'Pings on links in use.')
+LINKS_OPEN = _gauge('links_open', 'Links of other daemons.')
 VERSION = _gauge('version_in_force', 'Configuration version in force.')
 
 DECLARED = (
@@ -94,6 +99,11 @@
     MEASURING_MESSAGES,
     MEASURING_BYTES,
     SIGNAL_DEAD,
+    INTERNAL_ERRORS,
+    LATE_RESULTS,
+    LINK_ENDS,
+    LINK_PINGS,
+    LINKS_OPEN,
     VERSION,
 )
 
--- a/burdocklead/process/daemon_parts.py
+++ b/burdocklead/process/daemon_parts.py
@@ -2,28 +2,27 @@
 
 from __future__ import annotations
 
-import asyncio
 import random
 import time
 
 from burdocklead.clock import HybridClock
 from burdocklead.connection.control_client import ControlGroup
-from burdocklead.connection.frames import Hello
 from burdocklead.connection.link_server import LinkServer
 from burdocklead.connection.peer_access import load_peer_access
 from burdocklead.events import EventKind, EventRing
 from burdocklead.metrics import SIGNAL_DEAD, MetricSet
 from burdocklead.process.caller_http import CallerPages
+from burdocklead.process.credentials import link_identity
 from burdocklead.process.directory import DaemonDirectory
 from burdocklead.request.attempt_journal import AttemptJournal
 from burdocklead.request.attempt_runner import AttemptRunner
 from burdocklead.request.dispatch import Dispatcher
 from burdocklead.request.execution import AttemptExecutor
 from burdocklead.request.keyed_call import KeyedCalls
+from burdocklead.request.local_link import LocalLink
 from burdocklead.request.routing import Router
 from burdocklead.request.signal_watch import SignalWatch
 from burdocklead.settings import DaemonSettings
-from burdocklead.values import LoadReport
 
 
 class DaemonParts:
@@ -38,21 +37,23 @@
         self.incarnation = time.time_ns()
         self.rng = random.Random(self.incarnation)
         self.executor = AttemptExecutor(
-            self.incarnation, AttemptJournal(self.events, self.metrics)
+            settings,
+            self.incarnation,
+            AttemptJournal(self.events, self.metrics),
         )
         self.router = Router(
             settings.zone, self.rng, SignalWatch(self.tell_signal)
         )
-        self.access = load_peer_access(settings)
-        self.control = ControlGroup(settings.control, self.access)
-        hello = Hello(settings.daemon_id, self.incarnation)
+        access = load_peer_access(settings)
+        self.control = ControlGroup(settings.control, access)
+        identity = link_identity(settings, self.incarnation, access)
         self.directory = DaemonDirectory(
-            hello,
-            self.executor,
+            settings,
+            identity,
+            LocalLink(self.executor),
             self.events,
-            self.observe_load,
-            self.router.forget,
-            settings.zone,
+            self.metrics,
+            self.router,
         )
         prefix = f'{settings.daemon_id}.{self.incarnation:x}'
         self.dispatcher = Dispatcher(
@@ -62,23 +63,17 @@
             self.router,
             self.rng,
         )
-        keyed_calls = KeyedCalls(
-            self.dispatcher, self.control, self.directory.find_member
+        self.keyed_calls = KeyedCalls(
+            self.dispatcher, self.control.request, self.answer_limit
         )
         self.callers = CallerPages(
-            settings,
             self.directory,
             self.dispatcher,
-            keyed_calls,
+            self.keyed_calls,
             self.events,
             self.metrics,
         )
-        self.links = LinkServer(self.executor)
-
-    def observe_load(self, daemon_id: str, load: LoadReport) -> None:
-        """Pass a load report to the router."""
-        now = asyncio.get_running_loop().time()
-        self.router.observe_load(daemon_id, load, now)
+        self.links = LinkServer(self.executor, identity, settings, self.metrics)
 
     def tell_signal(self, daemon_id: str, reason: str) -> None:
         """Count and record a load signal that died or came back."""
@@ -89,3 +84,17 @@
             peer=daemon_id,
             detail=reason or 'alive again',
         )
+
+    def answer_limit(self) -> int:
+        """Return the largest answer of a keyed call that is kept in bytes."""
+        deployment = self.directory.deployment()
+        return deployment.claims.max_answer_bytes if deployment else 0
+
+    def is_working(self) -> bool:
+        """Return True while a call or an attempt is in progress here."""
+        return bool(
+            self.links.tasks
+            or self.executor.executions
+            or self.callers.in_progress
+            or self.keyed_calls.pending
+        )
