Hedge slow idempotent calls from the retry budget

Cause: a call that met a straggler waited for it although another upstream could have answered; the key hedge_after_ms was read by nothing.

Change: the dispatcher starts a second attempt elsewhere after the wait that the service declares, paid from the retry budget; the first answer wins, a refusal or loss of one leaves the other running, the loser is cancelled at its upstream and counted, and the router learns how long it was waited for. A call refused as a crash suspect is not repeated. Retries and hedges are counted, also those that the budget forbids.

Measured: with every attempt refused or slow, 200 calls make 200 first attempts and at most 30 more at a ratio of 0.1 (bound 230).

--- a/burdocklead/metrics.py
+++ b/burdocklead/metrics.py
@@ -72,6 +72,8 @@
     'control_unproved', 'Control messages without proof of the cluster key.'
 )
 CONTROL_BAD = _counter('control_bad', 'Control messages not decoded.')
+RETRIES = _counter('retries', 'Retries started or refused.', 'result')
+HEDGES = _counter('hedges', 'Hedges by what became of them.', 'result')
 PROBES = _counter('probes', 'Probes of upstreams.', 'result')
 MEASURING_MESSAGES = _counter('measuring_messages', 'Probes and their replies.')
 MEASURING_BYTES = _counter(
@@ -95,6 +97,8 @@
     CONTROL_BYTES,
     CONTROL_UNPROVED,
     CONTROL_BAD,
+    RETRIES,
+    HEDGES,
     PROBES,
     MEASURING_MESSAGES,
     MEASURING_BYTES,
--- a/burdocklead/process/daemon_parts.py
+++ b/burdocklead/process/daemon_parts.py
@@ -62,6 +62,7 @@
             AttemptRunner(self.directory, self.router),
             self.router,
             self.rng,
+            self.metrics,
         )
         self.keyed_calls = KeyedCalls(
             self.dispatcher, self.control.request, self.answer_limit
--- a/burdocklead/request/attempt_runner.py
+++ b/burdocklead/request/attempt_runner.py
@@ -88,6 +88,12 @@
         self.router.start_attempt(member.daemon_id, route, started)
         try:
             result = await self._open_and_run(call, member, attempt)
+        except asyncio.CancelledError:
+            now = loop.time()
+            self.router.observe_given_up(
+                member.daemon_id, route, now - started, now
+            )
+            raise
         finally:
             self.router.finish_attempt(member.daemon_id, route)
         now = loop.time()
--- a/burdocklead/request/call.py
+++ b/burdocklead/request/call.py
@@ -2,9 +2,16 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from dataclasses import dataclass
 
-from burdocklead.connection.frames import Answer, Headers
+from burdocklead.connection.frames import (
+    Answer,
+    AttemptResult,
+    Headers,
+    Lost,
+    Refusal,
+)
 from burdocklead.durable.claims import StoredAnswer
 from burdocklead.request.headers import ANSWER_HEADER
 from burdocklead.values import Outcome, RefusalCause
@@ -95,3 +102,23 @@
     """Return the result of a call that ran and whose answer is not kept."""
     headers = ((ANSWER_HEADER, 'not-kept'),)
     return CallResult(Outcome.answered, stored.status, headers)
+
+
+def outcome_of(results: Sequence[AttemptResult]) -> CallResult:
+    """Return what a caller is told after all attempts of its call.
+
+    A call did not run only if none of its attempts may have run.
+
+    Args:
+        results: Results of the attempts, the last one last.
+    """
+    for result in results:
+        if isinstance(result, Answer):
+            return answered(result)
+    for lost in results:
+        if isinstance(lost, Lost):
+            return unknown(lost.reason)
+    for refusal in reversed(results):
+        if isinstance(refusal, Refusal):
+            return not_run(refusal.cause)
+    return not_run(RefusalCause.no_upstream)
--- a/burdocklead/request/dispatch.py
+++ b/burdocklead/request/dispatch.py
@@ -5,26 +5,23 @@
 import asyncio
 import itertools
 import random
+from collections.abc import Coroutine
 from dataclasses import dataclass, field
+from typing import Any
 
-from burdocklead.connection.frames import (
-    Answer,
-    Attempt,
-    AttemptResult,
-    Lost,
-    Refusal,
-)
+from burdocklead.connection.frames import Attempt, AttemptResult
+from burdocklead.metrics import HEDGES, RETRIES, MetricSet
 from burdocklead.request.attempt_runner import AttemptRunner, Directory
-from burdocklead.request.call import (
-    Call,
-    CallResult,
-    answered,
-    not_run,
-    unknown,
+from burdocklead.request.call import Call, CallResult, outcome_of
+from burdocklead.request.hedging import HedgeResult, run_hedged
+from burdocklead.request.retries import (
+    RetryBudget,
+    backoff_s,
+    may_hedge,
+    may_repeat,
 )
-from burdocklead.request.retries import RetryBudget, backoff_s, may_repeat
 from burdocklead.request.routing import Router
-from burdocklead.values import Member, RefusalCause
+from burdocklead.values import Member
 
 MS_PER_S = 1000
 
@@ -39,6 +36,7 @@
         runner: Carries one attempt to its result.
         router: Chooses the upstream.
         rng: Source of jitter.
+        metrics: Counts retries and hedges.
         budgets: Retry budgets by service.
     """
 
@@ -47,6 +45,7 @@
     runner: AttemptRunner
     router: Router
     rng: random.Random
+    metrics: MetricSet
     budgets: dict[str, RetryBudget] = field(default_factory=dict)
     numbers: itertools.count[int] = field(default_factory=itertools.count)
 
@@ -66,16 +65,50 @@
         """Return the result of a call without a key."""
         self.budget_of(call).earn()
         tried: set[str] = set()
-        for number in itertools.count(1):
+        results: list[AttemptResult] = []
+        number = 1
+        while True:
             member = self.choose(call, tried)
             if member is None:
-                return not_run(RefusalCause.no_upstream)
-            attempt = self.attempt_of(call, member, self.new_id(), number)
-            result = await self.runner.run(call, member, attempt)
-            if not await self.repeat_allowed(call, result, number):
-                return result_of(result)
+                return outcome_of(results)
             tried.add(member.daemon_id)
-        raise AssertionError('unreachable')
+            found = await self._run_or_hedge(call, member, tried, number)
+            results.extend(found.results)
+            number += found.hedged
+            if not await self.repeat_allowed(call, results[-1], number):
+                return outcome_of(results)
+            number += 1
+
+    async def _run_or_hedge(
+        self, call: Call, member: Member, tried: set[str], number: int
+    ) -> HedgeResult:
+        """Return the results of an attempt and of its hedge, if any."""
+        first = self._attempt(call, member, number)
+        if not may_hedge(call, number + 1):
+            return HedgeResult((await first,))
+
+        def start_hedge() -> Coroutine[Any, Any, AttemptResult] | None:
+            other = self.choose(call, tried)
+            if other is None or other.daemon_id in tried:
+                return None
+            if not self.budget_of(call).spend():
+                self.metrics.count(HEDGES, 'over-budget')
+                return None
+            tried.add(other.daemon_id)
+            return self._attempt(call, other, number + 1)
+
+        after_s = call.match.service.hedge_after_ms / MS_PER_S
+        found = await run_hedged(first, start_hedge, after_s)
+        if found.hedged:
+            self.metrics.count(HEDGES, 'started')
+            self.metrics.count(HEDGES, 'cancelled', amount=found.cancelled)
+        return found
+
+    async def _attempt(
+        self, call: Call, member: Member, number: int
+    ) -> AttemptResult:
+        attempt = self.attempt_of(call, member, self.new_id(), number)
+        return await self.runner.run(call, member, attempt)
 
     async def repeat_allowed(
         self, call: Call, result: AttemptResult, number: int
@@ -89,7 +122,9 @@
         if loop.time() + pause >= call.deadline:
             return False
         if not self.budget_of(call).spend():
+            self.metrics.count(RETRIES, 'over-budget')
             return False
+        self.metrics.count(RETRIES, 'started')
         await asyncio.sleep(pause)
         return True
 
@@ -126,14 +161,3 @@
             number=number,
             queue_limit=rules.service.queue_limit,
         )
-
-
-def result_of(result: AttemptResult) -> CallResult:
-    """Return what the caller is told of the last attempt."""
-    match result:
-        case Answer():
-            return answered(result)
-        case Refusal():
-            return not_run(result.cause)
-        case Lost():
-            return unknown(result.reason)
--- a/burdocklead/request/keyed_call.py
+++ b/burdocklead/request/keyed_call.py
@@ -36,9 +36,10 @@
     answered,
     answered_without_body,
     not_run,
+    outcome_of,
     unknown,
 )
-from burdocklead.request.dispatch import Dispatcher, result_of
+from burdocklead.request.dispatch import Dispatcher
 from burdocklead.values import Member, RefusalCause
 
 FINISH_TIMEOUT_S = 2.0
@@ -93,7 +94,7 @@
             result = await self._attempt(call, member, claim, number)
             if not await self.dispatcher.repeat_allowed(call, result, number):
                 await self._finish(call, claim, result)
-                return result_of(result)
+                return outcome_of([result])
             tried.add(member.daemon_id)
         raise AssertionError('unreachable')
 
@@ -186,7 +187,7 @@
         if isinstance(result, Refusal):
             return None
         await self._finish(call, held, result)
-        return result_of(result)
+        return outcome_of([result])
 
     async def _resolve_held(self, call: Call, held: Claim) -> AttemptResult:
         member = self.dispatcher.directory.find_member(held.daemon_id)
--- a/burdocklead/request/retries.py
+++ b/burdocklead/request/retries.py
@@ -1,4 +1,4 @@
-"""When a call may be attempted again, without I/O."""
+"""When a call may be attempted again or hedged, without I/O."""
 
 from __future__ import annotations
 
@@ -7,19 +7,21 @@
 
 from burdocklead.connection.frames import AttemptResult, Lost, Refusal
 from burdocklead.request.call import Call
+from burdocklead.values import RefusalCause
 
 BUDGET_LIMIT = 10.0
 BACKOFF_BASE_S = 0.005
 BACKOFF_LIMIT_S = 0.1
+FINAL_CAUSES = frozenset((RefusalCause.crash_suspect,))
 
 
 @dataclass(slots=True)
 class RetryBudget:
-    """Retries allowed as a share of first attempts.
+    """Retries and hedges allowed as a share of first attempts.
 
     Attributes:
-        ratio: Retries earned by each first attempt.
-        tokens: Retries that may be spent now.
+        ratio: Tokens earned by each first attempt.
+        tokens: Retries and hedges that may be spent now.
     """
 
     ratio: float
@@ -31,7 +33,7 @@
 
     def spend(self) -> bool:
         """Take one retry; return False if there is none."""
-        if self.tokens < 1:
+        if self.ratio <= 0 or self.tokens < 1:
             return False
         self.tokens -= 1
         return True
@@ -40,14 +42,27 @@
 def may_repeat(call: Call, result: AttemptResult) -> bool:
     """Return True if another attempt cannot run the call a second time."""
     match result:
-        case Refusal():
-            return True
+        case Refusal(cause=cause):
+            return cause not in FINAL_CAUSES
         case Lost():
             return call.match.route.idempotent
         case _:
             return False
 
 
+def may_hedge(call: Call, number: int) -> bool:
+    """Return True if a second attempt may run beside the first.
+
+    Args:
+        call: The call.
+        number: Number of the attempt that would be added, from 1.
+    """
+    service = call.match.service
+    if not call.match.route.idempotent or not service.hedge_after_ms:
+        return False
+    return number <= service.max_attempts
+
+
 def backoff_s(number: int, rng: random.Random) -> float:
     """Return the wait before an attempt in s, with full jitter.
 
--- a/burdocklead/request/routing.py
+++ b/burdocklead/request/routing.py
@@ -203,6 +203,14 @@
             case Lost():
                 view.punish(LOST_WEIGHT, now)
 
+    def observe_given_up(
+        self, daemon_id: str, route: str, elapsed: float, now: float
+    ) -> None:
+        """Take note of an attempt that was cancelled after a time in s."""
+        ratio = elapsed * MS_PER_S / self.usual_ms(route)
+        if ratio > 1:
+            self.view_of(daemon_id).note_answer(ratio, 0, now)
+
     def forget(self, daemon_id: str) -> None:
         """Forget an upstream that has left, unless attempts are open."""
         view = self.views.get(daemon_id)
--- /dev/null
+++ b/tests/request/retries.feature
@@ -0,0 +1,58 @@
+Feature: Retries and hedges draw on one budget
+
+  Calls go through the dispatcher to 3 scripted upstreams.
+
+  Scenario: A slow idempotent call is hedged and the loser is cancelled
+    Given retried calls that are idempotent with a hedge after 1 ms
+    And retried attempt 1 never answers
+    When 1 retried call is sent
+    Then the retried calls are answered
+    And 2 retried attempts went to different upstreams
+    And 1 retried attempt was cancelled and 1 token was spent
+
+  Scenario: A call that is answered in time is not hedged
+    Given retried calls that are idempotent with a hedge after 60000 ms
+    When 1 retried call is sent
+    Then the retried calls are answered
+    And 1 retried attempts went to different upstreams
+
+  Scenario: A non-idempotent call is neither hedged nor repeated once lost
+    Given retried calls that are not idempotent with a hedge after 1 ms
+    And retried attempt 1 is lost after 20 ms
+    When 1 retried call is sent
+    Then the retried calls are unknown
+    And 1 retried attempts went to different upstreams
+
+  Scenario: A refused call goes to another upstream
+    Given retried calls that are not idempotent with a hedge after 0 ms
+    And retried attempt 1 is refused
+    When 1 retried call is sent
+    Then the retried calls are answered
+    And 2 retried attempts went to different upstreams
+
+  Scenario: A hedge that is refused leaves the first attempt running
+    Given retried calls that are idempotent with a hedge after 1 ms
+    And retried attempt 1 answers after 20 ms
+    And retried attempt 2 is refused
+    When 1 retried call is sent
+    Then the retried calls are answered
+    And 2 retried attempts went to different upstreams
+
+  Scenario: Retries stay within their share when every attempt is refused
+    Given retried calls that are idempotent with a hedge after 0 ms
+    And every retried attempt is refused
+    When 200 retried calls are sent
+    Then the retried calls are not run
+    And at most 230 retried attempts were made
+
+  Scenario: Hedges stay within their share when every attempt is slow
+    Given retried calls that are idempotent with a hedge after 1 ms
+    And every retried attempt answers after 5 ms
+    When 200 retried calls are sent
+    Then the retried calls are answered
+    And at most 230 retried attempts were made
+
+  Scenario: Waits before retries are spread over a growing range
+    Then the wait before retry 1 spreads from 0 to 5 ms
+    And the wait before retry 3 spreads from 0 to 20 ms
+    And the wait before retry 9 spreads from 0 to 100 ms
--- /dev/null
+++ b/tests/steps/retry_steps.py
@@ -0,0 +1,165 @@
+"""Steps that send calls through the dispatcher to scripted upstreams."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+from behave import given, then, when
+
+from burdocklead.connection.frames import Answer, Lost, Refusal
+from burdocklead.metrics import MetricSet
+from burdocklead.request.attempt_runner import NO_LOAD
+from burdocklead.request.call import Call
+from burdocklead.request.dispatch import Dispatcher
+from burdocklead.request.retries import BUDGET_LIMIT, backoff_s
+from burdocklead.request.routing import Router
+from burdocklead.values import RefusalCause
+from burdocklead.version.deployment import Route, Service
+from burdocklead.version.route_table import RouteMatch
+from tests.steps.routing_simulation import candidates_for, member
+
+MS = 0.001
+
+
+class ScriptedUpstreams:
+    """Answers attempts by their number as a script says."""
+
+    def __init__(self):
+        """Answer everything at once."""
+        self.script = {}
+        self.attempts = []
+        self.cancelled = 0
+
+    def candidates(self, service):
+        """Return three upstreams."""
+        return candidates_for('vancouver', [member(one) for one in range(3)])
+
+    async def run(self, call, target, attempt):
+        """Return the scripted result of an attempt."""
+        self.attempts.append((attempt.number, target.daemon_id))
+        fate, delay = self.script.get(
+            attempt.number, self.script.get('every', ('answers', 0))
+        )
+        try:
+            await asyncio.sleep(delay)
+        except asyncio.CancelledError:
+            self.cancelled += 1
+            raise
+        if fate == 'refused':
+            cause = RefusalCause.queue_full
+            return Refusal(attempt.attempt_id, cause, NO_LOAD)
+        if fate == 'lost':
+            return Lost(attempt.attempt_id, 'silent', False, NO_LOAD)
+        return Answer(attempt.attempt_id, 200, (), b'', NO_LOAD)
+
+
+@given('retried calls that {kind} idempotent with a hedge after {after:d} ms')
+def plan_calls(context, kind, after):
+    """Make a route and a dispatcher."""
+    route = Route(
+        name='view',
+        method='GET',
+        path='/',
+        idempotent=kind == 'are',
+        timeout_ms=10000,
+    )
+    service = Service(routes=(route,), hedge_after_ms=after)
+    context.match = RouteMatch('sheets', service, route, '/')
+    context.upstreams = ScriptedUpstreams()
+    rng = random.Random(4)
+    context.dispatcher = Dispatcher(
+        'p',
+        context.upstreams,
+        context.upstreams,
+        Router('vancouver', rng),
+        rng,
+        MetricSet(),
+    )
+
+
+@given('retried attempt {number:d} never answers')
+def plan_silence(context, number):
+    """Let an attempt hang."""
+    context.upstreams.script[number] = ('answers', 1000)
+
+
+@given('retried attempt {number:d} {fate} after {delay:d} ms')
+def plan_delay(context, number, fate, delay):
+    """Let an attempt take its time."""
+    context.upstreams.script[number] = (fate.split()[-1], delay * MS)
+
+
+@given('retried attempt {number:d} is refused')
+def plan_refusal(context, number):
+    """Refuse an attempt."""
+    context.upstreams.script[number] = ('refused', 0)
+
+
+@given('every retried attempt is refused')
+def plan_refusals(context):
+    """Refuse all."""
+    context.upstreams.script['every'] = ('refused', 0)
+
+
+@given('every retried attempt answers after {delay:d} ms')
+def plan_slowness(context, delay):
+    """Answer all late."""
+    context.upstreams.script['every'] = ('answers', delay * MS)
+
+
+async def _send(context, count):
+    results = []
+    for number in range(count):
+        deadline = asyncio.get_running_loop().time() + 10
+        call = Call(f'c{number}', context.match, 'GET', (), b'', '', deadline)
+        results.append(await context.dispatcher.run(call))
+    context.cancelled = context.upstreams.cancelled
+    return results
+
+
+@when('{count:d} retried call is sent')
+@when('{count:d} retried calls are sent')
+def send_calls(context, count):
+    """Send calls one after the other."""
+    context.results = asyncio.run(_send(context, count))
+
+
+@then('the retried calls are {outcome}')
+def check_outcomes(context, outcome):
+    """Check what callers were told."""
+    seen = {one.outcome.value for one in context.results}
+    assert seen == {outcome.replace(' ', '-')}, seen
+
+
+@then('{count:d} retried attempts went to different upstreams')
+def check_attempts(context, count):
+    """Check number and places of the attempts."""
+    attempts = context.upstreams.attempts
+    assert len(attempts) == count, attempts
+    assert len({name for _, name in attempts}) == count, attempts
+    assert [number for number, _ in attempts] == list(range(1, count + 1))
+
+
+@then('{count:d} retried attempt was cancelled and {tokens:d} token was spent')
+def check_cancelled(context, count, tokens):
+    """Check the loser and the budget."""
+    assert context.cancelled == count, context.cancelled
+    left = context.dispatcher.budgets['sheets'].tokens
+    assert left == BUDGET_LIMIT - tokens, left
+
+
+@then('at most {count:d} retried attempts were made')
+def check_share(context, count):
+    """Check the share and that the budget is used at all."""
+    made = len(context.upstreams.attempts)
+    assert len(context.results) + BUDGET_LIMIT <= made <= count, made
+
+
+@then('the wait before retry {number:d} spreads from {low:d} to {high:d} ms')
+def check_backoff(context, number, low, high):
+    """Draw waits and check their range."""
+    rng = random.Random(8)
+    waits = [backoff_s(number, rng) / MS for _ in range(1000)]
+    assert low <= min(waits) < high * 0.05, min(waits)
+    assert high * 0.95 < max(waits) <= high, max(waits)
