--- a/burdocklead/metrics.py
+++ b/burdocklead/metrics.py
@@ -52,17 +52,27 @@
     labels: tuple[str, ...] = ()
 
 
+DECLARED: list[Metric] = []
+
+
+def _declare(metric: Metric) -> Metric:
+    DECLARED.append(metric)
+    return metric
+
+
 def _counter(name: str, text: str, *labels: str) -> Metric:
-    return Metric(f'burdocklead_{name}_total', MetricKind.counter, text, labels)
+    full_name = f'burdocklead_{name}_total'
+    return _declare(Metric(full_name, MetricKind.counter, text, labels))
 
 
 def _gauge(name: str, text: str, *labels: str) -> Metric:
-    return Metric(f'burdocklead_{name}', MetricKind.gauge, text, labels)
+    full_name = f'burdocklead_{name}'
+    return _declare(Metric(full_name, MetricKind.gauge, text, labels))
 
 
 def _seconds(name: str, text: str, *labels: str) -> Metric:
     full_name = f'burdocklead_{name}_seconds'
-    return Metric(full_name, MetricKind.histogram, text, labels)
+    return _declare(Metric(full_name, MetricKind.histogram, text, labels))
 
 
 CALLS = _counter('calls', 'Calls of clients.', 'service', 'outcome')
@@ -79,6 +89,8 @@
 LINK_ENDS = _counter('link_ends', 'Links ended by reason.', 'reason')
 LINK_PINGS = _counter('link_pings', 'Pings on links in use.')
 LINKS_OPEN = _gauge('links_open', 'Links of other daemons.')
+RETRIES = _counter('retries', 'Retries started or refused.', 'result')
+HEDGES = _counter('hedges', 'Hedges by what became of them.', 'result')
 PROBES = _counter('probes', 'Probes of upstreams.', 'result')
 MEASURING_MESSAGES = _counter('measuring_messages', 'Probes and their replies.')
 MEASURING_BYTES = _counter(
@@ -89,27 +101,6 @@
 )
 VERSION = _gauge('version_in_force', 'Configuration version in force.')
 
-DECLARED = (
-    CALLS,
-    CALL_SECONDS,
-    REFUSALS,
-    ATTEMPTS,
-    CONTROL_BYTES,
-    CONTROL_UNPROVED,
-    CONTROL_BAD,
-    INTERNAL_ERRORS,
-    LATE_RESULTS,
-    LINK_ENDS,
-    LINK_PINGS,
-    LINKS_OPEN,
-    PROBES,
-    MEASURING_MESSAGES,
-    MEASURING_BYTES,
-    SIGNAL_DEAD,
-    VERSION,
-)
-
-
 SeriesKey = tuple[Metric, tuple[str, ...]]
 
 
--- a/burdocklead/process/daemon_parts.py
+++ b/burdocklead/process/daemon_parts.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import random
 import time
 
@@ -25,7 +24,6 @@
 from burdocklead.request.routing import Router
 from burdocklead.request.signal_watch import SignalWatch
 from burdocklead.settings import DaemonSettings
-from burdocklead.values import LoadReport
 
 
 class DaemonParts:
@@ -56,8 +54,7 @@
             LocalLink(self.executor),
             self.events,
             self.metrics,
-            self.observe_load,
-            self.router.forget,
+            self.router,
         )
         prefix = f'{settings.daemon_id}.{self.incarnation:x}'
         self.dispatcher = Dispatcher(
@@ -66,6 +63,7 @@
             AttemptRunner(self.directory, self.router),
             self.router,
             rng,
+            self.metrics,
         )
         self.keyed_calls = KeyedCalls(
             self.dispatcher, self.control.request, self.answer_limit
@@ -79,10 +77,15 @@
         )
         self.links = LinkServer(self.executor, identity, settings, self.metrics)
 
-    def observe_load(self, daemon_id: str, load: LoadReport) -> None:
-        """Pass a load report to the router."""
-        now = asyncio.get_running_loop().time()
-        self.router.observe_load(daemon_id, load, now)
+    def tell_signal(self, daemon_id: str, reason: str) -> None:
+        """Count and record a load signal that died or came back."""
+        if reason:
+            self.metrics.count(SIGNAL_DEAD, reason.replace(' ', '-'))
+        self.events.record(
+            EventKind.signal_dead,
+            peer=daemon_id,
+            detail=reason or 'alive again',
+        )
 
     def answer_limit(self) -> int:
         """Return the largest answer of a keyed call that is kept in bytes."""
@@ -97,13 +100,3 @@
             or self.callers.in_progress
             or self.keyed_calls.pending
         )
-
-    def tell_signal(self, daemon_id: str, reason: str) -> None:
-        """Count and record a load signal that died or came back."""
-        if reason:
-            self.metrics.count(SIGNAL_DEAD, reason.replace(' ', '-'))
-        self.events.record(
-            EventKind.signal_dead,
-            peer=daemon_id,
-            detail=reason or 'alive again',
-        )
--- a/burdocklead/process/daemon_process.py
+++ b/burdocklead/process/daemon_process.py
@@ -20,6 +20,8 @@
 from burdocklead.process.daemon_parts import DaemonParts
 from burdocklead.process.lifecycle import Lifecycle, write_ready_file
 from burdocklead.process.own_member import OwnMember
+from burdocklead.process.prober import Prober
+from burdocklead.request.measuring import MeasuringBudget, ProbePlanner
 from burdocklead.request.upstream_client import HttpUpstreamClient
 from burdocklead.settings import DaemonSettings
 from burdocklead.values import Address, Member
@@ -112,7 +114,14 @@
             self.parts.clock,
             self.parts.settings.heartbeat_interval,
         )
+        prober = Prober(
+            self.parts.directory,
+            ProbePlanner(self.parts.router),
+            MeasuringBudget(),
+            self.parts.metrics,
+        )
         return [
+            asyncio.create_task(prober.run_forever()),
             asyncio.create_task(agent.run_forever()),
             asyncio.create_task(_expire_forever(own)),
         ]
--- a/burdocklead/process/directory.py
+++ b/burdocklead/process/directory.py
@@ -2,28 +2,28 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+import asyncio
+from collections.abc import Iterable
 
 import logbook
 
 from burdocklead.connection.control_messages import MemberUpdate
 from burdocklead.connection.frame_protocol import LinkEnd
 from burdocklead.connection.handshake import LinkIdentity
-from burdocklead.connection.peer_link import LoadHandler, PeerLink
+from burdocklead.connection.peer_link import PeerLink
 from burdocklead.durable.configuration import AcceptedFile
 from burdocklead.events import EventKind, EventRing
 from burdocklead.metrics import MetricSet
 from burdocklead.request.attempt_runner import Link
 from burdocklead.request.local_link import LocalLink
-from burdocklead.request.routing import Candidates
+from burdocklead.request.routing import Candidates, Router
 from burdocklead.settings import DaemonSettings
-from burdocklead.values import Member
+from burdocklead.values import LoadReport, Member
 from burdocklead.version.configuration_file import decode_deployment
 from burdocklead.version.deployment import Deployment
 from burdocklead.version.route_table import RouteTable
 
 NO_CANDIDATES = Candidates()
-GoneHandler = Callable[[str], None]
 log = logbook.Logger('directory')
 
 
@@ -43,8 +43,7 @@
         local_link: LocalLink,
         events: EventRing,
         metrics: MetricSet,
-        on_load: LoadHandler,
-        on_gone: GoneHandler,
+        router: Router,
     ) -> None:
         """Start without members and without a configuration."""
         self.settings = settings
@@ -52,8 +51,7 @@
         self.local_link = local_link
         self.metrics = metrics
         self.events = events
-        self.on_load = on_load
-        self.on_gone = on_gone
+        self.router = router
         self.by_service: dict[str, Candidates] = {}
         self.members: dict[str, Member] = {}
         self.links: dict[str, PeerLink] = {}
@@ -88,13 +86,18 @@
                 self.identity,
                 member.daemon_id,
                 member.link,
-                self.on_load,
+                self.observe_load,
                 self.settings,
                 self.metrics,
             )
             self.links[member.daemon_id] = link
         return link
 
+    def open_link(self, member: Member) -> PeerLink | None:
+        """Return the link to a daemon if it is open."""
+        link = self.links.get(member.daemon_id)
+        return link if link is not None and link.protocol else None
+
     def take_updates(
         self, updates: Iterable[MemberUpdate], *, whole: bool
     ) -> None:
@@ -127,6 +130,11 @@
         for link in self.links.values():
             link.close(LinkEnd.stopping)
 
+    def observe_load(self, daemon_id: str, load: LoadReport) -> None:
+        """Pass a load report to the router."""
+        now = asyncio.get_running_loop().time()
+        self.router.observe_load(daemon_id, load, now)
+
     def _index(self) -> None:
         """Sort the members that may get new work by service."""
         by_service: dict[str, list[Member]] = {}
@@ -136,7 +144,7 @@
         self.by_service = {
             service: Candidates(
                 tuple(members),
-                tuple(one for one in members if one.zone == self.settings.zone),
+                tuple(one for one in members if one.zone == self.router.zone),
             )
             for service, members in by_service.items()
         }
@@ -155,5 +163,5 @@
         link = self.links.pop(daemon_id, None)
         if link is not None:
             link.close(LinkEnd.replaced)
-        self.on_gone(daemon_id)
+        self.router.forget(daemon_id)
         self.events.record(EventKind.member_left, peer=daemon_id)
--- a/devtools/fuzz/request_world.py
+++ b/devtools/fuzz/request_world.py
@@ -220,6 +220,7 @@
             AttemptRunner(self, router),
             router,
             world.rng,
+            metrics,
         )
         self.keyed_calls = KeyedCalls(
             self.dispatcher, self.request_claim, lambda: ANSWER_LIMIT
