--- a/burdocklead/process/register_service.py
+++ b/burdocklead/process/register_service.py
@@ -46,9 +46,7 @@
 class RegisterService:
     """Registers that change through a quorum of replicas."""
 
-    def __init__(
-        self, settings: ControlSettings, access: PeerAccess
-    ) -> None:
+    def __init__(self, settings: ControlSettings, access: PeerAccess) -> None:
         """Open the data folder and prepare clients of other replicas.
 
         Raises:
--- a/devtools/measure_claims.py
+++ b/devtools/measure_claims.py
@@ -16,7 +16,9 @@
 import msgspec
 import requests
 
+from burdocklead.connection.cluster_key import ClusterKey
 from burdocklead.connection.control_client import ControlClient
+from burdocklead.connection.peer_access import PeerAccess
 from burdocklead.durable.claims import (
     Claim,
     ClaimFinish,
@@ -114,7 +116,7 @@
     first = deployment.replica_list.partition(',')[0]
     name, _, address = first.partition('=')
     client = ControlClient(
-        name, SocketAddress().parse(address), deployment.access()
+        name, SocketAddress().parse(address), PeerAccess(ClusterKey(b''))
     )
 
     async def run() -> tuple[list[float], float]:
