--- a/burdocklead/durable/proposer.py
+++ b/burdocklead/durable/proposer.py
@@ -36,6 +36,10 @@
 Update = Callable[[bytes], bytes]
 
 
+def _always() -> bool:
+    return True
+
+
 class Acceptor(Protocol):
     """A replica as the proposer sees it."""
 
@@ -57,6 +61,8 @@
             this proposer.
         first_ballots_from: Loop time from which first ballots are worth
             trying, in s.
+        all_heard: Returns True if every replica answered lately; first
+            ballots need them all.
     """
 
     replica_id: str
@@ -69,6 +75,7 @@
         default_factory=OrderedDict
     )
     first_ballots_from: float = 0
+    all_heard: Callable[[], bool] = _always
     locks: KeyLocks = field(default_factory=KeyLocks)
 
     async def change(
@@ -104,7 +111,9 @@
             ballot, value = cached
             return await self._accept(key, ballot, update(value))
         now = asyncio.get_running_loop().time()
-        if not maybe_new or now < self.first_ballots_from:
+        if now < self.first_ballots_from or not self.all_heard():
+            return None
+        if not maybe_new:
             return None
         return await self._accept_first(key, update(b''))
 
@@ -148,7 +157,11 @@
     async def _gather(
         self, message: Phase, tally: Tally, timeout: float
     ) -> bool:
-        """Send a phase to all; return True once it is won."""
+        """Send a phase to all; return True once it is won.
+
+        If the set changed meanwhile, replies may belong to either epoch,
+        so the phase does not count.
+        """
         decided: asyncio.Future[bool] = (
             asyncio.get_running_loop().create_future()
         )
@@ -161,9 +174,19 @@
         except TimeoutError:
             won = False
         self.counter = max(self.counter, tally.promised.counter)
-        return won
+        return won and self.replicas is tally.replicas
+
+    def use_set(
+        self, replicas: ReplicaSet, acceptors: Mapping[str, Acceptor]
+    ) -> None:
+        """Use another replica set; rounds that run start again."""
+        self.replicas = replicas
+        self.acceptors = acceptors
+        self.cached.clear()
 
     def _check_quorum(self, tally: Tally) -> None:
+        if self.replicas is not tally.replicas:
+            return
         if tally.promised == NO_BALLOT:
             count = len(tally.replies)
             total = len(tally.replicas.names)
--- a/burdocklead/process/membership.py
+++ b/burdocklead/process/membership.py
@@ -72,7 +72,9 @@
         """Take over what another replica knows."""
         for update in updates:
             heard_at = now - update.age_ms / MS_PER_S
-            if heard_at + self.lease > now and not update.gone:
+            if update.gone:
+                self._mark_gone(update.member, heard_at)
+            elif heard_at + self.lease > now:
                 self.observe(update.member, heard_at)
 
     def expire(self, now: float) -> list[Member]:
@@ -111,6 +113,15 @@
             record.member for record in self.records.values() if not record.gone
         ]
 
+    def _mark_gone(self, member: Member, heard_at: float) -> None:
+        """Take over that a daemon is gone if the other one knew it longer."""
+        record = self.records.get(member.daemon_id)
+        if record is None or record.gone or heard_at < record.heard_at:
+            return
+        if _order_of(member) >= _order_of(record.member):
+            record.gone = True
+            self._store(record)
+
     def _store(self, record: MemberRecord) -> None:
         self.last_change += 1
         record.change = self.last_change
