Tell the truth on admin pages; count and log errors no code expected

Cause: histograms had no +Inf bucket; declared metrics were never set; errors of admin pages were plain text; a loop that died left a process that looked alive; lines of libraries bypassed the log form. Change: metrics read on demand (version, members, budget left, slots, limit, control bytes and messages, quorum age, syncs, ring overwritten, readiness); /readyz says why not; errors of admin pages are JSON with step and peer; a supervisor logs an unexpected error once, counts it, records it, and stops the process if one of its loops died; text fields are quoted, JSON lines can't be overwritten by fields.

--- a/burdocklead/events.py
+++ b/burdocklead/events.py
@@ -42,6 +42,7 @@
     request_blocked = 'request-blocked'
     replica_changed = 'replica-changed'
     quorum_lost = 'quorum-lost'
+    unexpected_error = 'unexpected-error'
     quorum_gained = 'quorum-gained'
 
 
--- a/burdocklead/logs.py
+++ b/burdocklead/logs.py
@@ -3,39 +3,62 @@
 from __future__ import annotations
 
 import sys
+from datetime import datetime
 from typing import Any
 
 import logbook
 import msgspec
+from logbook.compat import redirect_logging
 
-TEXT_FORM = (
-    '{record.time:%Y-%m-%dT%H:%M:%S.%f} {record.level_name:<7} '
-    '{record.channel} {record.message}{record.extra[fields]}'
-)
 
-
-def _json_line(record: Any, handler: Any) -> str:
+def json_line(record: Any, handler: Any) -> str:
+    """Return a record as one line of JSON."""
     line = {
-        'time': record.time.isoformat(),
+        **record.kwargs,
+        'time': _stamp_of(record),
         'level': record.level_name.lower(),
         'channel': record.channel,
         'message': record.message,
-        **record.kwargs,
     }
+    if record.formatted_exception:
+        line['exception'] = record.formatted_exception
     return msgspec.json.encode(line, enc_hook=str).decode()
 
 
-def _text_line(record: Any, handler: Any) -> str:
+def text_line(record: Any, handler: Any) -> str:
+    """Return a record as one line of text with its fields at the end."""
     fields = ''.join(
-        f' {name}={value}' for name, value in record.kwargs.items()
+        f' {name}={_quoted(entry)}' for name, entry in record.kwargs.items()
     )
-    stamp = record.time.isoformat()
     level = record.level_name.lower()
-    return f'{stamp} {level} {record.channel}: {record.message}{fields}'
+    head = f'{_stamp_of(record)} {level} {record.channel}'
+    line = f'{head}: {_clean(record.message)}{fields}'
+    if record.formatted_exception:
+        return f'{line}\n{record.formatted_exception}'
+    return line
 
 
 def start_logging(log_form: str, log_level: str) -> None:
-    """Send log lines to standard error in the form asked for."""
+    """Send log lines to standard error in the form asked for.
+
+    Lines of libraries that use the standard module take the same way.
+    """
     handler = logbook.StreamHandler(sys.stderr, level=log_level.upper())
-    handler.formatter = _json_line if log_form == 'json' else _text_line
+    handler.formatter = json_line if log_form == 'json' else text_line
     handler.push_application()
+    redirect_logging(set_root_logger_level=False)
+
+
+def _stamp_of(record: Any) -> str:
+    moment: datetime = record.time
+    return f'{moment.replace(tzinfo=None).isoformat()}Z'
+
+
+def _quoted(entry: object) -> str:
+    text = str(entry)
+    plain = text.isprintable() and not frozenset(text) & frozenset(' "=')
+    return text if plain and text else msgspec.json.encode(text).decode()
+
+
+def _clean(text: str) -> str:
+    return ' '.join(text.splitlines())
--- a/burdocklead/metrics.py
+++ b/burdocklead/metrics.py
@@ -22,6 +22,9 @@
     1,
     2,
     5,
+    10,
+    30,
+    float('inf'),
 )
 
 
@@ -67,6 +70,22 @@
 CALL_SECONDS = _seconds('call', 'Time of calls.', 'service', 'outcome')
 REFUSALS = _counter('refusals', 'Calls refused to clients.', 'cause')
 ATTEMPTS = _counter('attempts', 'Attempts by result.', 'result')
+QUEUE_SECONDS = _seconds('queue', 'Time attempts waited for a slot.')
+RETRY_BUDGET = _gauge(
+    'retry_budget_left', 'Retries that may be sent.', 'service'
+)
+MEMBERS = _gauge('members', 'Daemons known.', 'state')
+UPSTREAM_CALLS = _gauge('upstream_calls', 'Calls beside this daemon.', 'state')
+UPSTREAM_LIMIT = _gauge('upstream_limit', 'Calls let run at the same time.')
+UPSTREAM_SLOTS = _gauge('upstream_slots', 'Slots that the upstream announced.')
+QUORUM_AGE = _gauge('quorum_age_seconds', 'Time since a quorum was heard of.')
+STORE_SYNCS = _counter('store_syncs', 'Syncs of the durable file.')
+STORE_BYTES = _counter('store_written_bytes', 'Bytes written to that file.')
+EVENTS_OVERWRITTEN = _counter('events_overwritten', 'Events overwritten.')
+CLOCK_IGNORED = _counter('clock_ignored', 'Stamps too far ahead to observe.')
+UNEXPECTED_ERRORS = _counter('unexpected_errors', 'Errors no code expected.')
+READY = _gauge('ready', '1 if the process takes work, else 0.')
+CONTROL_MESSAGES = _counter('control_messages', 'Requests to control.')
 CONTROL_BYTES = _counter('control_bytes', 'Control traffic.', 'direction')
 CONTROL_UNPROVED = _counter(
     'control_unproved', 'Control messages without proof of the cluster key.'
@@ -79,6 +98,20 @@
     CALL_SECONDS,
     REFUSALS,
     ATTEMPTS,
+    QUEUE_SECONDS,
+    RETRY_BUDGET,
+    MEMBERS,
+    UPSTREAM_CALLS,
+    UPSTREAM_LIMIT,
+    UPSTREAM_SLOTS,
+    QUORUM_AGE,
+    STORE_SYNCS,
+    STORE_BYTES,
+    EVENTS_OVERWRITTEN,
+    CLOCK_IGNORED,
+    UNEXPECTED_ERRORS,
+    READY,
+    CONTROL_MESSAGES,
     CONTROL_BYTES,
     CONTROL_UNPROVED,
     CONTROL_BAD,
@@ -95,6 +128,9 @@
         self.collectors = {
             metric.name: self._collector_of(metric) for metric in DECLARED
         }
+        for metric in DECLARED:
+            if metric.kind is MetricKind.counter and not metric.labels:
+                self.set(metric, 0)
 
     def count(self, metric: Metric, *labels: str, amount: float = 1) -> None:
         """Add to a counter."""
@@ -102,7 +138,7 @@
         self.collectors[metric.name].add(named, amount)
 
     def set(self, metric: Metric, number: float, *labels: str) -> None:
-        """Set a gauge."""
+        """Set a gauge, or a counter that is kept elsewhere."""
         named = dict(zip(metric.labels, labels, strict=True))
         self.collectors[metric.name].set(named, number)
 
--- a/burdocklead/process/admin_http.py
+++ b/burdocklead/process/admin_http.py
@@ -4,69 +4,80 @@
 
 import ssl
 from collections.abc import Callable, Iterable
+from dataclasses import dataclass
 
-import msgspec
 from aiohttp import web
 
 from burdocklead.events import EventRing
 from burdocklead.exceptions import BurdockleadError
-from burdocklead.metrics import MetricSet
+from burdocklead.metrics import READY, MetricSet
+from burdocklead.process.error_pages import report_errors
+from burdocklead.process.json_pages import error_response, json_response
+from burdocklead.process.measurements import measure_events
 from burdocklead.timeline.selection import parse_selection, select_events
 from burdocklead.values import Address
 
-JSON = 'application/json'
 BAD_REQUEST = 400
 UNAVAILABLE = 503
-
-
-def json_response(content: object, status: int = 200) -> web.Response:
-    """Return a response whose body is the content as JSON."""
-    return web.Response(
-        body=msgspec.json.encode(content), status=status, content_type=JSON
-    )
-
-
-def error_response(error: BurdockleadError, status: int) -> web.Response:
-    """Return an error with its step and its peer."""
-    content = {'error': error.reason, 'step': error.step, 'peer': error.peer}
-    return json_response(content, status)
-
-
-def add_common_pages(
-    application: web.Application,
-    events: EventRing,
-    metrics: MetricSet,
-    is_ready: Callable[[], bool],
-) -> None:
-    """Add the pages for health, readiness, events and metrics."""
-
-    async def show_health(request: web.Request) -> web.Response:
-        return json_response({'process': events.process})
-
-    async def show_ready(request: web.Request) -> web.Response:
-        ready = is_ready()
-        return json_response({'ready': ready}, 200 if ready else UNAVAILABLE)
-
-    async def show_events(request: web.Request) -> web.Response:
+READY_LABEL = 'ready'
+
+
+@dataclass(frozen=True, slots=True)
+class CommonParts:
+    """What the pages that every process has are made of.
+
+    Attributes:
+        events: Events of the process.
+        metrics: Metrics of the process.
+        not_ready: Returns why no work is taken, empty if it is.
+        measure: Sets the metrics that are read on demand.
+    """
+
+    events: EventRing
+    metrics: MetricSet
+    not_ready: Callable[[], str]
+    measure: Callable[[], None]
+
+    async def show_health(self, request: web.Request) -> web.Response:
+        """Tell that the loop runs."""
+        return json_response({'process': self.events.process})
+
+    async def show_ready(self, request: web.Request) -> web.Response:
+        """Tell whether work is taken, and why not."""
+        reason = self.not_ready()
+        status = UNAVAILABLE if reason else 200
+        return json_response(
+            {READY_LABEL: not reason, 'reason': reason}, status
+        )
+
+    async def show_events(self, request: web.Request) -> web.Response:
+        """Show the events that the query selects."""
         try:
             selection = parse_selection(request.query.items())
         except ValueError as error:
             refusal = BurdockleadError(str(error), step='events')
             return error_response(refusal, BAD_REQUEST)
-        return json_response(select_events(events, selection))
-
-    async def show_metrics(
-        request: web.Request,
-    ) -> web.Response:
-        content, headers = metrics.render(request.headers.getall('Accept', []))
+        return json_response(select_events(self.events, selection))
+
+    async def show_metrics(self, request: web.Request) -> web.Response:
+        """Show the metrics as they are now."""
+        self.measure()
+        measure_events(self.metrics, self.events)
+        self.metrics.set(READY, int(not self.not_ready()))
+        accepted = request.headers.getall('Accept', [])
+        content, headers = self.metrics.render(accepted)
         return web.Response(body=content, headers=headers)
 
+
+def add_common_pages(application: web.Application, parts: CommonParts) -> None:
+    """Add the pages for health, readiness, events and metrics."""
+    application.middlewares.insert(0, report_errors(parts.metrics))
     application.add_routes(
         [
-            web.get('/metrics', show_metrics),
-            web.get('/healthz', show_health),
-            web.get('/readyz', show_ready),
-            web.get('/v1/events', show_events),
+            web.get('/metrics', parts.show_metrics),
+            web.get('/healthz', parts.show_health),
+            web.get('/readyz', parts.show_ready),
+            web.get('/v1/events', parts.show_events),
         ]
     )
 
--- a/burdocklead/process/control_http.py
+++ b/burdocklead/process/control_http.py
@@ -2,17 +2,20 @@
 
 from __future__ import annotations
 
+from functools import partial
+
 from aiohttp import web
 
 from burdocklead.exceptions import ConfigurationError, QuorumError
 from burdocklead.process.admin_http import (
     BAD_REQUEST,
     UNAVAILABLE,
+    CommonParts,
     add_common_pages,
-    error_response,
-    json_response,
 )
 from burdocklead.process.control_replica import ControlReplica
+from burdocklead.process.json_pages import error_response, json_response
+from burdocklead.process.measurements import measure_replica
 from burdocklead.process.operator_access import load_access, require_token
 
 CONFLICT = 409
@@ -35,9 +38,12 @@
         )
         add_common_pages(
             application,
-            self.replica.events,
-            self.replica.metrics,
-            self.is_ready,
+            CommonParts(
+                self.replica.events,
+                self.replica.metrics,
+                self.not_ready,
+                partial(measure_replica, self.replica.metrics, self.replica),
+            ),
         )
         application.add_routes(
             [
@@ -52,6 +58,10 @@
         """Return True while a quorum is heard of."""
         return self.replica.quorum_age() < QUORUM_AGE_LIMIT_S
 
+    def not_ready(self) -> str:
+        """Return why changes are not taken, empty if they are."""
+        return '' if self.is_ready() else 'no quorum'
+
     async def apply(self, request: web.Request) -> web.Response:
         """Decide on a configuration file."""
         text = await request.read()
--- a/burdocklead/process/control_process.py
+++ b/burdocklead/process/control_process.py
@@ -10,6 +10,7 @@
 from burdocklead.process.control_http import ControlPages
 from burdocklead.process.control_replica import ControlReplica
 from burdocklead.process.lifecycle import Lifecycle, write_ready_file
+from burdocklead.process.supervision import Supervisor, watch_process
 from burdocklead.settings import ControlSettings
 
 
@@ -18,16 +19,18 @@
     replica = ControlReplica(settings)
     lifecycle = Lifecycle(replica.events)
     lifecycle.watch_signals()
+    supervisor = watch_process(replica.metrics, lifecycle)
     server = ControlServer(replica.handle, replica.access, replica.metrics)
     control = server.start(settings.listen)
     pages = ControlPages(replica).application()
     runner, admin = await start_site(
         pages, settings.admin_listen, tls=_admin_context(replica)
     )
-    tasks = _start_tasks(replica)
+    tasks = _start_tasks(replica, supervisor)
     lifecycle.start_serving()
-    addresses = {'control': str(control), 'admin': str(admin)}
-    write_ready_file(settings.ready_file, addresses)
+    write_ready_file(
+        settings.ready_file, {'control': str(control), 'admin': str(admin)}
+    )
     await lifecycle.stop_requested.wait()
     lifecycle.start_draining()
     for task in tasks:
@@ -38,11 +41,16 @@
     lifecycle.finish()
 
 
-def _start_tasks(replica: ControlReplica) -> list[asyncio.Task[None]]:
-    tasks = [asyncio.create_task(replica.expire_forever())]
-    tasks.append(asyncio.create_task(replica.recover_file()))
+def _start_tasks(
+    replica: ControlReplica, supervisor: Supervisor
+) -> list[asyncio.Task[None]]:
+    tasks = [
+        supervisor.start('expire', replica.expire_forever()),
+        supervisor.start('recover', replica.recover_file()),
+    ]
     for peer in replica.peers:
-        tasks.append(asyncio.create_task(replica.exchange_forever(peer)))
+        name = f'exchange with {peer.name}'
+        tasks.append(supervisor.start(name, replica.exchange_forever(peer)))
     return tasks
 
 
--- a/burdocklead/process/daemon_admin_http.py
+++ b/burdocklead/process/daemon_admin_http.py
@@ -7,36 +7,41 @@
 import msgspec
 from aiohttp import web
 
-from burdocklead.metrics import MetricSet
+from burdocklead.exceptions import BurdockleadError
 from burdocklead.options import SocketAddress
 from burdocklead.process.admin_http import (
     BAD_REQUEST,
+    CommonParts,
     add_common_pages,
-    json_response,
 )
-from burdocklead.process.directory import DaemonDirectory
+from burdocklead.process.daemon_parts import DaemonParts
+from burdocklead.process.json_pages import error_response, json_response
+from burdocklead.process.measurements import (
+    measure_control_traffic,
+    measure_entry,
+    measure_upstream,
+)
 from burdocklead.process.own_member import Announcement, OwnMember
 
 
 class DaemonPages:
     """Announcements and the daemon's own view."""
 
-    def __init__(
-        self,
-        own: OwnMember,
-        directory: DaemonDirectory,
-        metrics: MetricSet,
-    ) -> None:
+    def __init__(self, own: OwnMember, parts: DaemonParts) -> None:
         """Prepare the pages of a daemon."""
         self.own = own
-        self.directory = directory
-        self.metrics = metrics
+        self.parts = parts
+        self.directory = parts.directory
+        self.metrics = parts.metrics
 
     def application(self) -> web.Application:
         """Return the application with all pages."""
         application = web.Application()
         add_common_pages(
-            application, self.own.events, self.metrics, self.is_ready
+            application,
+            CommonParts(
+                self.own.events, self.metrics, self.not_ready, self.measure
+            ),
         )
         application.add_routes(
             [
@@ -47,9 +52,17 @@
         )
         return application
 
-    def is_ready(self) -> bool:
-        """Return True if calls are taken."""
-        return self.directory.table is not None and not self.own.draining
+    def not_ready(self) -> str:
+        """Return why no calls are taken, empty if they are."""
+        if self.own.draining:
+            return 'draining'
+        return '' if self.directory.version else 'no configuration yet'
+
+    def measure(self) -> None:
+        """Set the metrics that are read on demand."""
+        measure_entry(self.metrics, self.directory, self.parts.dispatcher)
+        measure_control_traffic(self.metrics, self.parts.control.clients)
+        measure_upstream(self.metrics, self.own)
 
     async def announce(self, request: web.Request) -> web.Response:
         """Take over an announcement or a renewal."""
@@ -58,7 +71,8 @@
             announcement = msgspec.json.decode(text, type=Announcement)
             address = SocketAddress().parse(announcement.address)
         except (msgspec.DecodeError, ValueError) as error:
-            return json_response({'error': str(error)}, BAD_REQUEST)
+            refusal = BurdockleadError(str(error), step='announce')
+            return error_response(refusal, BAD_REQUEST)
         now = asyncio.get_running_loop().time()
         self.own.announce(announcement, address, now)
         return json_response({'draining': self.own.executor.draining})
--- a/burdocklead/process/daemon_process.py
+++ b/burdocklead/process/daemon_process.py
@@ -14,6 +14,7 @@
 from burdocklead.process.daemon_parts import DaemonParts
 from burdocklead.process.lifecycle import Lifecycle, write_ready_file
 from burdocklead.process.own_member import OwnMember
+from burdocklead.process.supervision import Supervisor, watch_process
 from burdocklead.settings import DaemonSettings
 from burdocklead.values import Address, Member
 
@@ -56,7 +57,8 @@
         lifecycle.watch_signals()
         self.parts.executor.start()
         servers = await self._start_servers()
-        tasks = self._start_tasks(servers.own)
+        supervisor = watch_process(self.parts.metrics, lifecycle)
+        tasks = self._start_tasks(servers.own, supervisor)
         lifecycle.start_serving()
         write_ready_file(self.parts.settings.ready_file, servers.addresses)
         await lifecycle.stop_requested.wait()
@@ -78,9 +80,7 @@
         own = OwnMember(
             self._describe(link, http), self.parts.executor, self.parts.events
         )
-        pages = DaemonPages(
-            own, self.parts.directory, self.parts.metrics
-        ).application()
+        pages = DaemonPages(own, self.parts).application()
         admin_runner, admin = await start_site(
             pages, self.parts.settings.admin_listen
         )
@@ -88,7 +88,9 @@
         addresses = {'http': str(http), 'link': str(link), 'admin': str(admin)}
         return DaemonServers(own, callers, admin_runner, addresses)
 
-    def _start_tasks(self, own: OwnMember) -> list[asyncio.Task[None]]:
+    def _start_tasks(
+        self, own: OwnMember, supervisor: Supervisor
+    ) -> list[asyncio.Task[None]]:
         agent = ControlAgent(
             self.parts.control,
             own,
@@ -97,8 +99,8 @@
             self.parts.settings.heartbeat_interval,
         )
         return [
-            asyncio.create_task(agent.run_forever()),
-            asyncio.create_task(_expire_forever(own)),
+            supervisor.start('heartbeats', agent.run_forever()),
+            supervisor.start('lease', _expire_forever(own)),
         ]
 
     def _describe(self, link: Address, http: Address) -> Member:
--- /dev/null
+++ b/burdocklead/process/error_pages.py
@@ -0,0 +1,41 @@
+"""Errors of the admin pages as JSON with step and peer."""
+
+from __future__ import annotations
+
+import logbook
+from aiohttp import web
+from aiohttp.typedefs import Handler, Middleware
+
+from burdocklead.metrics import UNEXPECTED_ERRORS, MetricSet
+from burdocklead.process.json_pages import json_response
+
+INTERNAL_ERROR = 500
+log = logbook.Logger('admin')
+
+
+def report_errors(metrics: MetricSet) -> Middleware:
+    """Return a middleware that answers every error as JSON."""
+
+    @web.middleware
+    async def report(
+        request: web.Request, handler: Handler
+    ) -> web.StreamResponse:
+        try:
+            return await handler(request)
+        except web.HTTPError as error:
+            reason = f'{error.reason}: {request.method} {request.path}'
+            return _error_page(request, reason, error.status)
+        except web.HTTPException:
+            raise
+        except Exception as unexpected:
+            metrics.count(UNEXPECTED_ERRORS)
+            log.exception('page failed', path=request.path)
+            reason = f'unexpected {type(unexpected).__name__}; see the log'
+            return _error_page(request, reason, INTERNAL_ERROR)
+
+    return report
+
+
+def _error_page(request: web.Request, reason: str, status: int) -> web.Response:
+    content = {'error': reason, 'step': 'admin', 'peer': request.remote or ''}
+    return json_response(content, status)
--- /dev/null
+++ b/burdocklead/process/json_pages.py
@@ -0,0 +1,23 @@
+"""Answers in JSON, of success and of errors."""
+
+from __future__ import annotations
+
+import msgspec
+from aiohttp import web
+
+from burdocklead.exceptions import BurdockleadError
+
+JSON = 'application/json'
+
+
+def json_response(content: object, status: int = 200) -> web.Response:
+    """Return a response whose body is the content as JSON."""
+    return web.Response(
+        body=msgspec.json.encode(content), status=status, content_type=JSON
+    )
+
+
+def error_response(error: BurdockleadError, status: int) -> web.Response:
+    """Return an error with its step and its peer."""
+    content = {'error': error.reason, 'step': error.step, 'peer': error.peer}
+    return json_response(content, status)
--- /dev/null
+++ b/burdocklead/process/measurements.py
@@ -0,0 +1,86 @@
+"""Figures that are read when the metrics page is asked for."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from burdocklead.connection.control_client import ControlClient
+from burdocklead.events import EventRing
+from burdocklead.metrics import (
+    CLOCK_IGNORED,
+    CONTROL_BYTES,
+    CONTROL_MESSAGES,
+    EVENTS_OVERWRITTEN,
+    MEMBERS,
+    QUORUM_AGE,
+    RETRY_BUDGET,
+    STORE_BYTES,
+    STORE_SYNCS,
+    UPSTREAM_CALLS,
+    UPSTREAM_LIMIT,
+    UPSTREAM_SLOTS,
+    VERSION,
+    MetricSet,
+)
+from burdocklead.process.control_replica import ControlReplica
+from burdocklead.process.directory import DaemonDirectory
+from burdocklead.process.own_member import OwnMember
+from burdocklead.request.dispatch import Dispatcher
+from burdocklead.values import Member
+
+NEVER_S = 1e9
+
+
+def measure_events(metrics: MetricSet, events: EventRing) -> None:
+    """Set the figures of the event ring and its clock."""
+    metrics.set(EVENTS_OVERWRITTEN, events.overwritten)
+    metrics.set(CLOCK_IGNORED, events.clock.ignored)
+
+
+def measure_control_traffic(
+    metrics: MetricSet, clients: Iterable[ControlClient]
+) -> None:
+    """Set the figures of the requests to control replicas."""
+    clients = tuple(clients)
+    sent = sum(client.bytes_sent for client in clients)
+    received = sum(client.bytes_received for client in clients)
+    metrics.set(CONTROL_BYTES, sent, 'sent')
+    metrics.set(CONTROL_BYTES, received, 'received')
+    messages = sum(client.messages for client in clients)
+    metrics.set(CONTROL_MESSAGES, messages)
+
+
+def measure_members(metrics: MetricSet, members: Iterable[Member]) -> None:
+    """Set the figures of the membership."""
+    draining = [member.draining for member in members]
+    metrics.set(MEMBERS, draining.count(False), 'serving')
+    metrics.set(MEMBERS, draining.count(True), 'draining')
+
+
+def measure_upstream(metrics: MetricSet, own: OwnMember) -> None:
+    """Set the figures of the upstream beside this daemon."""
+    load = own.executor.load()
+    metrics.set(UPSTREAM_CALLS, load.busy, 'running')
+    metrics.set(UPSTREAM_CALLS, load.queued, 'queued')
+    metrics.set(UPSTREAM_LIMIT, load.slots)
+    metrics.set(UPSTREAM_SLOTS, own.member.slots)
+
+
+def measure_entry(
+    metrics: MetricSet, directory: DaemonDirectory, dispatcher: Dispatcher
+) -> None:
+    """Set the figures of a daemon as an entry."""
+    metrics.set(VERSION, directory.version)
+    measure_members(metrics, directory.members.values())
+    for service, budget in dispatcher.budgets.items():
+        metrics.set(RETRY_BUDGET, budget.tokens, service)
+
+
+def measure_replica(metrics: MetricSet, replica: ControlReplica) -> None:
+    """Set the figures of a control replica."""
+    metrics.set(VERSION, replica.file.version)
+    metrics.set(QUORUM_AGE, min(replica.quorum_age(), NEVER_S))
+    measure_members(metrics, replica.members.present())
+    measure_control_traffic(metrics, replica.peers)
+    metrics.set(STORE_SYNCS, replica.registers.store.syncs)
+    metrics.set(STORE_BYTES, replica.registers.store.bytes_written)
--- /dev/null
+++ b/tests/process/admin_pages.feature
@@ -0,0 +1,60 @@
+Feature: Admin pages tell the truth, in JSON, also of errors
+
+  Scenario: Readiness, metrics and bad requests of running processes
+    Given a deployment with 1 job-sheets
+    Then the admin page "/readyz" of "job-sheets-0" has 503 and "no configuration yet"
+    And the admin page "/readyz" of "control-0" has 200 and "true"
+    Given the file "examples/cedarline.toml" is in force everywhere
+    Then the admin page "/readyz" of "job-sheets-0" has 200 and "true"
+    When a client sends GET "/job-sheets/sheets/17" through "job-sheets-0"
+    And a client sends GET "/quarry/sheets/17" through "job-sheets-0"
+    Then the admin metrics of "job-sheets-0" have
+      """
+      burdocklead_ready 1
+      burdocklead_version_in_force 1
+      burdocklead_calls_total{outcome="answered",service="job-sheets"} 1
+      burdocklead_calls_total{outcome="not-run",service=""} 1
+      burdocklead_call_seconds_count{outcome="answered",service="job-sheets"} 1.0
+      burdocklead_call_seconds_bucket{le="+Inf",outcome="answered",service="job-sheets"} 1.0
+      burdocklead_attempts_total{result="answered"} 1
+      burdocklead_members{state="serving"} 1
+      burdocklead_upstream_slots 20
+      burdocklead_events_overwritten_total 0
+      """
+    And the admin metrics of "control-0" have
+      """
+      burdocklead_ready 1
+      burdocklead_version_in_force 1
+      burdocklead_members{state="serving"} 1
+      """
+    And every admin metric follows the conventions
+    And these admin requests of "job-sheets-0" are refused
+      | method | path                   | body                                                          | status | error                       |
+      | GET    | /v1/nothing            |                                                               | 404    | Not Found: GET /v1/nothing  |
+      | POST   | /v1/upstream           | {}                                                            | 405    | Method Not Allowed          |
+      | GET    | /v1/events?since=now   |                                                               | 400    | since: must be              |
+      | PUT    | /v1/upstream           | {                                                             | 400    | truncated                   |
+      | PUT    | /v1/upstream           | []                                                            | 400    | Expected `object`           |
+      | PUT    | /v1/upstream           | {"service":"a","address":"b:1","slots":1}                     | 400    | must start with an IP       |
+      | PUT    | /v1/upstream           | {"service":"a","address":"127.0.0.1:1","slots":1,"colour":1}  | 400    | unknown field               |
+    And the admin page "/readyz" of "job-sheets-0" has 200 and "true"
+    When the processes "control-1, control-2" are killed
+    Then the admin page "/readyz" of "control-0" has 503 and "no quorum" in the end
+    And the admin page "/readyz" of "job-sheets-0" has 200 and "true"
+    When the process "job-sheets-0" is asked to stop
+    Then the admin page "/readyz" of "job-sheets-0" has 503 and "draining" in the end
+
+  Scenario: An error that no code expected is logged once, counted and not hidden
+    When a supervised task fails with "boom"
+    Then the failure is logged once, counted once, on the time line and stops the process
+    When a task that nobody awaits fails with "boom"
+    Then the failure is logged once, counted once, on the time line and stops nothing
+
+  Scenario Outline: Log lines keep their fields apart
+    When the text "two words" and the peer "a=b" are logged as <form>
+    Then the log line ends with <line>
+
+    Examples:
+      | form | line                                                                                        |
+      | text | warning test: two words peer="a=b" call=c1                                                  |
+      | json | {"peer":"a=b","call":"c1","time":"","level":"warning","channel":"test","message":"two words"} |
