--- a/burdocklead/process/daemon_admin_http.py
+++ b/burdocklead/process/daemon_admin_http.py
@@ -75,7 +75,7 @@
             return error_response(refusal, BAD_REQUEST)
         now = asyncio.get_running_loop().time()
         self.own.announce(announcement, address, now)
-        return json_response({'draining': self.own.executor.draining})
+        return json_response({'draining': self.own.draining})
 
     async def withdraw(self, request: web.Request) -> web.Response:
         """Forget the upstream."""
@@ -88,6 +88,7 @@
             'daemon': self.own.member,
             'version': self.directory.version,
             'load': self.own.executor.load(),
+            'dead_signals': self.parts.router.signals.dead(),
             'members': list(self.directory.members.values()),
         }
         return json_response(content)
--- a/burdocklead/process/directory.py
+++ b/burdocklead/process/directory.py
@@ -2,22 +2,28 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import logbook
 
 from burdocklead.connection.control_messages import MemberUpdate
-from burdocklead.connection.frames import Hello
+from burdocklead.connection.frame_protocol import LinkEnd
+from burdocklead.connection.handshake import LinkIdentity
 from burdocklead.connection.peer_link import LoadHandler, PeerLink
 from burdocklead.durable.configuration import AcceptedFile
 from burdocklead.events import EventKind, EventRing
+from burdocklead.metrics import MetricSet
 from burdocklead.request.attempt_runner import Link
-from burdocklead.request.execution import AttemptExecutor, LocalLink
+from burdocklead.request.local_link import LocalLink
+from burdocklead.request.routing import Candidates
+from burdocklead.settings import DaemonSettings
 from burdocklead.values import Member
 from burdocklead.version.configuration_file import decode_deployment
 from burdocklead.version.deployment import Deployment
 from burdocklead.version.route_table import RouteTable
 
+NO_CANDIDATES = Candidates()
+GoneHandler = Callable[[str], None]
 log = logbook.Logger('directory')
 
 
@@ -26,21 +32,29 @@
 
     Attributes:
         members: Present daemons by name.
+        by_service: Upstreams that may get new work, by service.
         table: Routes of the version in force, None before the first.
     """
 
     def __init__(
         self,
-        own: Hello,
-        executor: AttemptExecutor,
+        settings: DaemonSettings,
+        identity: LinkIdentity,
+        local_link: LocalLink,
         events: EventRing,
+        metrics: MetricSet,
         on_load: LoadHandler,
+        on_gone: GoneHandler,
     ) -> None:
         """Start without members and without a configuration."""
-        self.own = own
-        self.local_link = LocalLink(executor)
+        self.settings = settings
+        self.identity = identity
+        self.local_link = local_link
+        self.metrics = metrics
         self.events = events
         self.on_load = on_load
+        self.on_gone = on_gone
+        self.by_service: dict[str, Candidates] = {}
         self.members: dict[str, Member] = {}
         self.links: dict[str, PeerLink] = {}
         self.table: RouteTable | None = None
@@ -54,13 +68,9 @@
         """Return the configuration in force, None before the first."""
         return self.table.deployment if self.table else None
 
-    def candidates(self, service: str) -> list[Member]:
+    def candidates(self, service: str) -> Candidates:
         """Return the upstreams of a service that may get new work."""
-        return [
-            member
-            for member in self.members.values()
-            if member.service == service and not member.draining
-        ]
+        return self.by_service.get(service, NO_CANDIDATES)
 
     def find_member(self, daemon_id: str) -> Member | None:
         """Return a present daemon by name."""
@@ -68,14 +78,19 @@
 
     def link_to(self, member: Member) -> Link:
         """Return the link to a daemon."""
-        if member.daemon_id == self.own.daemon_id:
+        if member.daemon_id == self.settings.daemon_id:
             return self.local_link
         link = self.links.get(member.daemon_id)
         if link is None or link.address != member.link:
             if link is not None:
-                link.close('address changed')
+                link.close(LinkEnd.replaced)
             link = PeerLink(
-                self.own, member.daemon_id, member.link, self.on_load
+                self.identity,
+                member.daemon_id,
+                member.link,
+                self.on_load,
+                self.settings,
+                self.metrics,
             )
             self.links[member.daemon_id] = link
         return link
@@ -94,6 +109,8 @@
                 self._remove(update.member.daemon_id)
             else:
                 self._add(update.member)
+        if updates or whole:
+            self._index()
 
     def take_file(self, file: AcceptedFile) -> None:
         """Put a newer configuration file in force; never an older one."""
@@ -108,7 +125,21 @@
     def close(self) -> None:
         """Close all links."""
         for link in self.links.values():
-            link.close('daemon stops')
+            link.close(LinkEnd.stopping)
+
+    def _index(self) -> None:
+        """Sort the members that may get new work by service."""
+        by_service: dict[str, list[Member]] = {}
+        for member in self.members.values():
+            if member.service and not member.draining:
+                by_service.setdefault(member.service, []).append(member)
+        self.by_service = {
+            service: Candidates(
+                tuple(members),
+                tuple(one for one in members if one.zone == self.settings.zone),
+            )
+            for service, members in by_service.items()
+        }
 
     def _add(self, member: Member) -> None:
         known = self.members.get(member.daemon_id)
@@ -123,5 +154,6 @@
             return
         link = self.links.pop(daemon_id, None)
         if link is not None:
-            link.close('member left')
+            link.close(LinkEnd.replaced)
+        self.on_gone(daemon_id)
         self.events.record(EventKind.member_left, peer=daemon_id)
