Carry the hybrid clock over the links; measure queue time

Cause: links carried no stamps, so a call's path over VMs whose wall clocks differ could be shown out of order. Change: the header of each frame carries the sender's hybrid time; a chunk's latest one is observed before its frames are handed on. A probe's share of the measuring budget grows by the two headers (160 to 184 bytes). Counts are bounded, so that no stamp of a peer can stop a clock from issuing.

--- a/burdocklead/clock.py
+++ b/burdocklead/clock.py
@@ -9,6 +9,7 @@
 import msgspec
 
 NS_PER_MS = 1_000_000
+MAX_COUNT = 2**32 - 1
 MAX_AHEAD_NS = 60_000_000_000
 
 
@@ -43,8 +44,10 @@
         now_ns = self.wall_ns()
         if now_ns > self.last.wall_ns:
             self.last = HybridTime(now_ns, 0)
-        else:
+        elif self.last.count < MAX_COUNT:
             self.last = HybridTime(self.last.wall_ns, self.last.count + 1)
+        else:
+            self.last = HybridTime(self.last.wall_ns + 1, 0)
         return self.last
 
     def observe(self, stamp: HybridTime) -> None:
@@ -55,7 +58,8 @@
         """
         if stamp <= self.last:
             return
-        if stamp.wall_ns > self.wall_ns() + MAX_AHEAD_NS:
+        ahead_ns = stamp.wall_ns - self.wall_ns()
+        if ahead_ns > MAX_AHEAD_NS or stamp.count > MAX_COUNT:
             self.ignored += 1
             return
         self.last = stamp
--- a/burdocklead/connection/frame_protocol.py
+++ b/burdocklead/connection/frame_protocol.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from typing import cast
 
+from burdocklead.clock import HybridClock
 from burdocklead.connection.frames import (
     MAX_FRAME_BYTES,
     Frame,
@@ -50,6 +51,7 @@
     Attributes:
         on_frame: Called with each frame.
         on_close: Called once with the reason when the connection ends.
+        clock: Stamps frames sent and observes those received.
         transport: The transport, None before and after the connection.
         last_received: Loop time of the last bytes received in s.
         backlog_bytes: Bytes that wait here for the transport.
@@ -59,9 +61,11 @@
         self,
         on_frame: FrameHandler,
         on_close: CloseHandler,
+        clock: HybridClock,
         max_frame_bytes: int = MAX_FRAME_BYTES,
     ) -> None:
         """Prepare a connection."""
+        self.clock = clock
         self.on_frame = on_frame
         self.on_close = on_close
         self.transport: asyncio.Transport | None = None
@@ -87,6 +91,7 @@
         except LinkError:
             self.close(LinkEnd.bad_frame)
             return
+        self.clock.observe(self.buffer.latest)
         for frame in frames:
             if self.transport is None:
                 return
@@ -113,7 +118,7 @@
         """
         if self.transport is None:
             raise LinkError('connection is closed', step='send')
-        encoded = encode_frame(frame)
+        encoded = encode_frame(frame, self.clock.issue())
         self.backlog_bytes += len(encoded)
         if urgent:
             self.urgent.append(encoded)
--- a/burdocklead/connection/frames.py
+++ b/burdocklead/connection/frames.py
@@ -7,11 +7,13 @@
 
 import msgspec
 
+from burdocklead.clock import HybridTime
 from burdocklead.exceptions import LinkError
 from burdocklead.values import LoadReport, RefusalCause
 from burdocklead.version.deployment import Priority
 
-LENGTH = struct.Struct('>I')
+# Length of the payload in bytes, then the sender's hybrid time.
+HEADER = struct.Struct('>IQI')
 MAX_FRAME_BYTES = 80 * 1024 * 1024
 Headers = tuple[tuple[str, str], ...]
 
@@ -198,19 +200,26 @@
 _decoder: msgspec.msgpack.Decoder[Frame] = msgspec.msgpack.Decoder(Frame)
 
 
-def encode_frame(frame: Frame) -> bytes:
-    """Return a frame with its length before it."""
+def encode_frame(frame: Frame, time: HybridTime) -> bytes:
+    """Return a frame with its length and the sender's time before it."""
     payload = _encoder.encode(frame)
-    return LENGTH.pack(len(payload)) + payload
+    return HEADER.pack(len(payload), time.wall_ns, time.count) + payload
 
 
 class FrameBuffer:
-    """Cuts a byte stream into frames."""
+    """Cuts a byte stream into frames.
+
+    Attributes:
+        max_bytes: Largest payload in bytes.
+        received: Bytes of frames that are not complete.
+        latest: Latest time that a complete frame was sent at.
+    """
 
     def __init__(self, max_bytes: int = MAX_FRAME_BYTES) -> None:
         """Start empty."""
         self.max_bytes = max_bytes
         self.received = bytearray()
+        self.latest = HybridTime(0, 0)
 
     def feed(self, chunk: bytes) -> list[Frame]:
         """Return the frames completed by a chunk.
@@ -221,15 +230,18 @@
         self.received += chunk
         frames: list[Frame] = []
         position = 0
-        while len(self.received) - position >= LENGTH.size:
-            length = LENGTH.unpack_from(self.received, position)[0]
+        latest = self.latest.wall_ns, self.latest.count
+        while len(self.received) - position >= HEADER.size:
+            length, *sent_at = HEADER.unpack_from(self.received, position)
             if length > self.max_bytes:
                 raise LinkError('frame is too large', step='receive')
-            start = position + LENGTH.size
+            start = position + HEADER.size
             if len(self.received) < start + length:
                 break
             frames.append(_decode(bytes(self.received[start : start + length])))
+            latest = max(latest, tuple(sent_at))
             position = start + length
+        self.latest = HybridTime(*latest)
         del self.received[:position]
         return frames
 
--- a/burdocklead/connection/handshake.py
+++ b/burdocklead/connection/handshake.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from burdocklead.clock import HybridClock
 from burdocklead.connection.cluster_key import ClusterKey, new_nonce
 from burdocklead.connection.frames import Hello, Proof, Welcome
 
@@ -21,12 +22,14 @@
     Attributes:
         hello: Name and incarnation of this daemon.
         key: Key shared by the deployment.
+        clock: Hybrid clock that stamps the frames of its links.
         client_tls: TLS of links that this daemon opens, None for plain TCP.
         server_tls: TLS of links that it accepts, None for plain TCP.
     """
 
     hello: Hello
     key: ClusterKey
+    clock: HybridClock
     client_tls: ssl.SSLContext | None = None
     server_tls: ssl.SSLContext | None = None
 
--- a/burdocklead/connection/link_server.py
+++ b/burdocklead/connection/link_server.py
@@ -136,7 +136,10 @@
     def accept(self) -> FrameProtocol:
         """Return the protocol of a new connection."""
         protocol = FrameProtocol(
-            self._receive, self._closed, self.settings.max_frame_bytes()
+            self._receive,
+            self._closed,
+            self.identity.clock,
+            self.settings.max_frame_bytes(),
         )
         self.peers[protocol] = Peer()
         asyncio.get_running_loop().call_later(
--- a/burdocklead/connection/peer_link.py
+++ b/burdocklead/connection/peer_link.py
@@ -208,7 +208,10 @@
         self.greeting = greeting
         _, protocol = await loop.create_connection(
             lambda: FrameProtocol(
-                self._receive, self._closed, self.settings.max_frame_bytes()
+                self._receive,
+                self._closed,
+                self.identity.clock,
+                self.settings.max_frame_bytes(),
             ),
             self.address.host,
             self.address.port,
--- a/burdocklead/process/credentials.py
+++ b/burdocklead/process/credentials.py
@@ -4,6 +4,7 @@
 
 import ssl
 
+from burdocklead.clock import HybridClock
 from burdocklead.connection.frames import Hello
 from burdocklead.connection.handshake import LinkIdentity
 from burdocklead.connection.peer_access import PeerAccess
@@ -12,15 +13,19 @@
 
 
 def link_identity(
-    settings: DaemonSettings, incarnation: int, access: PeerAccess
+    settings: DaemonSettings,
+    incarnation: int,
+    access: PeerAccess,
+    clock: HybridClock,
 ) -> LinkIdentity:
     """Return who a daemon is on its links."""
     hello = Hello(settings.daemon_id, incarnation)
     if access.tls is None:
-        return LinkIdentity(hello, access.key)
+        return LinkIdentity(hello, access.key, clock)
     return LinkIdentity(
         hello,
         access.key,
+        clock,
         access.tls.client_context(),
         access.tls.server_context(verify_peer=True),
     )
--- a/burdocklead/process/daemon_parts.py
+++ b/burdocklead/process/daemon_parts.py
@@ -48,7 +48,7 @@
         )
         access = load_peer_access(settings)
         self.control = ControlGroup(settings.control, access)
-        identity = link_identity(settings, self.incarnation, access)
+        identity = link_identity(settings, self.incarnation, access, self.clock)
         self.directory = DaemonDirectory(
             settings,
             identity,
--- a/burdocklead/process/prober.py
+++ b/burdocklead/process/prober.py
@@ -21,7 +21,7 @@
 PROBE_INTERVAL_S = 0.05
 PROBE_TIMEOUT_S = 0.5
 PROBE_MESSAGES = 2
-PROBE_BYTES = 160
+PROBE_BYTES = 184
 SILENT_WEIGHT = 2
 
 Probe = Callable[[Member], Coroutine[Any, Any, None]]
--- a/burdocklead/request/attempt_journal.py
+++ b/burdocklead/request/attempt_journal.py
@@ -12,7 +12,7 @@
     Refusal,
 )
 from burdocklead.events import EventKind, EventRing
-from burdocklead.metrics import ATTEMPTS, MetricSet
+from burdocklead.metrics import ATTEMPTS, QUEUE_SECONDS, MetricSet
 
 
 @dataclass(frozen=True, slots=True)
@@ -31,6 +31,10 @@
             detail=f'{attempt.route} attempt {attempt.number}',
         )
 
+    def admit(self, waited_s: float) -> None:
+        """Record the time that an attempt waited for its slot."""
+        self.metrics.observe(QUEUE_SECONDS, waited_s)
+
     def finish(self, attempt: Attempt, result: AttemptResult) -> None:
         """Record the result of an attempt."""
         label, detail = _described(result)
--- a/burdocklead/request/execution.py
+++ b/burdocklead/request/execution.py
@@ -190,11 +190,13 @@
         cause = self._refusal_cause(attempt)
         if cause is not None:
             return self._refusal(attempt, cause)
+        loop = asyncio.get_running_loop()
+        arrived = loop.time()
         verdict = await self.gate.admit(_ticket_of(execution))
         if isinstance(verdict, Refused):
             return self._refusal(attempt, verdict.cause)
-        loop = asyncio.get_running_loop()
         started = loop.time()
+        self.journal.admit(started - arrived)
         finished = False
         try:
             result = await self._send(execution)
