Record attempts at the entry and links on the time line

Cause: a call's path had no event where its entry chose an upstream, and a refusal by a failed link was seen by nobody but the entry. Change: the entry's runner records attempts sent, retried, refused, fenced, lost and given up; the listener records links opened and closed.

--- a/burdocklead/connection/link_server.py
+++ b/burdocklead/connection/link_server.py
@@ -25,6 +25,7 @@
     Welcome,
 )
 from burdocklead.connection.handshake import LinkIdentity
+from burdocklead.events import EventKind, EventRing
 from burdocklead.exceptions import LinkError
 from burdocklead.metrics import LINK_ENDS, LINKS_OPEN, MetricSet
 from burdocklead.settings import DaemonSettings
@@ -90,8 +91,10 @@
         identity: LinkIdentity,
         settings: DaemonSettings,
         metrics: MetricSet,
+        events: EventRing,
     ) -> None:
         """Prepare a listener in front of the handler."""
+        self.events = events
         self.handler = handler
         self.identity = identity
         self.settings = settings
@@ -153,7 +156,11 @@
             protocol.close(LinkEnd.unproven)
 
     def _closed(self, protocol: FrameProtocol, end: LinkEnd) -> None:
-        self.peers.pop(protocol, None)
+        peer = self.peers.pop(protocol, None)
+        if peer and peer.hello and peer.proven:
+            self.events.record(
+                EventKind.link_closed, peer=peer.hello.daemon_id, detail=end
+            )
         self.metrics.count(LINK_ENDS, end.value)
         self.metrics.set(LINKS_OPEN, len(self.peers))
 
@@ -177,6 +184,10 @@
                     peer.hello, peer.welcome, frame
                 )
                 self._end_unproven(protocol)
+                if peer.proven:
+                    self.events.record(
+                        EventKind.link_opened, peer=peer.hello.daemon_id
+                    )
                 self.metrics.set(LINKS_OPEN, len(self.peers))
             case _:
                 protocol.close(LinkEnd.unproven)
--- a/burdocklead/process/daemon_parts.py
+++ b/burdocklead/process/daemon_parts.py
@@ -16,11 +16,11 @@
 from burdocklead.process.credentials import link_identity
 from burdocklead.process.directory import DaemonDirectory
 from burdocklead.request.attempt_journal import AttemptJournal
-from burdocklead.request.attempt_runner import AttemptRunner
 from burdocklead.request.dispatch import Dispatcher
 from burdocklead.request.execution import AttemptExecutor
 from burdocklead.request.keyed_call import KeyedCalls
 from burdocklead.request.local_link import LocalLink
+from burdocklead.request.recording_runner import RecordingRunner
 from burdocklead.request.routing import Router
 from burdocklead.request.signal_watch import SignalWatch
 from burdocklead.settings import DaemonSettings
@@ -62,7 +62,7 @@
         self.dispatcher = Dispatcher(
             prefix,
             self.directory,
-            AttemptRunner(self.directory, self.router),
+            RecordingRunner(self.directory, self.router, self.events),
             self.router,
             self.rng,
         )
@@ -76,7 +76,9 @@
             self.events,
             self.metrics,
         )
-        self.links = LinkServer(self.executor, identity, settings, self.metrics)
+        self.links = LinkServer(
+            self.executor, identity, settings, self.metrics, self.events
+        )
 
     def observe_load(self, daemon_id: str, load: LoadReport) -> None:
         """Pass a load report to the router."""
--- a/tests/steps/timeline_steps.py
+++ b/tests/steps/timeline_steps.py
@@ -2,14 +2,18 @@
 
 from __future__ import annotations
 
+import asyncio
 import time
 from html.parser import HTMLParser
+from unittest.mock import Mock
 from urllib.parse import parse_qsl
 
 import msgspec
 from behave import given, then, when
 
-from burdocklead.clock import HybridClock, HybridTime
+from burdocklead.clock import MAX_COUNT, HybridClock, HybridTime
+from burdocklead.connection.frame_protocol import FrameProtocol
+from burdocklead.connection.frames import FrameBuffer, Ping, encode_frame
 from burdocklead.events import Event, EventKind, EventRing
 from burdocklead.request.headers import CALL_HEADER
 from burdocklead.timeline.gathering import GatheredProcess
@@ -84,6 +88,55 @@
         context.ring.record(EventKind.link_opened, detail=str(number))
 
 
+def new_protocol(ring):
+    """Return a protocol that stamps with the clock of a ring."""
+    return FrameProtocol(lambda *_: None, lambda *_: None, ring.clock)
+
+
+@when(
+    'a frame of the time line process "{name}" after "{kind}" reaches "{other}"'
+)
+def record_and_frame(context, name, kind, other):
+    """Record an event and carry a frame to another process."""
+    ring = context.rings[name]
+    ring.record(EventKind(kind))
+    asyncio.run(exchange(ring, context.rings[other]))
+
+
+async def exchange(ring, other):
+    """Send one frame from one protocol to another one."""
+    sender = new_protocol(ring)
+    sender.transport = Mock()
+    receiver = new_protocol(other)
+    receiver.transport = Mock()
+    sender.send(Ping(1))
+    sender.flush()
+    receiver.data_received(sender.transport.write.call_args.args[0])
+
+
+@when('a peer sends "{name}" a frame stamped with the highest count')
+def send_highest(context, name):
+    """Let a process observe the highest count of its present wall time."""
+    clock = context.rings[name].clock
+    stamp = HybridTime(clock.last.wall_ns, MAX_COUNT)
+    context.highest = stamp
+    buffer = FrameBuffer()
+    buffer.feed(encode_frame(Ping(1), stamp))
+    clock.observe(buffer.latest)
+
+
+@then('the time line process "{name}" still sends frames in order')
+def check_still_sends(context, name):
+    """Encode two frames and compare their stamps."""
+    clock = context.rings[name].clock
+    buffer = FrameBuffer()
+    stamps = [context.highest]
+    for number in range(2):
+        buffer.feed(encode_frame(Ping(number), clock.issue()))
+        stamps.append(buffer.latest)
+    assert stamps == sorted(set(stamps)), stamps
+
+
 @when('the time line process "{name}" records {count:d} events of calls')
 def record_calls(context, name, count):
     """Record events of calls in one ring."""
--- a/tests/timeline/timeline.feature
+++ b/tests/timeline/timeline.feature
@@ -6,6 +6,14 @@
     And the time line process "b" records "attempt-finished"
     Then the merged time line is "a attempt-started, b attempt-finished"
 
+  Scenario: A link carries the clock with every frame
+    Given time line clocks "a" at 100 and "b" at 40
+    When a frame of the time line process "a" after "attempt-sent" reaches "b"
+    And the time line process "b" records "attempt-started"
+    Then the merged time line is "a attempt-sent, b attempt-started"
+    When a peer sends "a" a frame stamped with the highest count
+    Then the time line process "a" still sends frames in order
+
   Scenario: A stamp from far in the future does not move other clocks
     Given time line clocks "a" at 90000000000 and "b" at 40
     When the time line process "a" records "link-opened" and its stamp reaches "b"
@@ -96,11 +104,13 @@
     And the file "examples/cedarline.toml" is in force everywhere
     When a client sends GET "/job-sheets/sheets/17" through "work-orders-0"
     And the operator asks for the time line of that call
-    Then the path of the call is "work-orders-0 call-received, job-sheets-0 attempt-started, job-sheets-0 attempt-finished, work-orders-0 call-answered"
+    Then the path of the call is "work-orders-0 call-received, work-orders-0 attempt-sent, job-sheets-0 attempt-started, job-sheets-0 attempt-finished, work-orders-0 call-answered"
     When the operator asks for the time line of "--process work-orders-0 --kind state-change"
     Then the path of the call is "work-orders-0 state-change"
     When the operator asks for the time line of "--service job-sheets --kind call-answered,call-refused"
     Then the path of the call is "work-orders-0 call-answered"
+    When the operator asks for the time line of "--process job-sheets-0 --kind link-opened"
+    Then the path of the call is "job-sheets-0 link-opened"
     When the operator follows the time line for a moment
     Then each event is shown once and in causal order
     When the operator writes the time line page
