--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 SECONDS ?= 12
 export PYTHONPATH = $(CURDIR)
 
-.PHONY: demo test fuzz lint format types docs check bench clean
+.PHONY: demo test fuzz reference lint format types docs check bench clean
 
 demo: $(STAMP)
 	$(PYTHON) -m devtools.demo
@@ -34,6 +34,9 @@
 bench: $(STAMP)
 	$(PYTHON) -m devtools.bench --scenario $(SCENARIO) --seed $(SEED) --seconds $(SECONDS)
 
+reference: $(STAMP)
+	$(PYTHON) -m devtools.reference_pages
+
 docs: $(STAMP)
 	$(VENV)/bin/sphinx-build -q -W -b html docs docs/_build
 
--- /dev/null
+++ b/devtools/reference_pages.py
@@ -0,0 +1,279 @@
+"""Writes the reference pages of the documentation from the declarations.
+
+``python -m devtools.reference_pages`` writes them; a scenario checks that the
+committed pages are the same.
+"""
+
+from __future__ import annotations
+
+import enum
+import inspect
+import tomllib
+from collections.abc import Callable, Iterator, Sequence
+from pathlib import Path
+from typing import Annotated, Any, get_args, get_origin
+
+import msgspec
+
+from burdocklead.exceptions import BurdockleadError
+from burdocklead.metrics import DECLARED
+from burdocklead.options import (
+    Choice,
+    FilePath,
+    NamedAddresses,
+    Number,
+    OptionalAddress,
+    SocketAddress,
+    Text,
+    declared_options,
+    flag_of,
+    variable_of,
+)
+from burdocklead.settings import (
+    ControlSettings,
+    DaemonSettings,
+    OperatorSettings,
+)
+from burdocklead.version.deployment import Deployment
+from devtools.processes import source_root
+
+EXAMPLE_FILE = 'examples/cedarline.toml'
+NO_UNIT = '-'
+ESCAPED_BAR = '&#124;'
+UNIT_BY_SUFFIX = (
+    ('messages_per_second', 'messages per s'),
+    ('bytes_per_second', 'bytes per s'),
+    ('_ms', 'ms'),
+    ('_seconds', 's'),
+    ('_bytes', 'bytes'),
+)
+UNIT_BY_KEY = {
+    'version': 'count',
+    'queue_limit': 'calls',
+    'max_attempts': 'attempts',
+    'retry_ratio': 'share',
+    'max_crashes': 'crashes',
+}
+TYPE_NAMES = {str: 'text', bool: 'true or false', int: 'whole', float: 'number'}
+HEAD = 'This page is made by `python -m devtools.reference_pages`.\n'
+
+
+def configuration_page() -> str:
+    """Return the reference of the configuration file."""
+    example = tomllib.loads((source_root() / EXAMPLE_FILE).read_text())
+    rows = list(_table_rows(Deployment, '', example))
+    columns = ('key', 'type', 'unit', 'bounds', 'default', 'example', 'meaning')
+    return _page('Configuration reference', (('', columns, rows),))
+
+
+def settings_page() -> str:
+    """Return the reference of the settings of each program."""
+    columns = ('flag', 'variable', 'value', 'default', 'meaning')
+    sections = tuple(
+        (f'`{program}`', columns, list(_setting_rows(kind)))
+        for program, kind in (
+            ('burdocklead-daemon', DaemonSettings),
+            ('burdocklead-control', ControlSettings),
+            ('burdocklead', OperatorSettings),
+        )
+    )
+    return _page('Settings reference', sections)
+
+
+def metrics_page() -> str:
+    """Return the reference of the metrics."""
+    rows = [
+        (
+            f'`{metric.name}`',
+            metric.kind.name,
+            ', '.join(f'`{label}`' for label in metric.labels) or NO_UNIT,
+            metric.help,
+        )
+        for metric in sorted(DECLARED, key=lambda metric: metric.name)
+    ]
+    columns = ('metric', 'kind', 'labels', 'meaning')
+    return _page('Metrics reference', (('', columns, rows),))
+
+
+def errors_page() -> str:
+    """Return the reference of the exception tree."""
+    rows = [
+        (
+            f'`{kind.__name__}`',
+            f'`{kind.__mro__[1].__name__}`',
+            _summary_of(kind),
+        )
+        for kind in _tree_of(BurdockleadError)
+    ]
+    return _page(
+        'Errors reference', (('', ('error', 'is a', 'meaning'), rows),)
+    )
+
+
+PAGES: dict[str, Callable[[], str]] = {
+    'configuration-reference.md': configuration_page,
+    'settings-reference.md': settings_page,
+    'metrics-reference.md': metrics_page,
+    'errors-reference.md': errors_page,
+}
+
+
+def write_pages(folder: Path) -> None:
+    """Write every reference page."""
+    for name, make in PAGES.items():
+        (folder / name).write_text(make(), encoding='utf-8')
+
+
+Section = tuple[str, Sequence[str], Sequence[Sequence[str]]]
+
+
+def _page(title: str, sections: Sequence[Section]) -> str:
+    lines = [f'# {title}', '', HEAD]
+    for heading, columns, rows in sections:
+        if heading:
+            lines.extend((f'## {heading}', ''))
+        lines.append(_line_of(columns))
+        lines.append(_line_of(['---' for _ in columns]))
+        lines.extend(_line_of(row) for row in rows)
+        lines.append('')
+    return '\n'.join(lines)
+
+
+def _line_of(cells: Sequence[str]) -> str:
+    escaped = (cell.replace('|', ESCAPED_BAR) for cell in cells)
+    return f'| {" | ".join(escaped)} |'
+
+
+def _tree_of(kind: type[BurdockleadError]) -> Iterator[type[BurdockleadError]]:
+    if kind.__module__ == BurdockleadError.__module__:
+        yield kind
+    for below in sorted(kind.__subclasses__(), key=_name_of):
+        yield from _tree_of(below)
+
+
+def _name_of(kind: type[BurdockleadError]) -> str:
+    return kind.__name__
+
+
+def _summary_of(kind: type[Any]) -> str:
+    return (inspect.getdoc(kind) or '').partition('\n')[0]
+
+
+def _table_rows(
+    table: type[msgspec.Struct], place: str, example: Any
+) -> Iterator[tuple[str, ...]]:
+    for field in msgspec.structs.fields(table):
+        inner, meta = _split(field.type)
+        key = f'{place}.{field.name}'.lstrip('.')
+        given = example.get(field.name) if isinstance(example, dict) else None
+        nested = _nested_table(inner)
+        if nested is None:
+            yield _key_row(key, field, inner, meta, given)
+            continue
+        suffix = {dict: '.NAME', tuple: '[]'}.get(get_origin(inner), '')
+        yield from _table_rows(nested, key + suffix, _first_of(given))
+
+
+def _split(kind: Any) -> tuple[Any, tuple[Any, ...]]:
+    if get_origin(kind) is Annotated:
+        inner, *meta = get_args(kind)
+        return inner, tuple(meta)
+    return kind, ()
+
+
+def _nested_table(kind: Any) -> type[msgspec.Struct] | None:
+    for candidate in (kind, *get_args(kind)):
+        inner = _split(candidate)[0]
+        if isinstance(inner, type) and issubclass(inner, msgspec.Struct):
+            return inner
+    return None
+
+
+def _first_of(given: Any) -> Any:
+    match given:
+        case list() if given:
+            return given[0]
+        case dict() if all(isinstance(one, dict) for one in given.values()):
+            return next(iter(given.values()), None)
+        case _:
+            return given
+
+
+def _key_row(
+    key: str,
+    field: msgspec.structs.FieldInfo,
+    inner: Any,
+    meta: Sequence[msgspec.Meta],
+    given: Any,
+) -> tuple[str, ...]:
+    required = field.default is msgspec.NODEFAULT
+    default = 'required' if required else _shown(field.default)
+    example = default if given is None else _shown(given)
+    if required and given is None:
+        raise ValueError(f'{key}: no example in {EXAMPLE_FILE}')
+    meaning = next((one.description for one in meta if one.description), None)
+    if meaning is None:
+        raise ValueError(f'{key}: has no description')
+    bounds = ' '.join(filter(None, map(_bounds_of, meta))) or NO_UNIT
+    unit = _unit_of(field.name, inner)
+    head = (f'`{key}`', _type_name(inner), unit, bounds)
+    return (*head, default, example, meaning)
+
+
+def _type_name(inner: Any) -> str:
+    if isinstance(inner, type) and issubclass(inner, enum.Enum):
+        return ', '.join(f'`{one.value}`' for one in inner)
+    return TYPE_NAMES[inner]
+
+
+def _unit_of(name: str, inner: Any) -> str:
+    if inner not in {int, float}:
+        return NO_UNIT
+    for suffix, unit in UNIT_BY_SUFFIX:
+        if name.endswith(suffix):
+            return unit
+    return UNIT_BY_KEY[name]
+
+
+def _bounds_of(meta: msgspec.Meta) -> str:
+    if meta.ge is not None:
+        return f'{meta.ge} to {meta.le}'
+    return f'`{meta.pattern}`' if meta.pattern else ''
+
+
+def _shown(entry: Any) -> str:
+    return f'`{msgspec.json.encode(entry).decode()}`'
+
+
+def _setting_rows(kind: type[Any]) -> Iterator[tuple[str, ...]]:
+    for name, declared in declared_options(kind).items():
+        default = 'required' if declared.default is None else declared.default
+        yield (
+            f'`{flag_of(name)}`',
+            f'`{variable_of(name)}`',
+            _value_of(declared.kind),
+            default or 'unset',
+            declared.help,
+        )
+
+
+def _value_of(kind: Any) -> str:
+    match kind:
+        case Text():
+            return 'text'
+        case Choice(words):
+            return ', '.join(f'`{word}`' for word in words)
+        case Number(low, high, whole):
+            return f'{"whole" if whole else "number"}, {low} to {high}'
+        case SocketAddress() | OptionalAddress():
+            return 'IP:PORT'
+        case NamedAddresses():
+            return 'NAME=IP:PORT,...'
+        case FilePath():
+            return 'path'
+        case _:
+            raise ValueError(f'{kind}: not known to this tool')
+
+
+if __name__ == '__main__':
+    write_pages(source_root() / 'docs')
