--- a/burdocklead/commands/replicas.py
+++ b/burdocklead/commands/replicas.py
@@ -6,14 +6,11 @@
 
 import msgspec
 
-from burdocklead.commands.context import (
-    EXIT_OK,
-    EXIT_REFUSED,
-    CommandContext,
-    ControlAnswer,
-    ask_control,
-)
-from burdocklead.exceptions import ControlError
+from burdocklead.commands.context import CommandContext, ExitCode
+from burdocklead.commands.control_pages import best_replica, with_token
+from burdocklead.commands.http_client import HttpAnswer, Request, send_request
+from burdocklead.commands.tables import Table
+from burdocklead.exceptions import LostAnswerError
 from burdocklead.process.replica_http import SetPage, SetRequest
 
 PAGE = '/v1/replicas'
@@ -29,77 +26,90 @@
     error: str
 
 
-async def show_replicas(context: CommandContext) -> int:
+async def show_replicas(context: CommandContext) -> ExitCode:
     """Show the replica set and return the exit code."""
-    answer = await ask_control(context, 'GET', PAGE)
-    _write_set(context, _page_of(answer))
-    return EXIT_OK
+    _write_set(context, _page_of(await _ask(context, 'GET', PAGE)))
+    return ExitCode.done
 
 
-async def add_replica(context: CommandContext, name: str, address: str) -> int:
+async def add_replica(
+    context: CommandContext, name: str, address: str
+) -> ExitCode:
     """Bring a replica in and return the exit code."""
     wanted = SetRequest(joining=name, address=address)
     return await _change(context, 'add', wanted)
 
 
-async def remove_replica(context: CommandContext, name: str) -> int:
+async def remove_replica(context: CommandContext, name: str) -> ExitCode:
     """Take a replica out and return the exit code."""
     return await _change(context, 'remove', SetRequest(replica=name))
 
 
 async def replace_replica(
     context: CommandContext, name: str, joining: str, address: str
-) -> int:
+) -> ExitCode:
     """Put a replica in place of another one and return the exit code."""
     wanted = SetRequest(name, joining, address)
     return await _change(context, 'replace', wanted)
 
 
-async def cancel_change(context: CommandContext) -> int:
+async def cancel_change(context: CommandContext) -> ExitCode:
     """Take back the change in progress and return the exit code."""
     return await _change(context, 'cancel', SetRequest())
 
 
 async def _change(
     context: CommandContext, action: str, wanted: SetRequest
-) -> int:
+) -> ExitCode:
     """Ask for a change and wait until it has ended.
 
     Raises:
-        ControlError: If it did not end in time; it may end later.
+        LostAnswerError: If it did not end in time; it may end later.
     """
     body = msgspec.json.encode(wanted)
-    answer = await ask_control(context, 'POST', f'{PAGE}/{action}', body)
+    answer = await _ask(context, 'POST', f'{PAGE}/{action}', body)
     if answer.status == CONFLICT:
-        problem = msgspec.json.decode(answer.body, type=Problem)
+        problem = answer.decode(Problem)
         context.write(f'refused: {problem.error}')
-        return EXIT_REFUSED
+        return ExitCode.refused
     page = _page_of(answer)
     try:
         async with asyncio.timeout(context.settings.timeout):
             while page.following:
                 await asyncio.sleep(POLL_S)
-                page = _page_of(await ask_control(context, 'GET', PAGE))
+                page = _page_of(await _ask(context, 'GET', PAGE))
     except TimeoutError:
         reason = 'the change is still in progress'
-        raise ControlError(reason, step=STEP) from None
+        raise LostAnswerError(reason, step=STEP, peer='control') from None
     _write_set(context, page)
-    return EXIT_OK
+    return ExitCode.done
 
 
-def _page_of(answer: ControlAnswer) -> SetPage:
+async def _ask(
+    context: CommandContext, method: str, path: str, body: bytes = b''
+) -> HttpAnswer:
+    view = await best_replica(context, STEP)
+    request = with_token(context, Request(STEP, method, path, body))
+    return await send_request(view.peer, request, context.settings.timeout)
+
+
+def _page_of(answer: HttpAnswer) -> SetPage:
     if answer.status not in OK_STATUSES:
-        raise ControlError(answer.body.decode(), step=STEP, peer=answer.replica)
-    return msgspec.json.decode(answer.body, type=SetPage)
+        raise answer.failure()
+    return answer.decode(SetPage)
 
 
 def _write_set(context: CommandContext, page: SetPage) -> None:
     if context.as_json:
-        context.write(msgspec.json.encode(page).decode())
+        context.write_json(page)
         return
     context.write(f'epoch {page.epoch}')
-    for replica in page.replicas:
-        context.write(f'{replica.replica_id}  {replica.address}')
-    for joining in page.following:
-        if joining not in page.replicas:
-            context.write(f'{joining.replica_id}  {joining.address}  joining')
+    rows = [
+        (one.replica_id, str(one.address), 'member') for one in page.replicas
+    ]
+    rows.extend(
+        (one.replica_id, str(one.address), 'joining')
+        for one in page.following
+        if one not in page.replicas
+    )
+    context.write_table(Table('', ('replica', 'address', 'state'), tuple(rows)))
--- a/burdocklead/process/prober.py
+++ b/burdocklead/process/prober.py
@@ -20,7 +20,7 @@
 PROBE_INTERVAL_S = 0.05
 PROBE_TIMEOUT_S = 0.5
 PROBE_MESSAGES = 2
-PROBE_BYTES = 160
+PROBE_BYTES = 184
 SILENT_WEIGHT = 2
 
 
--- a/devtools/fuzz/request_world.py
+++ b/devtools/fuzz/request_world.py
@@ -200,7 +200,9 @@
             slots=SLOTS,
         )
         hello = Hello(self.name, incarnation)
-        self.identity = LinkIdentity(hello, PeerAccess(ClusterKey(b'fuzz')))
+        self.identity = LinkIdentity(
+            hello, PeerAccess(ClusterKey(b'fuzz')), world.events.clock
+        )
         self.executor = AttemptExecutor(
             self.settings, incarnation, AttemptJournal(world.events, metrics)
         )
@@ -209,7 +211,7 @@
         self.executor.upstream = self.member.link
         self.executor.service = SERVICE
         self.server = LinkServer(
-            self.executor, self.identity, self.settings, metrics
+            self.executor, self.identity, self.settings, metrics, world.events
         )
         self.members: dict[str, Member] = dict(world.members)
         self.links: dict[str, PeerLink] = {}
