--- a/devtools/bench/histograms.py
+++ b/devtools/bench/histograms.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import statistics
 from collections.abc import Iterable, Sequence
+from itertools import chain
 
 import msgspec
 from hdrh.histogram import HdrHistogram
@@ -58,6 +60,7 @@
         p99_ms: 99th percentile in ms.
         p999_ms: 99.9th percentile in ms.
         lag_p99_ms: 99th percentile of late sends in ms.
+        cpu_ms: Median over the steps of processor time per call in ms.
     """
 
     label: str
@@ -69,6 +72,7 @@
     p99_ms: float
     p999_ms: float
     lag_p99_ms: float
+    cpu_ms: float = 0
 
 
 def rows_of(figures: Sequence[Figures]) -> list[Row]:
@@ -83,6 +87,7 @@
     latency = merge(figure.latency for figure in group)
     lag = merge(figure.lag for figure in group)
     outcomes: dict[str, int] = {}
+    cpu_ms = list(chain.from_iterable(figure.cpu_ms for figure in group))
     for figure in group:
         for outcome, count in figure.outcomes.items():
             outcomes[outcome] = outcomes.get(outcome, 0) + count
@@ -97,6 +102,7 @@
         p99_ms=p99,
         p999_ms=p999,
         lag_p99_ms=percentile_ms(lag, 99),
+        cpu_ms=statistics.median(cpu_ms) if cpu_ms else 0,
     )
 
 
--- a/devtools/bench/latency.py
+++ b/devtools/bench/latency.py
@@ -18,6 +18,7 @@
     Options,
     checkout,
     cpu_of,
+    pid_of,
     running_deployment,
 )
 from devtools.local_deployment import LocalDeployment
@@ -42,11 +43,12 @@
     beside = deployment.daemons[f'{SERVICE}-0'].addresses['http']
     other = deployment.daemons[f'{OTHER}-0'].addresses['http']
     straight = CallKind('view-sheet', '/sheets/17')
-    through = CallKind('view-sheet', PATH)
+    through = (CallKind('view-sheet', PATH),)
+    pids = tuple(pid_of(one) for one in deployment.daemons.values())
     return {
         f'{prefix}straight': Arm((upstream,), (straight,)),
-        f'{prefix}local': Arm((beside,), (through,)),
-        f'{prefix}link': Arm((other,), (through,)),
+        f'{prefix}local': Arm((beside,), through, pids=pids),
+        f'{prefix}link': Arm((other,), through, pids=pids),
     }
 
 
@@ -128,7 +130,7 @@
         )
         arms.update(latency_arms(deployment, prefix))
     kinds = (CallKind('view-sheet', '/sheets/17'),)
-    arms[BARE] = Arm((proxy.addresses['http'],), kinds)
+    arms[BARE] = Arm((proxy.addresses['http'],), kinds, pids=(pid_of(proxy),))
     return arms
 
 
--- a/devtools/bench/machine.py
+++ b/devtools/bench/machine.py
@@ -4,6 +4,7 @@
 
 import os
 import subprocess
+from collections.abc import Iterable
 from pathlib import Path
 
 import msgspec
@@ -13,6 +14,7 @@
 TICKS_PER_S = os.sysconf('SC_CLK_TCK')
 PAGE_BYTES = os.sysconf('SC_PAGE_SIZE')
 MEBIBYTE = 1048576
+NS_PER_S = 1_000_000_000
 
 
 class Machine(msgspec.Struct, frozen=True):
@@ -88,3 +90,15 @@
         if line.startswith('voluntary_ctxt_switches'):
             return int(line.split()[1])
     return 0
+
+
+def cpu_of_pids(pids: Iterable[int]) -> float:
+    """Return the processor time of processes so far in s, to the ns."""
+    return sum(map(_thread_times_ns, pids)) / NS_PER_S
+
+
+def _thread_times_ns(pid: int) -> int:
+    tasks = (Path('/proc') / str(pid) / 'task').iterdir()
+    return sum(
+        int((task / 'schedstat').read_text().split()[0]) for task in tasks
+    )
--- a/devtools/bench/plan.py
+++ b/devtools/bench/plan.py
@@ -48,11 +48,14 @@
         addresses: Where calls are sent, as IP:PORT.
         kinds: Mix of calls.
         policy: Choice among the addresses.
+        pids: Processes whose processor time is read around each step; for
+            plans of one load process.
     """
 
     addresses: tuple[str, ...]
     kinds: tuple[CallKind, ...]
     policy: Policy = Policy.round_robin
+    pids: tuple[int, ...] = ()
 
 
 class Step(msgspec.Struct, frozen=True):
@@ -112,6 +115,7 @@
         outcomes: Calls by outcome.
         latency: Encoded histogram of latencies in us.
         lag: Encoded histogram of late sends in us.
+        cpu_ms: Processor time per call of each step in ms.
     """
 
     label: str
@@ -121,6 +125,7 @@
     outcomes: dict[str, int]
     latency: str
     lag: str
+    cpu_ms: list[float] = []
 
 
 class LoadResult(msgspec.Struct, frozen=True):
