--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 SECONDS ?= 12
 export PYTHONPATH = $(CURDIR)
 
-.PHONY: demo test lint format types docs check bench clean
+.PHONY: demo test fuzz lint format types docs check bench clean
 
 demo: $(STAMP)
 	$(PYTHON) -m devtools.demo
@@ -16,6 +16,9 @@
 test: $(STAMP)
 	$(PYTHON) -m devtools.run_tests
 
+fuzz: $(STAMP)
+	$(PYTHON) -m devtools.fuzz --seed $(SEED) --count $(COUNT)
+
 lint: $(STAMP)
 	$(VENV)/bin/ruff check --select I burdocklead devtools tests
 	$(VENV)/bin/ruff format --check burdocklead devtools tests
--- a/burdocklead/connection/control_server.py
+++ b/burdocklead/connection/control_server.py
@@ -31,7 +31,8 @@
 from burdocklead.metrics import CONTROL_BAD, CONTROL_UNPROVED, MetricSet
 from burdocklead.values import Address
 
-CONCURRENT_REQUESTS = 64
+CONCURRENT_REQUESTS = 256
+CLOSE_LIMIT_S = 1.0
 
 RequestHandler = Callable[[ControlRequest], Awaitable[ControlReply]]
 
@@ -52,6 +53,7 @@
             recv_max_size=MAX_MESSAGE_BYTES,
             tls_config=tls.control_server_config() if tls else None,
         )
+        self.closing = False
         self.tasks: list[asyncio.Task[None]] = []
 
     def start(self, address: Address) -> Address:
@@ -64,14 +66,16 @@
 
     async def close(self) -> None:
         """Stop answering; replies not sent yet are dropped."""
+        self.closing = True
         for task in self.tasks:
             task.cancel()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
+        # A task that gets a message while it is cancelled goes on once more.
+        await asyncio.wait(self.tasks, timeout=CLOSE_LIMIT_S)
         self.socket.close()
 
     async def _serve(self) -> None:
         with self.socket.new_context() as context:
-            while True:
+            while not self.closing:
                 message = await context.arecv_msg()
                 try:
                     request = open_request(self.access.key, message.bytes)
--- a/burdocklead/process/admin_http.py
+++ b/burdocklead/process/admin_http.py
@@ -11,6 +11,7 @@
 from burdocklead.events import EventRing
 from burdocklead.exceptions import BurdockleadError
 from burdocklead.metrics import MetricSet
+from burdocklead.timeline.selection import parse_selection, select_events
 from burdocklead.values import Address
 
 JSON = 'application/json'
@@ -47,7 +48,12 @@
         return json_response({'ready': ready}, 200 if ready else UNAVAILABLE)
 
     async def show_events(request: web.Request) -> web.Response:
-        return json_response(list(events.ring))
+        try:
+            selection = parse_selection(request.query.items())
+        except ValueError as error:
+            refusal = BurdockleadError(str(error), step='events')
+            return error_response(refusal, BAD_REQUEST)
+        return json_response(select_events(events, selection))
 
     async def show_metrics(
         request: web.Request,
@@ -81,9 +87,10 @@
     await runner.setup()
     site = web.TCPSite(runner, address.host, address.port, ssl_context=tls)
     await site.start()
-    port = _port_of(runner.addresses)
+    port = port_of(runner.addresses)
     return runner, Address(address.host, port)
 
 
-def _port_of(addresses: Iterable[tuple[str, int]]) -> int:
+def port_of(addresses: Iterable[tuple[str, int]]) -> int:
+    """Return the port of the first address."""
     return next(iter(addresses))[1]
--- a/burdocklead/process/control_process.py
+++ b/burdocklead/process/control_process.py
@@ -34,7 +34,7 @@
         task.cancel()
     await runner.cleanup()
     await server.close()
-    replica.store.close()
+    await replica.registers.close()
     lifecycle.finish()
 
 
--- a/burdocklead/values.py
+++ b/burdocklead/values.py
@@ -34,9 +34,15 @@
 class RefusalCause(enum.StrEnum):
     """Why a call was refused; a refused call did not run."""
 
+    no_configuration = 'no-configuration'
     unknown_service = 'unknown-service'
     unknown_route = 'unknown-route'
     bad_request = 'bad-request'
+    bad_target = 'bad-target'
+    bad_headers = 'bad-headers'
+    bad_deadline = 'bad-deadline'
+    bad_key = 'bad-key'
+    bad_body = 'bad-body'
     body_too_large = 'body-too-large'
     key_required = 'key-required'
     key_reused = 'key-reused'
@@ -44,6 +50,9 @@
     queue_full = 'queue-full'
     shed = 'shed'
     deadline = 'deadline'
+    cancelled = 'cancelled'
+    too_many_pending = 'too-many-pending'
+    internal_error = 'internal-error'
     draining = 'draining'
     fenced = 'fenced'
     duplicate = 'duplicate'
@@ -87,6 +96,7 @@
         slots: Slots that the upstream announced.
         draining: True if the upstream must get no new work.
         version_in_force: Configuration version that the daemon serves.
+        admin: Address of the daemon's pages for operators.
     """
 
     daemon_id: str
@@ -99,3 +109,4 @@
     slots: int = 0
     draining: bool = False
     version_in_force: int = 0
+    admin: Address | None = None
