--- a/devtools/bench/__main__.py
+++ b/devtools/bench/__main__.py
@@ -15,6 +15,7 @@
 from devtools.bench.growth import run_growth
 from devtools.bench.latency import run_latency
 from devtools.bench.machine import describe_machine, revision
+from devtools.bench.measuring import run_measuring
 from devtools.bench.profiled_daemon import PROFILE_VARIABLE
 from devtools.bench.report import BenchResult, table, write_result
 from devtools.bench.resting import run_resting
@@ -32,6 +33,7 @@
     'tail': run_tail,
     'crest': run_crest,
     'blocking': run_blocking,
+    'measuring': run_measuring,
     'resting': run_resting,
     'growth': run_growth,
     'spreading': run_spreading,
--- /dev/null
+++ b/devtools/bench/measuring.py
@@ -0,0 +1,136 @@
+"""What measuring upstreams costs: messages, bytes and processor time."""
+
+from __future__ import annotations
+
+import statistics
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import requests
+
+from burdocklead.metrics import MEASURING_BYTES, MEASURING_MESSAGES, Metric
+from devtools.bench.load_pool import run_load
+from devtools.bench.plan import CallKind, Plan, Step
+from devtools.bench.scene import (
+    CpuMeter,
+    Findings,
+    Layout,
+    Options,
+    running_deployment,
+)
+from devtools.bench.shapes import LIMIT_MS, SHAPES, Shape, Way, arm_of
+from devtools.bench.spreading import put_file
+from devtools.local_deployment import HTTP_TIMEOUT_S, LocalDeployment
+from devtools.processes import ManagedProcess
+
+TURNS = 3
+RATE_PER_TARGET = 60
+WORK_MS = 50
+MS_PER_S = 1000
+BUDGET_LINE = 'messages_per_second = 20'
+BUDGETS = (0, 20, 200)
+
+
+@dataclass(slots=True)
+class Turn:
+    """What one budget showed in its turns.
+
+    Attributes:
+        cpu_ms: Processor time of all daemons per call in ms.
+        messages: Messages a second of one daemon.
+        bytes_s: Bytes a second of one daemon.
+    """
+
+    cpu_ms: list[float] = field(default_factory=list)
+    messages: list[float] = field(default_factory=list)
+    bytes_s: list[float] = field(default_factory=list)
+
+
+def run_measuring(options: Options) -> Findings:
+    """Compare budgets of 0, 20 and 200 messages a second in turns."""
+    shape = SHAPES[options.variant or 'cedarline']
+    findings = Findings(
+        settings={
+            'shape': shape.name,
+            'rate': RATE_PER_TARGET * shape.targets,
+        }
+    )
+    turns = {budget: Turn() for budget in BUDGETS}
+    layout = Layout({shape.service: shape.targets}, controls=1)
+    seconds = options.seconds / (TURNS * len(BUDGETS))
+    version = 1
+    with running_deployment(layout) as deployment:
+        for budget in BUDGETS * TURNS:
+            version += 1
+            put_file(deployment, file_with(layout.file, version, budget))
+            deployment.wait_in_force(version)
+            step = Step(
+                f'budget {budget}',
+                Way.product,
+                seconds,
+                RATE_PER_TARGET * shape.targets,
+            )
+            take_turn(options, deployment, shape, step, turns[budget])
+    for budget, turn in turns.items():
+        findings.facts.update(figures_of(budget, turn))
+    return findings
+
+
+def file_with(source: Path, version: int, budget: int) -> str:
+    """Return a file's text with a version and a budget of messages a second."""
+    text = source.read_text().replace('version = 1', f'version = {version}', 1)
+    if BUDGET_LINE not in text:
+        raise ValueError(f'no line {BUDGET_LINE!r}')
+    return text.replace(BUDGET_LINE, f'messages_per_second = {budget}')
+
+
+def take_turn(
+    options: Options,
+    deployment: LocalDeployment,
+    shape: Shape,
+    step: Step,
+    turn: Turn,
+) -> None:
+    """Send the calls of one turn and note what measuring cost."""
+    kind = CallKind('call', shape.path, work_ms=WORK_MS, limit_ms=LIMIT_MS)
+    arms = {step.arm: arm_of(deployment, shape, Way.product, (kind,))}
+    before = measured(deployment)
+    meter = CpuMeter(deployment.daemons)
+    load = run_load(Plan(options.seed, arms, (step,)))
+    spent = meter.above_rest() * MS_PER_S
+    messages, bytes_sent = measured(deployment)
+    share = step.seconds * len(deployment.daemons)
+    turn.cpu_ms.append(spent / load.row(step.label).calls)
+    turn.messages.append((messages - before[0]) / share)
+    turn.bytes_s.append((bytes_sent - before[1]) / share)
+
+
+def measured(deployment: LocalDeployment) -> tuple[float, float]:
+    """Return messages and bytes of measuring so far over all daemons."""
+    pages = [metrics_page(one) for one in deployment.daemons.values()]
+    return (
+        sum(total_of(page, MEASURING_MESSAGES) for page in pages),
+        sum(total_of(page, MEASURING_BYTES) for page in pages),
+    )
+
+
+def metrics_page(process: ManagedProcess) -> str:
+    """Return the page of a process for scrapers."""
+    url = f'http://{process.addresses["admin"]}/metrics'
+    return requests.get(url, timeout=HTTP_TIMEOUT_S).text
+
+
+def total_of(page: str, metric: Metric) -> float:
+    """Return the sum of a counter over its labels."""
+    lines = [line for line in page.splitlines() if line.startswith(metric.name)]
+    return sum(float(line.split()[-1]) for line in lines)
+
+
+def figures_of(budget: int, turn: Turn) -> dict[str, float]:
+    """Return the medians over the turns of one budget."""
+    name = f'budget {budget} messages a s'
+    return {
+        f'{name}: sent by a daemon a s': statistics.median(turn.messages),
+        f'{name}: bytes a s': statistics.median(turn.bytes_s),
+        f'{name}: cpu ms per call': statistics.median(turn.cpu_ms),
+    }
