Give a slot back that falls to a call whose wait was just cut

Cause: a deadline cuts the waiting future at once, but its task runs a turn of the loop later. A slot released in between was booked for that call and never given back. Change: a decision that nobody waits for any more gives its slot back, also when the wait is cancelled from outside. Proof: tests/request/slot_gate.feature fails without the change (the second waiting call got no slot) and passes with it.

--- a/burdocklead/request/slot_gate.py
+++ b/burdocklead/request/slot_gate.py
@@ -43,6 +43,10 @@
                 return await waiter
         except TimeoutError:
             return self._give_up(ticket.attempt_id, waiter)
+        except asyncio.CancelledError:
+            if self._give_up(ticket.attempt_id, waiter) == Admitted():
+                self._give_back(ticket.attempt_id)
+            raise
         finally:
             self.waiters.pop(ticket.attempt_id, None)
 
@@ -70,8 +74,19 @@
         self.queue.withdraw(attempt_id)
         return Refused(RefusalCause.deadline)
 
+    def _give_back(self, attempt_id: str) -> None:
+        """Give back a slot that nobody used."""
+        self.release(attempt_id, 0, finished=False)
+
     def _settle(self, decisions: Sequence[Decision]) -> None:
+        """Hand decisions to those who wait.
+
+        A wait may have been cut in this turn of the loop, before its task
+        could run again; the slot then goes to the next call.
+        """
         for decision in decisions:
             waiter = self.waiters.get(decision.ticket.attempt_id)
             if waiter is not None and not waiter.done():
                 waiter.set_result(decision.verdict)
+            elif decision.verdict == Admitted():
+                self._give_back(decision.ticket.attempt_id)
--- /dev/null
+++ b/tests/steps/slot_gate_steps.py
@@ -0,0 +1,72 @@
+"""Steps for waiting for a slot."""
+
+import asyncio
+
+from behave import given, then, when
+
+from burdocklead.request.admission import (
+    AdmissionQueue,
+    Admitted,
+    Ticket,
+)
+from burdocklead.request.slot_gate import SlotGate
+from burdocklead.request.slot_table import SlotTable
+from burdocklead.version.deployment import Priority
+
+DEADLINE_S = 60
+SERVICE_MS = 5
+TURNS = 5
+
+
+def ticket(name, now):
+    return Ticket(
+        attempt_id=name,
+        route='service/route',
+        priority=Priority.normal,
+        cost_ms=SERVICE_MS,
+        deadline=now + DEADLINE_S,
+        queue_limit=10,
+    )
+
+
+async def cut_and_release(context):
+    now = asyncio.get_running_loop().time()
+    gate = SlotGate(AdmissionQueue(SlotTable(1)))
+    context.gate = gate
+    assert await gate.admit(ticket('running', now)) == Admitted()
+    first, second = (
+        asyncio.create_task(gate.admit(ticket(name, now)))
+        for name in ('first', 'second')
+    )
+    await asyncio.sleep(0)
+    assert set(gate.waiters) == {'first', 'second'}
+    # What a timeout does to the future that its task awaits.
+    first.cancel()
+    gate.release('running', SERVICE_MS, finished=True)
+    for _ in range(TURNS):
+        await asyncio.sleep(0)
+    context.second = second.result() if second.done() else None
+    second.cancel()
+
+
+@given('a slot gate with one slot that is taken and two waiting calls')
+def prepare(context):
+    context.gate = None
+
+
+@when(
+    'the wait of the first one is cut and the slot comes free in the same turn'
+)
+def run(context):
+    asyncio.run(cut_and_release(context))
+
+
+@then('the second waiting call has the slot of the gate')
+def second_admitted(context):
+    assert context.second == Admitted(), context.second
+
+
+@then('no slot of the gate is held by anyone else')
+def no_leak(context):
+    held = set(context.gate.queue.table.running)
+    assert held == {'second'}, held
