--- a/burdocklead/process/daemon_parts.py
+++ b/burdocklead/process/daemon_parts.py
@@ -8,12 +8,13 @@
 
 from burdocklead.clock import HybridClock
 from burdocklead.connection.control_client import ControlGroup
+from burdocklead.connection.frames import Hello
+from burdocklead.connection.handshake import LinkIdentity
 from burdocklead.connection.link_server import LinkServer
 from burdocklead.connection.peer_access import load_peer_access
 from burdocklead.events import EventKind, EventRing
 from burdocklead.metrics import SIGNAL_DEAD, MetricSet
 from burdocklead.process.caller_http import CallerPages
-from burdocklead.process.credentials import link_identity
 from burdocklead.process.directory import DaemonDirectory
 from burdocklead.request.attempt_journal import AttemptJournal
 from burdocklead.request.attempt_runner import AttemptRunner
@@ -37,18 +38,18 @@
         self.events = EventRing(settings.daemon_id, self.clock)
         self.metrics = MetricSet()
         self.incarnation = time.time_ns()
-        self.rng = random.Random(self.incarnation)
+        rng = random.Random(self.incarnation)
         self.executor = AttemptExecutor(
             settings,
             self.incarnation,
             AttemptJournal(self.events, self.metrics),
         )
-        self.router = Router(
-            settings.zone, self.rng, SignalWatch(self.tell_signal)
+        self.router = Router(settings.zone, rng, SignalWatch(self.tell_signal))
+        self.access = load_peer_access(settings)
+        self.control = ControlGroup(settings.control, self.access)
+        identity = LinkIdentity(
+            Hello(settings.daemon_id, self.incarnation), self.access
         )
-        access = load_peer_access(settings)
-        self.control = ControlGroup(settings.control, access)
-        identity = link_identity(settings, self.incarnation, access)
         self.directory = DaemonDirectory(
             settings,
             identity,
@@ -64,7 +65,7 @@
             self.directory,
             AttemptRunner(self.directory, self.router),
             self.router,
-            self.rng,
+            rng,
         )
         self.keyed_calls = KeyedCalls(
             self.dispatcher, self.control.request, self.answer_limit
--- a/burdocklead/process/daemon_process.py
+++ b/burdocklead/process/daemon_process.py
@@ -9,13 +9,13 @@
 import msgspec
 from aiohttp import web
 
+from burdocklead.connection.peer_access import caller_tls
 from burdocklead.process.admin_http import start_site
 from burdocklead.process.caller_server import (
     CallerServer,
     start_caller_server,
 )
 from burdocklead.process.control_agent import ControlAgent
-from burdocklead.process.credentials import caller_tls
 from burdocklead.process.daemon_admin_http import DaemonPages
 from burdocklead.process.daemon_parts import DaemonParts
 from burdocklead.process.lifecycle import Lifecycle, write_ready_file
@@ -84,7 +84,7 @@
         callers, http = await start_caller_server(
             CallerServer(self.parts.callers.take_call, settings.max_body_bytes),
             settings.listen,
-            caller_tls(settings),
+            caller_tls(settings, self.parts.access),
             IDLE_CALLERS_S,
         )
         own = OwnMember(
--- a/burdocklead/request/execution.py
+++ b/burdocklead/request/execution.py
@@ -86,8 +86,8 @@
         journal: AttemptJournal,
     ) -> None:
         """Start without an upstream."""
-        self.journal = journal
         self.settings = settings
+        self.journal = journal
         self.incarnation = incarnation
         self.service = ''
         self.upstream: Address | None = None
@@ -106,7 +106,7 @@
 
     def load(self) -> LoadReport:
         """Return the present load."""
-        return self.gate.queue.load(asyncio.get_running_loop().time())
+        return self.gate.load()
 
     async def run(self, attempt: Attempt) -> AttemptResult:
         """Return the result of an attempt; a repeated one gets the first."""
--- a/burdocklead/settings.py
+++ b/burdocklead/settings.py
@@ -20,6 +20,7 @@
 MEBIBYTE = 1048576
 LOG_FORMS = ('text', 'json')
 LOG_LEVELS = ('debug', 'info', 'warning', 'error')
+SWITCH = ('off', 'on')
 ANY_PORT = '127.0.0.1:0'
 
 
@@ -102,11 +103,8 @@
     tls_authority: Path | None = option(
         FilePath(must_exist=True), '', 'file with the authorities'
     )
-    caller_certificate: Path | None = option(
-        FilePath(must_exist=True), '', 'certificate chain for callers (PEM)'
-    )
-    caller_private_key: Path | None = option(
-        FilePath(must_exist=True), '', 'private key for callers (PEM)'
+    caller_tls: str = option(
+        Choice(SWITCH), 'off', 'on to serve callers over TLS with these files'
     )
     ready_file: Path | None = option(
         FilePath(), '', 'file to write the addresses to once serving'
