--- a/devtools/bench/measuring.py
+++ b/devtools/bench/measuring.py
@@ -55,21 +55,31 @@
     findings = Findings(settings={'shape': shape.name})
     turns: dict[str, Turn] = {}
     layout = Layout({shape.service: shape.targets}, controls=1)
-    seconds = options.seconds / (TURNS * len(BUDGETS) * len(RATES_PER_TARGET))
     with running_deployment(layout) as deployment:
         for number, budget in enumerate(BUDGETS * TURNS):
             apply_budget(deployment, layout.file, number + 2, budget)
-            for rate in RATES_PER_TARGET:
-                label = f'budget {budget}, {rate} calls a s and target'
-                calls = rate * shape.targets
-                step = Step(label, Way.product, seconds, calls)
-                turn = turns.setdefault(label, Turn())
+            for step in steps_of(shape, budget, options.seconds):
+                turn = turns.setdefault(step.label, Turn())
                 take_turn(options, deployment, shape, step, turn)
     for label, turn in turns.items():
         findings.facts.update(figures_of(label, turn))
     return findings
 
 
+def steps_of(shape: Shape, budget: int, seconds: float) -> list[Step]:
+    """Return a turn at each rate; ``seconds`` is the time of all turns."""
+    turn_s = seconds / (TURNS * len(BUDGETS) * len(RATES_PER_TARGET))
+    return [
+        Step(
+            f'budget {budget}, {rate} calls a s and target',
+            Way.product,
+            turn_s,
+            rate * shape.targets,
+        )
+        for rate in RATES_PER_TARGET
+    ]
+
+
 def apply_budget(
     deployment: LocalDeployment, source: Path, version: int, budget: int
 ) -> None:
