--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 COUNT ?= 1000
 export PYTHONPATH = $(CURDIR)
 
-.PHONY: demo test fuzz lint format types docs check clean
+.PHONY: demo test fuzz model-check lint format types docs check clean
 
 demo: $(STAMP)
 	$(PYTHON) -m devtools.demo
@@ -17,6 +17,9 @@
 fuzz: $(STAMP)
 	$(PYTHON) -m devtools.fuzz --seed $(SEED) --count $(COUNT)
 
+model-check: $(STAMP)
+	$(PYTHON) -m devtools.model_check
+
 lint: $(STAMP)
 	$(VENV)/bin/ruff check --select I burdocklead devtools tests
 	$(VENV)/bin/ruff format --check burdocklead devtools tests
--- a/burdocklead/connection/control_client.py
+++ b/burdocklead/connection/control_client.py
@@ -118,6 +118,7 @@
         self, replicas: tuple[tuple[str, Address], ...], access: PeerAccess
     ) -> None:
         """Prepare a client for each replica."""
+        self.access = access
         self.clients = [
             ControlClient(name, address, access) for name, address in replicas
         ]
@@ -128,6 +129,20 @@
         """Return the client of the preferred replica."""
         return self.clients[self.preferred]
 
+    def use_replicas(self, replicas: tuple[tuple[str, Address], ...]) -> None:
+        """Use another replica set; clients that stay keep their sockets."""
+        preferred = self.client
+        known = {client.name: client for client in self.clients}
+        self.clients = [
+            _client_for(known.pop(name, None), name, address, self.access)
+            for name, address in replicas
+        ]
+        for client in known.values():
+            client.close()
+        self.preferred = 0
+        if preferred in self.clients:
+            self.preferred = self.clients.index(preferred)
+
     def leave_replica(self) -> None:
         """Prefer the next replica from now on."""
         self.preferred = (self.preferred + 1) % len(self.clients)
@@ -152,3 +167,13 @@
         """Close all sockets."""
         for client in self.clients:
             client.close()
+
+
+def _client_for(
+    known: ControlClient | None, name: str, address: Address, access: PeerAccess
+) -> ControlClient:
+    if known is not None and known.address == address:
+        return known
+    if known is not None:
+        known.close()
+    return ControlClient(name, address, access)
--- a/burdocklead/connection/control_messages.py
+++ b/burdocklead/connection/control_messages.py
@@ -7,16 +7,62 @@
 from burdocklead.clock import HybridTime
 from burdocklead.durable.claims import ClaimFinish, ClaimReply, ClaimStart
 from burdocklead.durable.configuration import AcceptedFile
-from burdocklead.durable.register import Phase, PhaseReply
+from burdocklead.durable.register import Phase, PhaseReply, Register
+from burdocklead.durable.replica_set import ReplicaSet
 from burdocklead.values import Member
 
 
 class Phases(msgspec.Struct, frozen=True, tag=True):
-    """A batch of phases of rounds on registers."""
+    """A batch of phases of rounds on registers.
 
+    Attributes:
+        epoch: Epoch of the sender's replica set; others are refused.
+        phases: The phases, handled in order.
+    """
+
+    epoch: int
     phases: tuple[Phase, ...]
 
 
+class InstallSet(msgspec.Struct, frozen=True, tag=True):
+    """Tell a replica set; a newer one is taken over, and all learn it."""
+
+    replica_set: ReplicaSet
+
+
+class SetReply(msgspec.Struct, frozen=True, tag=True):
+    """A replica describes itself.
+
+    Attributes:
+        replica_id: Its name.
+        identity: Identity of its data folder.
+        replica_set: The newest set that it knows.
+    """
+
+    replica_id: str
+    identity: str
+    replica_set: ReplicaSet
+
+
+class CatchUp(msgspec.Struct, frozen=True, tag=True):
+    """Ask for registers whose key comes after one, in order of keys."""
+
+    epoch: int
+    after: str
+
+
+class CatchUpPage(msgspec.Struct, frozen=True, tag=True):
+    """Some registers of one acceptor.
+
+    Attributes:
+        entries: Keys and states in order.
+        last: True if there are none behind them.
+    """
+
+    entries: tuple[tuple[str, Register], ...]
+    last: bool
+
+
 class PhaseReplies(msgspec.Struct, frozen=True, tag=True):
     """The replies to a batch, in its order, once all is synced."""
 
@@ -51,6 +97,18 @@
     age_ms: float
 
 
+class Renewal(msgspec.Struct, frozen=True, array_like=True):
+    """When a present daemon was last heard of.
+
+    Attributes:
+        daemon_id: The daemon.
+        age_ms: Time since then.
+    """
+
+    daemon_id: str
+    age_ms: float
+
+
 class Heartbeat(msgspec.Struct, frozen=True, tag=True):
     """A daemon describes itself and asks for what changed."""
 
@@ -58,6 +116,7 @@
     cursor: Cursor
     known_version: int
     time: HybridTime
+    known_epoch: int = 0
 
 
 class HeartbeatReply(msgspec.Struct, frozen=True, tag=True):
@@ -70,6 +129,8 @@
         file: Accepted file if newer than the known version.
         quorum_age_ms: Time since the replica last heard of a quorum.
         time: Hybrid time of the replica.
+        replica_set: The replica set if newer than the known epoch.
+        renewals: Leases of all present daemons, for replicas only.
     """
 
     cursor: Cursor
@@ -78,6 +139,8 @@
     file: AcceptedFile | None
     quorum_age_ms: float
     time: HybridTime
+    replica_set: ReplicaSet | None = None
+    renewals: tuple[Renewal, ...] = ()
 
 
 class Exchange(msgspec.Struct, frozen=True, tag=True):
@@ -87,6 +150,7 @@
     cursor: Cursor
     known_version: int
     time: HybridTime
+    known_epoch: int = 0
 
 
 class Failure(msgspec.Struct, frozen=True, tag=True):
@@ -103,8 +167,23 @@
     no_quorum: bool = False
 
 
-ControlRequest = Phases | Heartbeat | Exchange | ClaimStart | ClaimFinish
-ControlReply = PhaseReplies | HeartbeatReply | ClaimReply | Failure
+ControlRequest = (
+    Phases
+    | InstallSet
+    | CatchUp
+    | Heartbeat
+    | Exchange
+    | ClaimStart
+    | ClaimFinish
+)
+ControlReply = (
+    PhaseReplies
+    | SetReply
+    | CatchUpPage
+    | HeartbeatReply
+    | ClaimReply
+    | Failure
+)
 
 message_encoder = msgspec.msgpack.Encoder()
 request_decoder: msgspec.msgpack.Decoder[ControlRequest] = (
--- a/burdocklead/durable/group_commit.py
+++ b/burdocklead/durable/group_commit.py
@@ -42,7 +42,10 @@
         return self.store.read(key)
 
     def write(self, changes: Mapping[str, Register]) -> asyncio.Future[None]:
-        """Take over changes; the future ends with the sync or its error."""
+        """Take over changes; the future ends with the sync or its error.
+
+        Without changes it ends when all changes before it are synced.
+        """
         loop = asyncio.get_running_loop()
         if self._waiting_done is None:
             self._waiting_done = loop.create_future()
@@ -58,7 +61,7 @@
         self.store.close()
 
     async def _commit_pending(self) -> None:
-        while self.waiting:
+        while self._waiting_done is not None:
             done = self._waiting_done
             self.syncing = self.waiting
             self.waiting = {}
--- a/burdocklead/durable/proposer.py
+++ b/burdocklead/durable/proposer.py
@@ -24,8 +24,8 @@
 from burdocklead.durable.tally import PhaseResult, Tally
 from burdocklead.exceptions import BurdockleadError, QuorumError
 
-MAX_ROUNDS = 12
-BACKOFF_S = 0.01
+MAX_ROUNDS = 60
+MIN_ROUND_S = 0.005
 PHASE_TIMEOUT_S = 2.0
 FIRST_BALLOT_TIMEOUT_S = 0.25
 FIRST_BALLOT_PAUSE_S = 5.0
@@ -36,6 +36,10 @@
 Update = Callable[[bytes], bytes]
 
 
+def _always() -> bool:
+    return True
+
+
 class Acceptor(Protocol):
     """A replica as the proposer sees it."""
 
@@ -57,6 +61,8 @@
             this proposer.
         first_ballots_from: Loop time from which first ballots are worth
             trying, in s.
+        all_heard: Returns True if every replica answered lately; first
+            ballots need them all.
     """
 
     replica_id: str
@@ -69,6 +75,7 @@
         default_factory=OrderedDict
     )
     first_ballots_from: float = 0
+    all_heard: Callable[[], bool] = _always
     locks: KeyLocks = field(default_factory=KeyLocks)
 
     async def change(
@@ -85,17 +92,27 @@
             QuorumError: If no quorum answered or rounds kept conflicting;
                 the update may yet take effect.
         """
+        loop = asyncio.get_running_loop()
         async with self.locks.hold(key):
             value = await self._run_shortcut(key, update, maybe_new)
-            for attempt in range(MAX_ROUNDS):
+            for _ in range(MAX_ROUNDS):
                 if value is not None:
                     return value
+                started = loop.time()
                 value = await self._run_round(key, update)
                 if value is None:
-                    pause = BACKOFF_S * (attempt + 1) * self.jitter.random()
-                    await asyncio.sleep(pause)
+                    await self._pause(loop.time() - started)
         raise QuorumError('other proposers kept winning', step=STEP)
 
+    async def _pause(self, round_time: float) -> None:
+        """Wait up to twice the time of a round.
+
+        It does not grow with the rounds lost: then the loser would wait
+        long, while who won goes on at once and wins again.
+        """
+        limit = 2 * max(round_time, MIN_ROUND_S)
+        await asyncio.sleep(limit * self.jitter.random())
+
     async def _run_shortcut(
         self, key: str, update: Update, maybe_new: bool
     ) -> bytes | None:
@@ -104,7 +121,9 @@
             ballot, value = cached
             return await self._accept(key, ballot, update(value))
         now = asyncio.get_running_loop().time()
-        if not maybe_new or now < self.first_ballots_from:
+        if now < self.first_ballots_from or not self.all_heard():
+            return None
+        if not maybe_new:
             return None
         return await self._accept_first(key, update(b''))
 
@@ -148,7 +167,11 @@
     async def _gather(
         self, message: Phase, tally: Tally, timeout: float
     ) -> bool:
-        """Send a phase to all; return True once it is won."""
+        """Send a phase to all; return True once it is won.
+
+        If the set changed meanwhile, replies may belong to either epoch,
+        so the phase does not count.
+        """
         decided: asyncio.Future[bool] = (
             asyncio.get_running_loop().create_future()
         )
@@ -161,9 +184,19 @@
         except TimeoutError:
             won = False
         self.counter = max(self.counter, tally.promised.counter)
-        return won
+        return won and self.replicas is tally.replicas
+
+    def use_set(
+        self, replicas: ReplicaSet, acceptors: Mapping[str, Acceptor]
+    ) -> None:
+        """Use another replica set; rounds that run start again."""
+        self.replicas = replicas
+        self.acceptors = acceptors
+        self.cached.clear()
 
     def _check_quorum(self, tally: Tally) -> None:
+        if self.replicas is not tally.replicas:
+            return
         if tally.promised == NO_BALLOT:
             count = len(tally.replies)
             total = len(tally.replicas.names)
--- a/burdocklead/durable/register.py
+++ b/burdocklead/durable/register.py
@@ -131,6 +131,17 @@
     return following, Accepted(message.ballot)
 
 
+def merge_registers(own: Register, other: Register) -> Register:
+    """Return the state of an acceptor that catches up with another one.
+
+    It holds whichever value has the higher ballot, as if the accept of the
+    other one had reached it late, and keeps the promises of both.
+    """
+    newer = max(own, other, key=lambda register: register.accepted)
+    promised = max(own.promised, other.promised)
+    return msgspec.structs.replace(newer, promised=promised)
+
+
 def is_first(ballot: Ballot) -> bool:
     """Return True for a ballot that needs an empty register."""
     return ballot.counter == 0
--- a/burdocklead/durable/replica_set.py
+++ b/burdocklead/durable/replica_set.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from collections.abc import Set as AbstractSet
 
 import msgspec
@@ -9,6 +10,8 @@
 from burdocklead.durable.register import quorum_size
 from burdocklead.values import Address
 
+NEVER_S = 1e9
+
 
 class Replica(msgspec.Struct, frozen=True, array_like=True, order=True):
     """One member of a replica set.
@@ -47,9 +50,18 @@
 
     def is_quorum(self, names: AbstractSet[str]) -> bool:
         """Return True if the named replicas decide."""
-        if not _is_majority(names, self.replicas):
+        if not is_majority(names, self.replicas):
             return False
-        return not self.following or _is_majority(names, self.following)
+        return not self.following or is_majority(names, self.following)
+
+    def quorum_age(self, ages: Mapping[str, float]) -> float:
+        """Return the smallest age at which a quorum was heard, in s."""
+        heard: set[str] = set()
+        for age, name in sorted((age, name) for name, age in ages.items()):
+            heard.add(name)
+            if self.is_quorum(heard):
+                return age
+        return NEVER_S
 
     def find(self, replica_id: str) -> Replica | None:
         """Return a replica by name, None if it is not in the set."""
@@ -58,14 +70,28 @@
                 return replica
         return None
 
+    def addresses(self) -> tuple[tuple[str, Address], ...]:
+        """Return name and address of the replicas that stay or join."""
+        return tuple(
+            (replica.replica_id, replica.address)
+            for replica in self.following or self.replicas
+        )
+
+    def joining(self) -> tuple[Replica, ...]:
+        """Return the replicas that a change in progress brings in."""
+        present = names_of(self.replicas)
+        return tuple(
+            replica
+            for replica in self.following
+            if replica.replica_id not in present
+        )
+
 
 def names_of(replicas: tuple[Replica, ...]) -> frozenset[str]:
     """Return the names of replicas."""
     return frozenset(replica.replica_id for replica in replicas)
 
 
-def _is_majority(
-    names: AbstractSet[str], replicas: tuple[Replica, ...]
-) -> bool:
+def is_majority(names: AbstractSet[str], replicas: tuple[Replica, ...]) -> bool:
     present = len(names & names_of(replicas))
     return present >= quorum_size(len(replicas))
--- /dev/null
+++ b/burdocklead/durable/set_change.py
@@ -0,0 +1,112 @@
+"""Decisions on changes of the replica set, without I/O.
+
+A change takes two steps, each a new epoch: first both the old and the new
+set must agree, then the new one alone. A joining replica counts in the new
+set only after it has caught up, because the second step is taken only then.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Set as AbstractSet
+
+import msgspec
+
+from burdocklead.durable.replica_set import (
+    Replica,
+    ReplicaSet,
+    is_majority,
+    names_of,
+)
+from burdocklead.exceptions import SetChangeError
+
+REPLICA_SET_KEY = 'replica-set'
+STEP = 'replica set'
+
+
+class SetChange(msgspec.Struct, frozen=True):
+    """A change that an operator asks for.
+
+    Attributes:
+        leaving: Name of the replica to take out, empty if none.
+        joining: Replica to bring in, None if none.
+    """
+
+    leaving: str = ''
+    joining: Replica | None = None
+
+
+def decode_set(value: bytes, known: ReplicaSet) -> ReplicaSet:
+    """Return the newer one of the set in a register and a known one."""
+    if not value:
+        return known
+    held = msgspec.msgpack.decode(value, type=ReplicaSet)
+    return max(held, known, key=lambda replica_set: replica_set.epoch)
+
+
+def start_change(
+    current: ReplicaSet, change: SetChange, reachable: AbstractSet[str]
+) -> ReplicaSet:
+    """Return the set that starts a change.
+
+    Args:
+        current: The set in force.
+        change: The change.
+        reachable: Replicas heard of lately, the joining one included.
+
+    Raises:
+        SetChangeError: With the reason if the change is refused.
+    """
+    if current.following:
+        names = ', '.join(sorted(names_of(current.following)))
+        _refuse(f'a change to {names} is in progress')
+    kept = _without(current.replicas, change.leaving)
+    joining = change.joining
+    if joining is None:
+        following = kept
+    else:
+        if joining.replica_id in names_of(current.replicas):
+            _refuse(f'{joining.replica_id} is in the set; use a new name')
+        following = tuple(sorted((*kept, joining)))
+    if following == current.replicas:
+        _refuse('nothing to change')
+    if not following:
+        _refuse('the last replica can not be removed')
+    if not is_majority(reachable, following):
+        count = len(reachable & names_of(following))
+        _refuse(
+            f'no quorum after it: {count} of {len(following)} replicas '
+            'can be reached'
+        )
+    return ReplicaSet(current.epoch + 1, current.replicas, following)
+
+
+def finish_change(current: ReplicaSet, epoch: int) -> ReplicaSet:
+    """Return the set after the change that started with an epoch."""
+    if current.epoch != epoch or not current.following:
+        return current
+    return ReplicaSet(epoch + 1, current.following)
+
+
+def cancel_change(current: ReplicaSet) -> ReplicaSet:
+    """Return the set without the change in progress.
+
+    Raises:
+        SetChangeError: If there is none.
+    """
+    if not current.following:
+        _refuse('no change is in progress')
+    return ReplicaSet(current.epoch + 1, current.replicas)
+
+
+def _without(
+    replicas: tuple[Replica, ...], leaving: str
+) -> tuple[Replica, ...]:
+    if leaving and leaving not in names_of(replicas):
+        _refuse(f'{leaving} is not in the set')
+    return tuple(
+        replica for replica in replicas if replica.replica_id != leaving
+    )
+
+
+def _refuse(reason: str) -> None:
+    raise SetChangeError(reason, step=STEP)
--- a/burdocklead/exceptions.py
+++ b/burdocklead/exceptions.py
@@ -57,3 +57,7 @@
 
 class StorageError(BurdockleadError):
     """The durable file is damaged or could not be written."""
+
+
+class SetChangeError(BurdockleadError):
+    """A change of the replica set is refused."""
--- a/burdocklead/process/control_agent.py
+++ b/burdocklead/process/control_agent.py
@@ -28,6 +28,7 @@
 
     Attributes:
         connected: True if the last heartbeat was answered.
+        known_epoch: Epoch of the replica set in use, 0 before the first.
     """
 
     def __init__(
@@ -46,6 +47,7 @@
         self.interval = interval
         self.cursor = Cursor()
         self.connected = False
+        self.known_epoch = 0
 
     async def run_forever(self) -> None:
         """Send heartbeats until cancelled; at once after a change."""
@@ -60,7 +62,11 @@
         """Send one heartbeat and take over what comes back."""
         member = self.own.describe(self.directory.version)
         message = Heartbeat(
-            member, self.cursor, self.directory.version, self.clock.issue()
+            member,
+            self.cursor,
+            self.directory.version,
+            self.clock.issue(),
+            self.known_epoch,
         )
         client = self.control.client
         try:
@@ -71,14 +77,18 @@
         if not isinstance(reply, HeartbeatReply):
             self._leave_replica(client.name, 'unexpected reply')
             return
-        self._take(reply)
         if reply.quorum_age_ms > QUORUM_AGE_LIMIT_MS:
             self._leave_replica(client.name, 'cut off from its quorum')
+            return
+        self._take(reply)
 
     def _take(self, reply: HeartbeatReply) -> None:
         self.clock.observe(reply.time)
         self.directory.take_updates(reply.updates, whole=reply.whole)
         self.cursor = reply.cursor
+        if reply.replica_set is not None:
+            self.known_epoch = reply.replica_set.epoch
+            self.control.use_replicas(reply.replica_set.addresses())
         if reply.file is not None:
             self.directory.take_file(reply.file)
         if not self.connected:
--- a/burdocklead/process/control_http.py
+++ b/burdocklead/process/control_http.py
@@ -14,6 +14,7 @@
 )
 from burdocklead.process.control_replica import ControlReplica
 from burdocklead.process.operator_access import load_access, require_token
+from burdocklead.process.replica_http import ReplicaPages
 
 CONFLICT = 409
 MAX_FILE_BYTES = 1048576
@@ -46,6 +47,7 @@
                 web.get('/v1/status', self.status),
             ]
         )
+        application.add_routes(ReplicaPages(self.replica).routes())
         return application
 
     def is_ready(self) -> bool:
--- a/burdocklead/process/control_process.py
+++ b/burdocklead/process/control_process.py
@@ -41,8 +41,8 @@
 def _start_tasks(replica: ControlReplica) -> list[asyncio.Task[None]]:
     tasks = [asyncio.create_task(replica.expire_forever())]
     tasks.append(asyncio.create_task(replica.recover_file()))
-    for peer in replica.peers:
-        tasks.append(asyncio.create_task(replica.exchange_forever(peer)))
+    tasks.append(asyncio.create_task(replica.exchange_forever()))
+    tasks.append(asyncio.create_task(replica.changer.run_forever()))
     return tasks
 
 
--- a/burdocklead/process/control_replica.py
+++ b/burdocklead/process/control_replica.py
@@ -11,12 +11,16 @@
 from burdocklead.clock import HybridClock
 from burdocklead.connection.control_client import ControlClient
 from burdocklead.connection.control_messages import (
+    CatchUp,
     ControlReply,
     ControlRequest,
+    Cursor,
     Exchange,
     Heartbeat,
     HeartbeatReply,
+    InstallSet,
     Phases,
+    SetReply,
 )
 from burdocklead.connection.peer_access import load_peer_access
 from burdocklead.durable.claims import (
@@ -34,16 +38,19 @@
     decide_apply,
     decode_file,
 )
-from burdocklead.durable.register import quorum_size
+from burdocklead.durable.replica_set import NEVER_S
 from burdocklead.events import EventKind, EventRing
-from burdocklead.exceptions import ControlError
+from burdocklead.exceptions import BurdockleadError, ControlError
 from burdocklead.metrics import MetricSet
 from burdocklead.process.membership import MembershipView
 from burdocklead.process.register_service import RegisterService
+from burdocklead.process.set_changer import SetChanger
 from burdocklead.settings import ControlSettings
 from burdocklead.version.configuration_file import decode_deployment
 
 MS_PER_S = 1000
+HEARD_LATELY_S = 1
+EXCHANGE_TIMEOUT_S = 1.0
 log = logbook.Logger('control')
 
 
@@ -52,7 +59,8 @@
 
     Attributes:
         file: Newest configuration file known to be accepted.
-        peers: Clients of the other replicas.
+        peer_heard_at: Monotonic time at which each replica last answered
+            in s.
     """
 
     def __init__(self, settings: ControlSettings) -> None:
@@ -66,23 +74,30 @@
         self.members = MembershipView(
             settings.replica_id, time.time_ns(), settings.member_lease
         )
-        self.peers = list(self.registers.clients.values())
         self.file = AcceptedFile()
-        self.peer_heard_at = {peer.name: float('-inf') for peer in self.peers}
-        self.cursors = {
-            peer.name: self.members.cursor.__class__() for peer in self.peers
-        }
+        self.peer_heard_at: dict[str, float] = {}
+        self.cursors: dict[str, Cursor] = {}
+        self.changer = SetChanger(self.registers, self.peer_heard_at)
+        self.registers.proposer.all_heard = self.hears_all
 
     async def handle(self, message: ControlRequest) -> ControlReply:
         """Return the reply to a message of a daemon or a replica."""
         match message:
             case Phases():
                 return await self.registers.handle(message)
+            case InstallSet():
+                await self.registers.install(message.replica_set)
+                return self.registers.describe()
+            case CatchUp():
+                return await self.registers.page_after(message)
             case Heartbeat():
                 self.members.observe(message.member, time.monotonic())
                 return self._reply_since(message)
             case Exchange():
-                return self._reply_since(message)
+                return msgspec.structs.replace(
+                    self._reply_since(message),
+                    renewals=self.members.renewals(time.monotonic()),
+                )
             case ClaimStart() | ClaimFinish():
                 return await self._change_claim(message)
 
@@ -117,11 +132,24 @@
 
     def quorum_age(self) -> float:
         """Return the time since a quorum was last heard of in s."""
+        if not self.registers.is_member:
+            return NEVER_S
         now = time.monotonic()
-        ages: list[float] = sorted(
-            [0, *(now - at for at in self.peer_heard_at.values())]
+        ages = {
+            name: now - at
+            for name, at in self.peer_heard_at.items()
+            if name in self.registers.clients
+        }
+        ages[self.settings.replica_id] = 0
+        return self.registers.replica_set.quorum_age(ages)
+
+    def hears_all(self) -> bool:
+        """Return True if every other replica answered lately."""
+        limit = time.monotonic() - HEARD_LATELY_S
+        return all(
+            self.peer_heard_at.get(name, 0) > limit
+            for name in self.registers.clients
         )
-        return ages[quorum_size(len(ages)) - 1]
 
     async def recover_file(self) -> None:
         """Read the configuration register through a quorum until it works."""
@@ -134,54 +162,92 @@
             self.learn_file(decode_file(value))
             return
 
-    async def exchange_forever(self, peer: ControlClient) -> None:
-        """Take over what one other replica knows, again and again."""
+    async def exchange_forever(self) -> None:
+        """Take over what the other replicas know, again and again."""
+        running: dict[str, asyncio.Task[None]] = {}
         while True:
-            try:
-                await self._exchange_once(peer)
-            except ControlError as error:
-                log.debug('exchange failed', peer=peer.name, error=str(error))
+            for name, peer in list(self.registers.clients.items()):
+                if name not in running or running[name].done():
+                    exchange = self._try_exchange(peer)
+                    running[name] = asyncio.create_task(exchange)
             await asyncio.sleep(self.settings.exchange_interval)
 
     async def expire_forever(self) -> None:
-        """Mark daemons whose lease ran out, again and again."""
+        """Mark daemons whose lease ran out, again and again.
+
+        A replica that did not run for a while first waits one lease for
+        heartbeats, as it could not hear any.
+        """
+        last = time.monotonic()
+        expire_from = last + self.settings.member_lease
         while True:
-            for member in self.members.expire(time.monotonic()):
-                self.events.record(EventKind.member_left, peer=member.daemon_id)
-                log.info('lease ran out', daemon=member.daemon_id)
+            now = time.monotonic()
+            if now - last > self.settings.member_lease / 2:
+                expire_from = now + self.settings.member_lease
+            last = now
+            if now >= expire_from:
+                self._expire(now)
             await asyncio.sleep(self.settings.exchange_interval)
 
+    def _expire(self, now: float) -> None:
+        for member in self.members.expire(now):
+            self.events.record(EventKind.member_left, peer=member.daemon_id)
+            log.info('lease ran out', daemon=member.daemon_id)
+
+    async def _try_exchange(self, peer: ControlClient) -> None:
+        try:
+            await self._exchange_once(peer)
+        except BurdockleadError as error:
+            log.debug('exchange failed', peer=peer.name, error=str(error))
+
     async def _exchange_once(self, peer: ControlClient) -> None:
         message = Exchange(
             self.settings.replica_id,
-            self.cursors[peer.name],
+            self.cursors.get(peer.name, Cursor()),
             self.file.version,
             self.clock.issue(),
+            self.registers.replica_set.epoch,
         )
-        reply = await peer.request(message, 1)
+        reply = await peer.request(message, EXCHANGE_TIMEOUT_S)
         if not isinstance(reply, HeartbeatReply):
             return
+        if not self.registers.replica_set.epoch:
+            await self._learn_identity(peer)
+        if reply.replica_set is not None:
+            await self.registers.install(reply.replica_set)
         now = time.monotonic()
         self.clock.observe(reply.time)
         self.peer_heard_at[peer.name] = now
         self.cursors[peer.name] = reply.cursor
         self.members.merge(reply.updates, now)
+        self.members.renew(reply.renewals, now)
         if reply.file is not None:
             self.learn_file(reply.file)
 
+    async def _learn_identity(self, peer: ControlClient) -> None:
+        greeting = InstallSet(self.registers.replica_set)
+        reply = await peer.request(greeting, EXCHANGE_TIMEOUT_S)
+        if isinstance(reply, SetReply):
+            self.changer.observe_identity(
+                reply.replica_id, reply.identity, reply.replica_set
+            )
+
     def _reply_since(self, message: Heartbeat | Exchange) -> HeartbeatReply:
         self.clock.observe(message.time)
         whole, updates = self.members.updates_since(
             message.cursor, time.monotonic()
         )
         newer = self.file.version > message.known_version
+        replica_set = self.registers.replica_set
+        newer_set = replica_set.epoch > message.known_epoch
         return HeartbeatReply(
             cursor=self.members.cursor,
             whole=whole,
             updates=updates,
             file=self.file if newer else None,
-            quorum_age_ms=min(self.quorum_age() * MS_PER_S, 1e12),
+            quorum_age_ms=self.quorum_age() * MS_PER_S,
             time=self.clock.issue(),
+            replica_set=replica_set if newer_set else None,
         )
 
     async def _change_claim(
--- a/burdocklead/process/membership.py
+++ b/burdocklead/process/membership.py
@@ -5,7 +5,11 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from burdocklead.connection.control_messages import Cursor, MemberUpdate
+from burdocklead.connection.control_messages import (
+    Cursor,
+    MemberUpdate,
+    Renewal,
+)
 from burdocklead.values import Member
 
 MS_PER_S = 1000
@@ -72,7 +76,9 @@
         """Take over what another replica knows."""
         for update in updates:
             heard_at = now - update.age_ms / MS_PER_S
-            if heard_at + self.lease > now and not update.gone:
+            if update.gone:
+                self._mark_gone(update.member, heard_at)
+            elif heard_at + self.lease > now:
                 self.observe(update.member, heard_at)
 
     def expire(self, now: float) -> list[Member]:
@@ -111,6 +117,33 @@
             record.member for record in self.records.values() if not record.gone
         ]
 
+    def renewals(self, now: float) -> tuple[Renewal, ...]:
+        """Return when each present daemon was last heard of."""
+        return tuple(
+            Renewal(name, (now - record.heard_at) * MS_PER_S)
+            for name, record in self.records.items()
+            if not record.gone
+        )
+
+    def renew(self, renewals: Iterable[Renewal], now: float) -> None:
+        """Extend leases by what another replica heard."""
+        for renewal in renewals:
+            heard_at = now - renewal.age_ms / MS_PER_S
+            record = self.records.get(renewal.daemon_id)
+            if record is None or heard_at <= record.heard_at:
+                continue
+            if heard_at + self.lease > now:
+                self.observe(record.member, heard_at)
+
+    def _mark_gone(self, member: Member, heard_at: float) -> None:
+        """Take over that a daemon is gone if the other one knew it longer."""
+        record = self.records.get(member.daemon_id)
+        if record is None or record.gone or heard_at < record.heard_at:
+            return
+        if _order_of(member) >= _order_of(record.member):
+            record.gone = True
+            self._store(record)
+
     def _store(self, record: MemberRecord) -> None:
         self.last_change += 1
         record.change = self.last_change
--- a/burdocklead/process/register_service.py
+++ b/burdocklead/process/register_service.py
@@ -3,24 +3,45 @@
 from __future__ import annotations
 
 import secrets
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 
+import logbook
+import msgspec
+
 from burdocklead.connection.control_client import ControlClient
-from burdocklead.connection.control_messages import PhaseReplies, Phases
+from burdocklead.connection.control_messages import (
+    CatchUp,
+    CatchUpPage,
+    InstallSet,
+    PhaseReplies,
+    Phases,
+    SetReply,
+)
 from burdocklead.connection.peer_access import PeerAccess
 from burdocklead.durable.acceptors import BatchingAcceptor, LocalAcceptor
 from burdocklead.durable.files import OsFileLayer
 from burdocklead.durable.group_commit import GroupCommit
 from burdocklead.durable.identity import open_identity
 from burdocklead.durable.proposer import PHASE_TIMEOUT_S, Proposer, Update
-from burdocklead.durable.register import Phase, PhaseReply
+from burdocklead.durable.register import (
+    Phase,
+    PhaseReply,
+    Register,
+    merge_registers,
+)
 from burdocklead.durable.replica_set import Replica, ReplicaSet
 from burdocklead.durable.store import RegisterStore
-from burdocklead.exceptions import ControlError
+from burdocklead.exceptions import ControlError, QuorumError
 from burdocklead.settings import ControlSettings
 
 IDENTITY_BYTES = 8
+LOCAL_SET_KEY = 'local/replica-set'
+LOCAL_PREFIX = 'local/'
+PAGE_ENTRIES = 500
+PAGE_BYTES = 1048576
+STEP = 'registers'
+log = logbook.Logger('registers')
 
 
 @dataclass(frozen=True, slots=True)
@@ -28,6 +49,7 @@
     """Sends batches of phases to one replica."""
 
     client: ControlClient
+    service: RegisterService
 
     async def send(self, phases: tuple[Phase, ...]) -> Sequence[PhaseReply]:
         """Return the replies to a batch.
@@ -35,16 +57,25 @@
         Raises:
             ControlError: If the replica did not answer as expected.
         """
-        reply = await self.client.request(Phases(phases), PHASE_TIMEOUT_S)
+        message = Phases(self.service.replica_set.epoch, phases)
+        reply = await self.client.request(message, PHASE_TIMEOUT_S)
         if isinstance(reply, PhaseReplies):
             return reply.replies
+        if isinstance(reply, SetReply):
+            await self.service.settle_epochs(self.client, reply.replica_set)
         raise ControlError(
-            'unexpected reply', step='propose', peer=self.client.name
+            'is in another epoch', step='propose', peer=self.client.name
         )
 
 
 class RegisterService:
-    """Registers that change through a quorum of replicas."""
+    """Registers that change through a quorum of replicas.
+
+    Attributes:
+        replica_set: The newest set known; phases of any other are refused.
+        clients: Clients of the other replicas in it, and before the first
+            set of those in the settings.
+    """
 
     def __init__(self, settings: ControlSettings, access: PeerAccess) -> None:
         """Open the data folder and prepare clients of other replicas.
@@ -52,6 +83,8 @@
         Raises:
             StorageError: If the folder is damaged or another replica's.
         """
+        self.settings = settings
+        self.access = access
         layer = OsFileLayer()
         self.identity = open_identity(
             layer,
@@ -62,37 +95,149 @@
         self.store = RegisterStore(layer, settings.data_folder)
         self.commits = GroupCommit(self.store)
         self.local = LocalAcceptor(self.commits)
-        self.clients = {
-            name: ControlClient(name, address, access)
-            for name, address in settings.replicas
-            if name != settings.replica_id
-        }
-        acceptors = {
-            name: BatchingAcceptor(name, PhaseSender(client).send)
-            for name, client in self.clients.items()
-        }
+        self.clients: dict[str, ControlClient] = {}
         self.proposer = Proposer(
-            settings.replica_id,
+            f'{settings.replica_id}/{self.identity.identity}',
             self.identity.start,
-            ReplicaSet(
-                replicas=tuple(
-                    Replica(name, address)
-                    for name, address in settings.replicas
-                )
-            ),
-            {settings.replica_id: self.local, **acceptors},
+            ReplicaSet(),
+            {},
         )
+        self._use_set(self._stored_set())
+
+    @property
+    def replica_set(self) -> ReplicaSet:
+        """Return the newest set known."""
+        return self.proposer.replicas
 
-    async def handle(self, message: Phases) -> PhaseReplies:
-        """Return the replies to a batch of another replica."""
+    @property
+    def is_member(self) -> bool:
+        """Return True if this replica with this folder is in the set."""
+        own = self.replica_set.find(self.settings.replica_id)
+        if own is None or not self.replica_set.epoch:
+            return False
+        return own.identity == self.identity.identity
+
+    async def handle(self, message: Phases) -> PhaseReplies | SetReply:
+        """Return the replies to a batch of another replica.
+
+        A batch of another epoch is refused with the own set.
+
+        Raises:
+            ControlError: If this replica is not in the set.
+        """
+        if message.epoch != self.replica_set.epoch:
+            return self.describe()
+        self._check_member()
         return PhaseReplies(await self.local.reply_to(message.phases))
 
+    def describe(self) -> SetReply:
+        """Return the own identity and the newest set known."""
+        return SetReply(
+            self.settings.replica_id, self.identity.identity, self.replica_set
+        )
+
+    async def install(self, replica_set: ReplicaSet) -> None:
+        """Take over a set if it is newer; it is synced on return."""
+        if replica_set.epoch <= self.replica_set.epoch:
+            return
+        self._use_set(replica_set)
+        value = msgspec.msgpack.encode(replica_set)
+        await self.commits.write({LOCAL_SET_KEY: Register(value=value)})
+        names = ', '.join(sorted(replica_set.names))
+        log.info('replica set', epoch=replica_set.epoch, replicas=names)
+
+    async def settle_epochs(
+        self, client: ControlClient, other: ReplicaSet
+    ) -> None:
+        """Bring this replica and another one to the newer of their sets."""
+        await self.install(other)
+        if other.epoch < self.replica_set.epoch:
+            await client.request(InstallSet(self.replica_set), PHASE_TIMEOUT_S)
+
     async def change(
         self, key: str, update: Update, *, maybe_new: bool = False
     ) -> bytes:
-        """Return the value of a register after a change."""
+        """Return the value of a register after a change.
+
+        Raises:
+            QuorumError: If no quorum answered.
+        """
+        if not self.is_member:
+            raise QuorumError('this replica is not in the set', step=STEP)
         return await self.proposer.change(key, update, maybe_new=maybe_new)
 
+    async def page_after(self, message: CatchUp) -> CatchUpPage | SetReply:
+        """Return registers for a replica that catches up.
+
+        Everything that was answered in an earlier epoch is synced by then,
+        because the own set was written after it.
+        """
+        if message.epoch != self.replica_set.epoch:
+            return self.describe()
+        self._check_member()
+        await self.commits.write({})
+        registers = self.store.registers
+        keys = sorted(
+            key
+            for key in registers
+            if key > message.after and not key.startswith(LOCAL_PREFIX)
+        )
+        entries: list[tuple[str, Register]] = []
+        size = 0
+        for key in keys[:PAGE_ENTRIES]:
+            entries.append((key, registers[key]))
+            size += len(registers[key].value)
+            if size > PAGE_BYTES:
+                break
+        return CatchUpPage(tuple(entries), last=len(entries) == len(keys))
+
+    async def merge(self, entries: Sequence[tuple[str, Register]]) -> None:
+        """Merge registers of another replica; they are synced on return."""
+        changes: dict[str, Register] = {}
+        for key, register in entries:
+            changes[key] = merge_registers(self.commits.read(key), register)
+        await self.commits.write(changes)
+
     async def close(self) -> None:
         """Wait for pending commits and close the file."""
         await self.commits.close()
+
+    def _check_member(self) -> None:
+        if not self.is_member:
+            reason = 'this replica is not in the set; add it under a new name'
+            raise ControlError(reason, step=STEP, peer=self.settings.replica_id)
+
+    def _stored_set(self) -> ReplicaSet:
+        value = self.store.read(LOCAL_SET_KEY).value
+        if value:
+            return msgspec.msgpack.decode(value, type=ReplicaSet)
+        return ReplicaSet(
+            replicas=tuple(
+                Replica(name, address)
+                for name, address in self.settings.replicas
+            )
+        )
+
+    def _use_set(self, replica_set: ReplicaSet) -> None:
+        replicas = (*replica_set.replicas, *replica_set.following)
+        wanted = {
+            replica.replica_id: replica.address
+            for replica in replicas
+            if replica.replica_id != self.settings.replica_id
+        }
+        for name, client in list(self.clients.items()):
+            if wanted.get(name) != client.address:
+                client.close()
+                self.clients.pop(name)
+        for name, address in wanted.items():
+            if name not in self.clients:
+                self.clients[name] = ControlClient(name, address, self.access)
+        self.proposer.use_set(replica_set, self._acceptors())
+
+    def _acceptors(self) -> Mapping[str, LocalAcceptor | BatchingAcceptor]:
+        acceptors: dict[str, LocalAcceptor | BatchingAcceptor] = {
+            name: BatchingAcceptor(name, PhaseSender(client, self).send)
+            for name, client in self.clients.items()
+        }
+        acceptors[self.settings.replica_id] = self.local
+        return acceptors
--- /dev/null
+++ b/burdocklead/process/replica_http.py
@@ -0,0 +1,128 @@
+"""Operators' pages for the replica set of a control replica."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable
+
+import msgspec
+from aiohttp import web
+
+from burdocklead.durable.replica_set import Replica, ReplicaSet
+from burdocklead.durable.set_change import SetChange
+from burdocklead.exceptions import (
+    ConfigurationError,
+    QuorumError,
+    SetChangeError,
+)
+from burdocklead.options import SocketAddress
+from burdocklead.process.admin_http import (
+    BAD_REQUEST,
+    UNAVAILABLE,
+    error_response,
+    json_response,
+)
+from burdocklead.process.control_replica import ControlReplica
+
+ACCEPTED = 202
+CONFLICT = 409
+STEP = 'replica set'
+
+
+class SetRequest(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Body of a request to change the replica set.
+
+    Attributes:
+        replica: Replica that leaves; empty to add one.
+        joining: Name of the replica that joins; empty to remove one.
+        address: Control address of the joining replica, as IP:PORT.
+    """
+
+    replica: str = ''
+    joining: str = ''
+    address: str = ''
+
+
+class SetPage(msgspec.Struct, frozen=True):
+    """Answer of the pages for the replica set.
+
+    Attributes:
+        epoch: Epoch of the set.
+        replicas: Replicas in force.
+        following: Replicas after the change in progress, empty if none.
+    """
+
+    epoch: int
+    replicas: tuple[Replica, ...]
+    following: tuple[Replica, ...]
+
+
+class ReplicaPages:
+    """Pages for the replica set."""
+
+    def __init__(self, replica: ControlReplica) -> None:
+        """Prepare the pages of a replica."""
+        self.replica = replica
+
+    def routes(self) -> list[web.RouteDef]:
+        """Return the routes of all pages."""
+        return [
+            web.get('/v1/replicas', self.show),
+            web.post('/v1/replicas/add', self.change),
+            web.post('/v1/replicas/remove', self.change),
+            web.post('/v1/replicas/replace', self.change),
+            web.post('/v1/replicas/cancel', self.cancel),
+        ]
+
+    async def show(self, request: web.Request) -> web.Response:
+        """Return the set that this replica knows."""
+        return json_response(_page_of(self.replica.registers.replica_set))
+
+    async def change(self, request: web.Request) -> web.Response:
+        """Start a change; it ends once a joining replica has caught up."""
+        action = request.path.rpartition('/')[2]
+        try:
+            change = decode_change(action, await request.read())
+        except ConfigurationError as error:
+            return error_response(error, BAD_REQUEST)
+        return await _respond(self.replica.changer.start(change))
+
+    async def cancel(self, request: web.Request) -> web.Response:
+        """Take back the change in progress."""
+        return await _respond(self.replica.changer.cancel())
+
+
+def decode_change(action: str, body: bytes) -> SetChange:
+    """Return the change that an operator asks for.
+
+    Raises:
+        ConfigurationError: If the body does not fit the action.
+    """
+    try:
+        wanted = msgspec.json.decode(body, type=SetRequest)
+        address = SocketAddress().parse(wanted.address or '0.0.0.0:0')
+    except (msgspec.DecodeError, ValueError) as error:
+        raise ConfigurationError((str(error),), step=STEP) from None
+    leaves = bool(wanted.replica)
+    joins = bool(wanted.joining and wanted.address)
+    if (leaves, joins) != (action != 'add', action != 'remove'):
+        problem = f'{action} needs other fields'
+        raise ConfigurationError((problem,), step=STEP)
+    joining = Replica(wanted.joining, address) if joins else None
+    return SetChange(wanted.replica, joining)
+
+
+async def _respond(change: Awaitable[ReplicaSet]) -> web.Response:
+    try:
+        replica_set = await change
+    except SetChangeError as error:
+        return error_response(error, CONFLICT)
+    except QuorumError as error:
+        return error_response(error, UNAVAILABLE)
+    status = ACCEPTED if replica_set.following else 200
+    return json_response(_page_of(replica_set), status)
+
+
+def _page_of(replica_set: ReplicaSet) -> SetPage:
+    return SetPage(
+        replica_set.epoch, replica_set.replicas, replica_set.following
+    )
--- a/devtools/local_deployment.py
+++ b/devtools/local_deployment.py
@@ -76,27 +76,23 @@
             for name, port in zip(names, ports, strict=True)
         )
         for index, name in enumerate(names):
-            arguments = (
-                '--replica-id',
-                name,
-                '--zone',
-                ZONES[index % len(ZONES)],
-                '--listen',
-                f'127.0.0.1:{ports[index]}',
-                '--admin-listen',
-                '127.0.0.1:0',
-                '--data-folder',
-                str(self.folder / name),
-                '--replicas',
-                self.replica_list,
-                *self.control_flags,
+            self.controls[name] = control_process(
+                self, name, index, ports[index]
             )
-            process = ManagedProcess(name, 'control', arguments, self.folder)
-            self.controls[name] = process
-            process.start()
+            self.controls[name].start()
         for process in self.controls.values():
             process.wait_ready()
 
+    def start_spare_control(self, name: str) -> str:
+        """Start a replica that is in no set; return its control address."""
+        port = free_ports(1)[0]
+        self.controls[name] = control_process(
+            self, name, len(self.controls), port
+        )
+        self.controls[name].start()
+        self.controls[name].wait_ready()
+        return f'127.0.0.1:{port}'
+
     def start_upstreams(
         self, counts: Mapping[str, int], slots: int = 20
     ) -> None:
@@ -249,3 +245,25 @@
     def kill(self) -> None:
         """End all processes at once."""
         kill_all(self.processes())
+
+
+def control_process(
+    deployment: LocalDeployment, name: str, index: int, port: int
+) -> ManagedProcess:
+    """Return a control replica of a deployment, not started."""
+    arguments = (
+        '--replica-id',
+        name,
+        '--zone',
+        ZONES[index % len(ZONES)],
+        '--listen',
+        f'127.0.0.1:{port}',
+        '--admin-listen',
+        '127.0.0.1:0',
+        '--data-folder',
+        str(deployment.folder / name),
+        '--replicas',
+        deployment.replica_list,
+        *deployment.control_flags,
+    )
+    return ManagedProcess(name, 'control', arguments, deployment.folder)
--- /dev/null
+++ b/tests/durable/model_check.feature
@@ -0,0 +1,8 @@
+Feature: The model check finds what it must find
+
+  Scenario: Without catch-up two contents of one version are accepted
+    Then the model without catch-up has a counterexample
+
+  Scenario: First ballots and chained rounds hold
+    Then the model "first ballots" holds
+    And the model "chained applies race" holds
--- a/tests/durable/store.feature
+++ b/tests/durable/store.feature
@@ -45,3 +45,10 @@
 
   Scenario: Commits, faults and crashes agree with a dictionary
     Then the store fuzzer finds nothing in 150 examples
+
+  Scenario: Commits share syncs, and a barrier ends without changes
+    Given a durable store with 0 commits
+    Then 40 group commits at once take at most 2 syncs
+    And a group commit without changes ends
+    When its next "sync" fails
+    Then 3 group commits at once fail and leave no trace
--- a/tests/steps/durable_steps.py
+++ b/tests/steps/durable_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import errno
 import random
 import time
@@ -10,6 +11,7 @@
 from behave import given, then, when
 
 from burdocklead.durable.files import OsFileLayer
+from burdocklead.durable.group_commit import GroupCommit
 from burdocklead.durable.identity import IDENTITY_NAME, open_identity
 from burdocklead.durable.register import Ballot, Register
 from burdocklead.durable.store import FILE_NAME, RegisterStore
@@ -209,3 +211,45 @@
 def run_store_fuzzer(context, count):
     """Run the store fuzzer without randomness."""
     fuzz_store(seed=0, count=count, derandomize=True)
+
+
+async def commit_at_once(context, count):
+    """Write changes in one turn of the loop and return their results."""
+    commits = GroupCommit(context.store)
+    ballot = Ballot(1, 1, 'a')
+    waiting = [
+        commits.write({f'claim/at-once-{number}': Register(ballot, ballot)})
+        for number in range(count)
+    ]
+    results = await asyncio.gather(*waiting, return_exceptions=True)
+    return commits, results
+
+
+@then('{count:d} group commits at once take at most {syncs:d} syncs')
+def check_group(context, count, syncs):
+    """Commit many changes and count the syncs."""
+    before = context.store.syncs
+    asyncio.run(commit_at_once(context, count))
+    assert context.store.syncs - before <= syncs
+    assert len(context.store.registers) == count
+
+
+@then('a group commit without changes ends')
+def check_barrier(context):
+    """Wait for a commit without changes."""
+
+    async def run():
+        async with asyncio.timeout(2):
+            await GroupCommit(context.store).write({})
+
+    asyncio.run(run())
+
+
+@then('{count:d} group commits at once fail and leave no trace')
+def check_group_failure(context, count):
+    """Commit onto a disk that fails."""
+    held = dict(context.store.registers)
+    commits, results = asyncio.run(commit_at_once(context, count))
+    assert all(isinstance(one, StorageError) for one in results), results
+    assert not commits.waiting and not commits.syncing
+    assert context.store.registers == held
--- /dev/null
+++ b/tests/steps/replica_set_steps.py
@@ -0,0 +1,319 @@
+"""Steps for the replica set, with and without processes."""
+
+from __future__ import annotations
+
+import asyncio
+import io
+import shutil
+import signal
+import time
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+
+import requests
+from behave import given, then, when
+
+from burdocklead.commands.context import CommandContext
+from burdocklead.commands.replicas import replace_replica
+from burdocklead.durable.files import OsFileLayer
+from burdocklead.durable.replica_set import Replica, ReplicaSet
+from burdocklead.durable.set_change import (
+    SetChange,
+    finish_change,
+    start_change,
+)
+from burdocklead.durable.store import FILE_NAME, RegisterStore
+from burdocklead.exceptions import SetChangeError
+from burdocklead.options import read_settings
+from burdocklead.settings import OperatorSettings
+from burdocklead.values import Address
+from devtools import model_check
+from devtools.local_deployment import LocalDeployment, wait_until
+
+NOWHERE = Address('127.0.0.1', 1)
+HTTP_TIMEOUT_S = 20
+MAX_FILE_BYTES = 1300000
+
+
+def replica(name):
+    """Return a replica of a set that is not reached."""
+    return Replica(name, NOWHERE)
+
+
+def change_of(text):
+    """Return a change, as ``replace c by d``."""
+    action, first, *rest = text.split()
+    if action == 'add':
+        return SetChange('', replica(first))
+    joining = replica(rest[-1]) if rest else None
+    return SetChange(first, joining)
+
+
+@given('the replica set {names} in epoch {epoch:d}')
+def make_set(context, names, epoch):
+    """Make a set."""
+    replicas = tuple(replica(name) for name in names.split(', '))
+    context.set = ReplicaSet(epoch, replicas)
+
+
+@then('the set change "{text}" with {names} reachable is refused: "{reason}"')
+def check_refused_change(context, text, names, reason):
+    """Start a change and compare the reason."""
+    try:
+        start_change(context.set, change_of(text), set(names.split(', ')))
+    except SetChangeError as error:
+        assert reason in error.reason, error
+        return
+    raise AssertionError('the change started')
+
+
+@then('the set change "{text}" with {names} reachable starts epoch {epoch:d}')
+def check_started_change(context, text, names, epoch):
+    """Start a change and compare the epoch."""
+    reachable = set(names.split(', '))
+    started = start_change(context.set, change_of(text), reachable)
+    assert started.epoch == epoch and started.following, started
+
+
+@when('the set change "{text}" has started')
+def start_set_change(context, text):
+    """Take the first step of a change."""
+    everyone = set('abcd')
+    context.set = start_change(context.set, change_of(text), everyone)
+
+
+@when('the set change has ended')
+def end_set_change(context):
+    """Take the second step of a change."""
+    context.set = finish_change(context.set, context.set.epoch)
+
+
+@then('the replicas {names} decide: {answer}')
+def check_decides(context, names, answer):
+    """Compare whether the named replicas are a quorum."""
+    decides = context.set.is_quorum(set(names.split(', ')))
+    assert decides == (answer == 'yes'), context.set
+
+
+def admin(context, name, path):
+    """Return the URL of a page of a replica."""
+    address = context.deployment.controls[name].addresses['admin']
+    return f'http://{address}{path}'
+
+
+def text_of(version, mark=''):
+    """Return a valid file of a version."""
+    example = Path('examples/cedarline.toml').read_text()
+    changed = example.replace('version = 1', f'version = {version}', 1)
+    return f'{changed}# {mark}\n'.encode()
+
+
+def put_file(context, name, version, mark=''):
+    """Apply a file through a replica and return the status."""
+    answer = requests.put(
+        admin(context, name, '/v1/configuration'),
+        data=text_of(version, mark),
+        timeout=HTTP_TIMEOUT_S,
+    )
+    context.body = answer.text
+    return answer.status_code
+
+
+def is_ready(context, name):
+    """Return True if a replica hears of a quorum."""
+    url = admin(context, name, '/readyz')
+    return requests.get(url, timeout=HTTP_TIMEOUT_S).ok
+
+
+def wait_ready(context, name):
+    """Wait until a replica hears of a quorum."""
+    wait_until(lambda: is_ready(context, name), f'{name} is ready')
+
+
+def start_controls(context, *flags):
+    """Start three replicas and wait until they are one set."""
+    context.deployment = LocalDeployment(context.folder, control_flags=flags)
+    context.deployment.start_controls()
+    for name in context.deployment.controls:
+        wait_ready(context, name)
+
+
+@given('control replicas with version 1 accepted')
+def start_with_file(context):
+    """Start three replicas and apply a file."""
+    start_controls(context)
+    assert put_file(context, 'control-0', 1) == 200
+
+
+@when('control replica "{name}" is stopped')
+def stop_replica(context, name):
+    """Stop a process without ending it."""
+    context.deployment.controls[name].send_signal(signal.SIGSTOP)
+
+
+@when('control replica "{name}" goes on')
+def continue_replica(context, name):
+    """Let a stopped process go on."""
+    context.deployment.controls[name].send_signal(signal.SIGCONT)
+    wait_ready(context, name)
+
+
+@when('control replica "{name}" is stopped for {seconds:f} s')
+def pause_replica(context, name, seconds):
+    """Stop a process for a time."""
+    stop_replica(context, name)
+    time.sleep(seconds)
+    continue_replica(context, name)
+
+
+@when('control replica "{name}" is lost')
+def lose_replica(context, name):
+    """End a process for good."""
+    context.deployment.controls[name].kill()
+
+
+@when('control replica "{name}" restarts')
+def restart_replica(context, name):
+    """End a process and start it on its folder."""
+    process = context.deployment.controls[name]
+    process.kill()
+    process.start()
+    process.wait_ready()
+
+
+@when('control replica "{name}" loses its disk and restarts')
+def lose_disk(context, name):
+    """Start a process on an empty folder."""
+    context.deployment.controls[name].kill()
+    shutil.rmtree(context.folder / name)
+    restart_replica(context, name)
+
+
+@when('version {version:d} is accepted by "{name}"')
+@then('version {version:d} is accepted by "{name}"')
+def check_accepted(context, version, name):
+    """Apply a file and expect that it is accepted."""
+    status = put_file(context, name, version)
+    assert status == 200, (status, context.body)
+
+
+@then('"{name}" refuses version {version:d} with another content')
+def check_version_refused(context, name, version):
+    """Apply a file with other content and expect a refusal."""
+    wait_ready(context, name)
+    status = put_file(context, name, version, 'other')
+    assert status == 409, (status, context.body)
+
+
+@when('"{joining}" replaces "{leaving}" by way of "{name}"')
+def replace(context, joining, leaving, name):
+    """Replace a replica with the operators' function."""
+    address = context.deployment.start_spare_control(joining)
+    reached = context.deployment.controls[name].addresses['admin']
+    flags = {'control_admin': f'{name}={reached}', 'timeout': '15'}
+    settings = read_settings(OperatorSettings, flags, {})
+    output = io.StringIO()
+    command = CommandContext(settings, False, output)
+    code = asyncio.run(replace_replica(command, leaving, joining, address))
+    assert code == 0, output.getvalue()
+    assert leaving not in output.getvalue()
+
+
+@then('"{blank}" is not ready and "{name}" accepts nothing')
+def check_lost_disk(context, blank, name):
+    """Check that a replica without its disk does not count."""
+    assert put_file(context, name, 9) == 503
+    assert not is_ready(context, blank)
+
+
+@given('control replicas and a daemon with leases of {seconds:d} s')
+def start_with_daemon(context, seconds):
+    """Start three replicas with a lease, and a daemon."""
+    start_controls(context, '--member-lease', str(seconds))
+    context.deployment.start_upstreams({'job-sheets': 1})
+    wait_until(lambda: members_at(context, 'control-0'), 'the daemon is known')
+
+
+def members_at(context, name):
+    """Return the members that a replica knows."""
+    url = admin(context, name, '/v1/status')
+    return requests.get(url, timeout=HTTP_TIMEOUT_S).json()['members']
+
+
+@then('"{name}" still knows the daemon and expired nobody')
+def check_not_expired(context, name):
+    """Check members and events for longer than a lease."""
+    limit = time.monotonic() + 3.5
+    while time.monotonic() < limit:
+        assert len(members_at(context, name)) == 1
+    url = admin(context, name, '/v1/events')
+    events = requests.get(url, timeout=HTTP_TIMEOUT_S).text
+    assert 'member-left' not in events.replace('_', '-'), events
+
+
+@when('two operators apply {count:d} versions each with different content')
+def race(context, count):
+    """Apply files of equal versions through two replicas at once."""
+
+    def run(name):
+        statuses = []
+        for version in range(2, count + 2):
+            statuses.append(put_file(context, name, version, name))
+        return statuses
+
+    with ThreadPoolExecutor(2) as pool:
+        context.statuses = list(pool.map(run, ('control-0', 'control-1')))
+    context.last_version = count + 1
+
+
+@then('each version was accepted with one content')
+def check_race(context):
+    """Count the acceptances of each version."""
+    for pair in zip(*context.statuses, strict=True):
+        assert set(pair) <= {200, 409}, pair
+        assert pair.count(200) <= 1, pair
+    assert 200 in context.statuses[0] + context.statuses[1]
+
+
+@then('the file of "{name}" is bounded and opens within {limit:d} s')
+def check_file(context, name, limit):
+    """Open a copy of a replica's file."""
+    copy = context.folder / 'copy'
+    copy.mkdir()
+    shutil.copy(context.folder / name / FILE_NAME, copy / FILE_NAME)
+    size = (copy / FILE_NAME).stat().st_size
+    assert size <= MAX_FILE_BYTES, size
+    started = time.monotonic()
+    RegisterStore(OsFileLayer(), copy).close()
+    elapsed = time.monotonic() - started
+    assert elapsed < limit, elapsed
+
+
+@then('"{name}" shows the last version')
+def check_last_version(context, name):
+    """Wait until a replica serves the last version."""
+
+    def shows():
+        url = admin(context, name, '/v1/configuration')
+        answer = requests.get(url, timeout=HTTP_TIMEOUT_S)
+        version = int(answer.headers['Burdocklead-Version'])
+        return version == context.last_version
+
+    wait_until(shows, f'{name} shows version {context.last_version}')
+
+
+@then('the model without catch-up has a counterexample')
+def check_counterexample(context):
+    """Check the broken model."""
+    result = model_check.check(model_check.WITHOUT_CATCH_UP)
+    found = result['properties'][model_check.PROPERTY]
+    assert found['holds'] is False
+    assert found['counterexample']
+
+
+@then('the model "{name}" holds')
+def check_model(context, name):
+    """Check one model."""
+    model = next(one for one in model_check.MODELS if one.name == name)
+    result = model_check.check(model)
+    assert result['properties'][model_check.PROPERTY]['holds'] is True
