--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 SECONDS ?= 12
 export PYTHONPATH = $(CURDIR)
 
-.PHONY: demo test fuzz reference lint format types docs check bench clean
+.PHONY: demo test fuzz model-check reference lint format types docs check bench clean
 
 demo: $(STAMP)
 	$(PYTHON) -m devtools.demo
@@ -19,6 +19,9 @@
 fuzz: $(STAMP)
 	$(PYTHON) -m devtools.fuzz --seed $(SEED) --count $(COUNT)
 
+model-check: $(STAMP)
+	$(PYTHON) -m devtools.model_check
+
 lint: $(STAMP)
 	$(VENV)/bin/ruff check --select I burdocklead devtools tests
 	$(VENV)/bin/ruff format --check burdocklead devtools tests
--- a/burdocklead/process/control_replica.py
+++ b/burdocklead/process/control_replica.py
@@ -37,6 +37,7 @@
     ApplyResult,
     decide_apply,
     decode_file,
+    without_history,
 )
 from burdocklead.durable.replica_set import NEVER_S
 from burdocklead.events import EventKind, EventRing
@@ -94,7 +95,10 @@
                 self.members.observe(message.member, time.monotonic())
                 return self._reply_since(message)
             case Exchange():
-                return self._reply_since(message)
+                return msgspec.structs.replace(
+                    self._reply_since(message),
+                    renewals=self.members.renewals(time.monotonic()),
+                )
             case ClaimStart() | ClaimFinish():
                 return await self._change_claim(message)
 
@@ -121,7 +125,7 @@
         """Serve an accepted file if it is newer than the present one."""
         if file.version <= self.file.version:
             return
-        self.file = file
+        self.file = without_history(file)
         self.events.record(
             EventKind.version_accepted, detail=f'version {file.version}'
         )
@@ -217,6 +221,7 @@
         self.peer_heard_at[peer.name] = now
         self.cursors[peer.name] = reply.cursor
         self.members.merge(reply.updates, now)
+        self.members.renew(reply.renewals, now)
         if reply.file is not None:
             self.learn_file(reply.file)
 
