--- a/burdocklead/connection/handshake.py
+++ b/burdocklead/connection/handshake.py
@@ -8,8 +8,9 @@
 import msgspec
 
 from burdocklead.clock import HybridClock
-from burdocklead.connection.cluster_key import ClusterKey, new_nonce
+from burdocklead.connection.cluster_key import new_nonce
 from burdocklead.connection.frames import Hello, Proof, Welcome
+from burdocklead.connection.peer_access import PeerAccess
 
 SERVER_ROLE = b'welcome'
 CLIENT_ROLE = b'proof'
@@ -21,17 +22,23 @@
 
     Attributes:
         hello: Name and incarnation of this daemon.
-        key: Key shared by the deployment.
+        access: Key shared by the deployment, and TLS files.
         clock: Hybrid clock that stamps the frames of its links.
-        client_tls: TLS of links that this daemon opens, None for plain TCP.
-        server_tls: TLS of links that it accepts, None for plain TCP.
     """
 
     hello: Hello
-    key: ClusterKey
+    access: PeerAccess
     clock: HybridClock
-    client_tls: ssl.SSLContext | None = None
-    server_tls: ssl.SSLContext | None = None
+
+    def client_tls(self) -> ssl.SSLContext | None:
+        """Return the TLS of links that are opened, None for plain TCP."""
+        tls = self.access.tls
+        return tls.client_context() if tls else None
+
+    def server_tls(self) -> ssl.SSLContext | None:
+        """Return the TLS of links that are accepted, None for plain TCP."""
+        tls = self.access.tls
+        return tls.server_context(verify_peer=True) if tls else None
 
     def greet(self, wanted_id: str) -> Hello:
         """Return the first frame of a link to a daemon."""
@@ -44,24 +51,28 @@
         unproven = Welcome(
             self.hello.daemon_id, self.hello.incarnation, new_nonce(), b''
         )
-        proof = self.key.prove(SERVER_ROLE, *_transcript(hello, unproven))
+        proof = self.access.key.prove(
+            SERVER_ROLE, *_transcript(hello, unproven)
+        )
         return msgspec.structs.replace(unproven, proof=proof)
 
     def trusts_welcome(self, hello: Hello, welcome: Welcome) -> bool:
         """Return True if the daemon reached holds the cluster key."""
-        return self.key.verify(
+        return self.access.key.verify(
             welcome.proof, SERVER_ROLE, *_transcript(hello, welcome)
         )
 
     def prove(self, hello: Hello, welcome: Welcome) -> Proof:
         """Return the third frame of a link."""
-        return Proof(self.key.prove(CLIENT_ROLE, *_transcript(hello, welcome)))
+        return Proof(
+            self.access.key.prove(CLIENT_ROLE, *_transcript(hello, welcome))
+        )
 
     def trusts_proof(
         self, hello: Hello, welcome: Welcome, proof: Proof
     ) -> bool:
         """Return True if the daemon that connected holds the cluster key."""
-        return self.key.verify(
+        return self.access.key.verify(
             proof.proof, CLIENT_ROLE, *_transcript(hello, welcome)
         )
 
--- a/burdocklead/connection/peer_link.py
+++ b/burdocklead/connection/peer_link.py
@@ -15,6 +15,7 @@
     Cancel,
     Frame,
     Lost,
+    Ping,
     Pong,
     Query,
     Refusal,
@@ -138,6 +139,20 @@
         with contextlib.suppress(LinkError):
             self._send(cancel, urgent=True)
 
+    def probe(self) -> None:
+        """Ask for the load over the open link; the reply is handed on.
+
+        The link does not count as used, so that probes keep none open.
+
+        Raises:
+            LinkError: If the link is closed.
+        """
+        if self.protocol is None:
+            raise LinkError(
+                'connection is closed', step='probe', peer=self.daemon_id
+            )
+        self.protocol.send(Ping(0))
+
     def is_waiting(self) -> bool:
         """Return True while an attempt or a question is in progress."""
         return bool(self.results or self.verdicts)
@@ -206,6 +221,7 @@
         loop = asyncio.get_running_loop()
         greeting = Greeting(self.identity, self.daemon_id)
         self.greeting = greeting
+        tls = self.identity.client_tls()
         _, protocol = await loop.create_connection(
             lambda: FrameProtocol(
                 self._receive,
@@ -215,8 +231,8 @@
             ),
             self.address.host,
             self.address.port,
-            ssl=self.identity.client_tls,
-            server_hostname=PEER_NAME if self.identity.client_tls else None,
+            ssl=tls,
+            server_hostname=PEER_NAME if tls else None,
         )
         try:
             self.incarnation = await greeting.greet(protocol)
--- a/burdocklead/process/daemon_parts.py
+++ b/burdocklead/process/daemon_parts.py
@@ -2,18 +2,18 @@
 
 from __future__ import annotations
 
-import asyncio
 import random
 import time
 
 from burdocklead.clock import HybridClock
 from burdocklead.connection.control_client import ControlGroup
+from burdocklead.connection.frames import Hello
+from burdocklead.connection.handshake import LinkIdentity
 from burdocklead.connection.link_server import LinkServer
 from burdocklead.connection.peer_access import load_peer_access
 from burdocklead.events import EventKind, EventRing
 from burdocklead.metrics import SIGNAL_DEAD, MetricSet
 from burdocklead.process.caller_http import CallerPages
-from burdocklead.process.credentials import link_identity
 from burdocklead.process.directory import DaemonDirectory
 from burdocklead.request.attempt_journal import AttemptJournal
 from burdocklead.request.dispatch import Dispatcher
@@ -24,7 +24,6 @@
 from burdocklead.request.routing import Router
 from burdocklead.request.signal_watch import SignalWatch
 from burdocklead.settings import DaemonSettings
-from burdocklead.values import LoadReport
 
 
 class DaemonParts:
@@ -37,26 +36,27 @@
         self.events = EventRing(settings.daemon_id, self.clock)
         self.metrics = MetricSet()
         self.incarnation = time.time_ns()
-        self.rng = random.Random(self.incarnation)
+        rng = random.Random(self.incarnation)
         self.executor = AttemptExecutor(
             settings,
             self.incarnation,
             AttemptJournal(self.events, self.metrics),
         )
-        self.router = Router(
-            settings.zone, self.rng, SignalWatch(self.tell_signal)
+        self.router = Router(settings.zone, rng, SignalWatch(self.tell_signal))
+        self.access = load_peer_access(settings)
+        self.control = ControlGroup(settings.control, self.access)
+        identity = LinkIdentity(
+            Hello(settings.daemon_id, self.incarnation),
+            self.access,
+            self.clock,
         )
-        access = load_peer_access(settings)
-        self.control = ControlGroup(settings.control, access)
-        identity = link_identity(settings, self.incarnation, access, self.clock)
         self.directory = DaemonDirectory(
             settings,
             identity,
             LocalLink(self.executor),
             self.events,
             self.metrics,
-            self.observe_load,
-            self.router.forget,
+            self.router,
         )
         prefix = f'{settings.daemon_id}.{self.incarnation:x}'
         self.dispatcher = Dispatcher(
@@ -64,7 +64,8 @@
             self.directory,
             RecordingRunner(self.directory, self.router, self.events),
             self.router,
-            self.rng,
+            rng,
+            self.metrics,
         )
         self.keyed_calls = KeyedCalls(
             self.dispatcher, self.control.request, self.answer_limit
@@ -80,10 +81,15 @@
             self.executor, identity, settings, self.metrics, self.events
         )
 
-    def observe_load(self, daemon_id: str, load: LoadReport) -> None:
-        """Pass a load report to the router."""
-        now = asyncio.get_running_loop().time()
-        self.router.observe_load(daemon_id, load, now)
+    def tell_signal(self, daemon_id: str, reason: str) -> None:
+        """Count and record a load signal that died or came back."""
+        if reason:
+            self.metrics.count(SIGNAL_DEAD, reason.replace(' ', '-'))
+        self.events.record(
+            EventKind.signal_dead,
+            peer=daemon_id,
+            detail=reason or 'alive again',
+        )
 
     def answer_limit(self) -> int:
         """Return the largest answer of a keyed call that is kept in bytes."""
@@ -98,13 +104,3 @@
             or self.callers.in_progress
             or self.keyed_calls.pending
         )
-
-    def tell_signal(self, daemon_id: str, reason: str) -> None:
-        """Count and record a load signal that died or came back."""
-        if reason:
-            self.metrics.count(SIGNAL_DEAD, reason.replace(' ', '-'))
-        self.events.record(
-            EventKind.signal_dead,
-            peer=daemon_id,
-            detail=reason or 'alive again',
-        )
--- a/burdocklead/process/daemon_process.py
+++ b/burdocklead/process/daemon_process.py
@@ -9,18 +9,20 @@
 import msgspec
 from aiohttp import web
 
+from burdocklead.connection.peer_access import caller_tls
 from burdocklead.process.admin_http import start_site
 from burdocklead.process.caller_server import (
     CallerServer,
     start_caller_server,
 )
 from burdocklead.process.control_agent import ControlAgent
-from burdocklead.process.credentials import caller_tls
 from burdocklead.process.daemon_admin_http import DaemonPages
 from burdocklead.process.daemon_parts import DaemonParts
 from burdocklead.process.lifecycle import Lifecycle, write_ready_file
 from burdocklead.process.own_member import OwnMember
+from burdocklead.process.prober import Prober
 from burdocklead.process.supervision import Supervisor, watch_process
+from burdocklead.request.measuring import MeasuringBudget, ProbePlanner
 from burdocklead.request.upstream_client import HttpUpstreamClient
 from burdocklead.settings import DaemonSettings
 from burdocklead.values import Address, Member
@@ -86,7 +88,7 @@
         callers, http = await start_caller_server(
             CallerServer(self.parts.callers.take_call, settings.max_body_bytes),
             settings.listen,
-            caller_tls(settings),
+            caller_tls(settings, self.parts.access),
             IDLE_CALLERS_S,
         )
         own = OwnMember(
@@ -111,7 +113,14 @@
             self.parts.clock,
             self.parts.settings.heartbeat_interval,
         )
+        prober = Prober(
+            self.parts.directory,
+            ProbePlanner(self.parts.router),
+            MeasuringBudget(),
+            self.parts.metrics,
+        )
         return [
+            supervisor.start('probes', prober.run_forever()),
             supervisor.start('heartbeats', agent.run_forever()),
             supervisor.start('lease', _expire_forever(own)),
         ]
--- a/burdocklead/request/slot_gate.py
+++ b/burdocklead/request/slot_gate.py
@@ -13,7 +13,7 @@
     Refused,
     Ticket,
 )
-from burdocklead.values import RefusalCause
+from burdocklead.values import LoadReport, RefusalCause
 
 
 class SlotGate:
@@ -62,6 +62,10 @@
             self.queue.release(attempt_id, service_ms, now, finished=finished)
         )
 
+    def load(self) -> LoadReport:
+        """Return the present load."""
+        return self.queue.load(asyncio.get_running_loop().time())
+
     def _give_up(
         self, attempt_id: str, waiter: asyncio.Future[Admitted | Refused]
     ) -> Admitted | Refused:
