Show and change the replica set from the operators' program

Cause: the functions for the replica set had no subcommand, and read answers without their type, quorum or exit code. Change: burdocklead replicas list, add, remove, replace, cancel; the first replica with a quorum is asked; a lost answer is not known (3), a refusal 1, wrong names 2. Its loops run under the supervisor.

--- a/burdocklead/commands/subcommands.py
+++ b/burdocklead/commands/subcommands.py
@@ -14,6 +14,7 @@
 from burdocklead.commands.check import check_file
 from burdocklead.commands.context import CommandContext, ExitCode
 from burdocklead.commands.diff import diff_file
+from burdocklead.commands.replicas import ACTIONS, run_replicas
 from burdocklead.commands.show import show_file
 from burdocklead.commands.status import show_status
 from burdocklead.commands.timeline import show_timeline
@@ -118,6 +119,23 @@
         'show replicas, daemons, upstreams and versions in force',
         lambda flags, context: show_status(context),
     ),
+    Subcommand(
+        'replicas',
+        'show or change the set of control replicas',
+        lambda flags, context: run_replicas(context, flags.action, flags.names),
+        (
+            Argument(
+                'action',
+                'what to do',
+                {'choices': ACTIONS, 'nargs': '?', 'default': ACTIONS[0]},
+            ),
+            Argument(
+                'names',
+                'add NEW=IP:PORT, remove NAME, replace NAME NEW=IP:PORT',
+                {'nargs': '*', 'metavar': 'NAME'},
+            ),
+        ),
+    ),
     Subcommand(
         'timeline',
         'show the events of all processes in causal order',
--- a/burdocklead/process/control_process.py
+++ b/burdocklead/process/control_process.py
@@ -44,14 +44,12 @@
 def _start_tasks(
     replica: ControlReplica, supervisor: Supervisor
 ) -> list[asyncio.Task[None]]:
-    tasks = [
+    return [
         supervisor.start('expire', replica.expire_forever()),
         supervisor.start('recover', replica.recover_file()),
+        supervisor.start('exchange', replica.exchange_forever()),
+        supervisor.start('replica set', replica.changer.run_forever()),
     ]
-    for peer in replica.peers:
-        name = f'exchange with {peer.name}'
-        tasks.append(supervisor.start(name, replica.exchange_forever(peer)))
-    return tasks
 
 
 def _admin_context(replica: ControlReplica) -> ssl.SSLContext | None:
