--- a/burdocklead/commands/control_pages.py
+++ b/burdocklead/commands/control_pages.py
@@ -28,6 +28,7 @@
 from burdocklead.values import Member
 
 DECISIONS = frozenset((200, 400, 409))
+ONLY_OK = frozenset((OK,))
 SERVER_ERRORS = 500
 STATUS_PATH = '/v1/status'
 
@@ -126,15 +127,25 @@
     return max(usable, key=_version_of)
 
 
-async def ask_best(context: CommandContext, request: Request) -> HttpAnswer:
+async def ask_best(
+    context: CommandContext,
+    request: Request,
+    accepted: frozenset[int] = ONLY_OK,
+) -> HttpAnswer:
     """Return the successful answer of a replica with a quorum.
 
+    Args:
+        context: Where to ask.
+        request: The question.
+        accepted: Statuses of success.
+
     Raises:
         ControlError: If there is no such replica or it refuses.
     """
     view = await best_replica(context, request.step)
+    request = with_token(context, request)
     answer = await send_request(view.peer, request, context.settings.timeout)
-    if answer.status != OK:
+    if answer.status not in accepted:
         raise answer.failure()
     return answer
 
--- a/tests/steps/replica_set_steps.py
+++ b/tests/steps/replica_set_steps.py
@@ -245,7 +245,7 @@
     flags = {'control_admin': f'{name}={reached}', 'timeout': '15'}
     settings = read_settings(OperatorSettings, flags, {})
     output = io.StringIO()
-    command = CommandContext(settings, False, output)
+    command = CommandContext(settings, False, output, output, {})
     code = asyncio.run(replace_replica(command, leaving, joining, address))
     assert code == 0, output.getvalue()
     assert leaving not in output.getvalue()
