Plot runs on request; declare the true service time in the bench's file

Both broken variants of the plot were seen to fail its scenario: no check for latencies (wrong error), image under the name of the JSON (wrong name).

--- a/devtools/bench/__main__.py
+++ b/devtools/bench/__main__.py
@@ -16,6 +16,7 @@
 from devtools.bench.latency import run_latency
 from devtools.bench.machine import describe_machine, revision
 from devtools.bench.measuring import run_measuring
+from devtools.bench.plots import write_plot
 from devtools.bench.profiled_daemon import PROFILE_VARIABLE
 from devtools.bench.report import BenchResult, table, write_result
 from devtools.bench.resting import run_resting
@@ -97,6 +98,9 @@
     print(table(result))
     path = write_result(result, RESULT_FOLDER)
     print(f'written to {path.relative_to(source_root())}')
+    if flags.plot:
+        image = write_plot(result, path)
+        print(f'plotted to {image.relative_to(source_root())}')
     if profile_folder is not None:
         print_profile(profile_folder)
     return 0
--- a/devtools/bench/blocking.py
+++ b/devtools/bench/blocking.py
@@ -7,8 +7,8 @@
 from devtools.bench.histograms import Row
 from devtools.bench.load_pool import LoadReport, run_load
 from devtools.bench.plan import Arm, CallKind, Plan, Step, interleaved
-from devtools.bench.scene import Findings, Layout, Options, running_deployment
-from devtools.bench.shapes import SHAPES, SLOTS, Shape, Way, arm_of
+from devtools.bench.scene import Findings, Options, running_deployment
+from devtools.bench.shapes import SHAPES, Shape, Way, arm_of
 from devtools.local_deployment import LocalDeployment
 
 SHORT_MS = 200
@@ -31,7 +31,7 @@
     shape = SHAPES[options.variant or 'cedarline']
     rate = RATE_PER_TARGET * shape.targets
     findings = Findings(settings={'shape': shape.name, 'rate': rate})
-    layout = Layout({shape.service: shape.targets}, SLOTS, controls=1)
+    layout = shape.layout(SHORT_MS)
     with running_deployment(layout) as deployment:
         arms = blocking_arms(deployment, shape)
         steps = interleaved(
--- a/devtools/bench/crest.py
+++ b/devtools/bench/crest.py
@@ -4,7 +4,7 @@
 
 from devtools.bench.load_pool import run_load
 from devtools.bench.plan import CallKind, Plan, Step
-from devtools.bench.scene import Findings, Layout, Options, running_deployment
+from devtools.bench.scene import Findings, Options, running_deployment
 from devtools.bench.shapes import (
     MS_PER_S,
     SHAPES,
@@ -50,9 +50,13 @@
     shape = SHAPES[options.variant or 'garantiewerk']
     saturation = shape.targets * SLOTS * MS_PER_S / WORK_MS
     findings = Findings(
-        settings={'shape': shape.name, 'saturation': saturation}
+        settings={
+            'shape': shape.name,
+            'saturation': saturation,
+            'declared cost ms': WORK_MS,
+        }
     )
-    layout = Layout({shape.service: shape.targets}, SLOTS, controls=1)
+    layout = shape.layout(WORK_MS)
     kinds = (CallKind('call', shape.path, work_ms=WORK_MS, limit_ms=LIMIT_MS),)
     for way in WAYS:
         with running_deployment(layout) as deployment:
--- a/devtools/bench/scene.py
+++ b/devtools/bench/scene.py
@@ -19,6 +19,7 @@
 CALLS_PER_S = 373
 TARGET_ADDED_MS = 0.83
 EXAMPLE = 'cedarline.toml'
+ARCHIVE_COST = 'cost_ms = 20'
 Settings = dict[str, float | str]
 
 
@@ -67,6 +68,8 @@
         daemon_program: Program of each daemon.
         sources: Checkout of daemons and replicas, None for this one.
         file: Configuration file.
+        cost_ms: Service time declared for the archive route in ms, None to
+            leave the file as it is.
     """
 
     counts: Mapping[str, int]
@@ -75,6 +78,7 @@
     daemon_program: str = 'daemon'
     sources: Path | None = None
     file: Path = source_root() / 'examples' / EXAMPLE
+    cost_ms: float | None = None
 
 
 @contextlib.contextmanager
@@ -105,10 +109,22 @@
     """Start all processes and wait until the configuration is in force."""
     deployment.start_controls(layout.controls)
     deployment.start_upstreams(layout.counts, layout.slots)
-    deployment.apply(layout.file)
+    deployment.apply(file_of(layout, deployment.folder))
     deployment.wait_in_force(1)
 
 
+def file_of(layout: Layout, folder: Path) -> Path:
+    """Return the configuration file with the cost that a layout declares."""
+    if layout.cost_ms is None:
+        return layout.file
+    text = layout.file.read_text()
+    if ARCHIVE_COST not in text:
+        raise ValueError(f'no line {ARCHIVE_COST!r}')
+    path = folder / 'bench.toml'
+    path.write_text(text.replace(ARCHIVE_COST, f'cost_ms = {layout.cost_ms}'))
+    return path
+
+
 @contextlib.contextmanager
 def checkout(name: str) -> Iterator[Path]:
     """Unpack a revision of the repository into a folder for a while."""
--- a/devtools/bench/shapes.py
+++ b/devtools/bench/shapes.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 
 from devtools.bench.plan import Arm, CallKind, Policy
+from devtools.bench.scene import Layout
 from devtools.local_deployment import LocalDeployment
 
 SLOTS = 20
@@ -41,6 +42,11 @@
         mean_ms = WORK_MS * (1 + LONG_SHARE * (LONG_FACTOR - 1))
         return self.targets * SLOTS * MS_PER_S / mean_ms
 
+    def layout(self, cost_ms: float) -> Layout:
+        """Return the deployment with a truly declared service time in ms."""
+        counts = {self.service: self.targets}
+        return Layout(counts, SLOTS, controls=1, cost_ms=cost_ms)
+
     def target(self, number: int) -> str:
         """Return the name of one target's daemon."""
         return f'{self.service}-{number}'
--- a/devtools/bench/tail.py
+++ b/devtools/bench/tail.py
@@ -10,10 +10,11 @@
 
 from devtools.bench.load_pool import run_load
 from devtools.bench.plan import Plan, interleaved
-from devtools.bench.scene import Findings, Layout, Options, running_deployment
+from devtools.bench.scene import Findings, Options, running_deployment
 from devtools.bench.shapes import (
     SHAPES,
     SLOTS,
+    WORK_MS,
     Shape,
     Way,
     arm_of,
@@ -47,7 +48,7 @@
     findings = Findings(
         settings={'shape': shape.name, 'targets': shape.targets, 'rate': rate}
     )
-    layout = Layout({shape.service: shape.targets}, SLOTS, controls=1)
+    layout = shape.layout(WORK_MS)
     with running_deployment(layout) as deployment:
         for condition in Condition:
             with disturbed(deployment, shape, condition):
--- a/tests/devtools/bench.feature
+++ b/tests/devtools/bench.feature
@@ -27,3 +27,8 @@
     Given a bench result of scenario latency with seed 3
     Then the bench table names latency, seed 3, the revision, cores and load
     And the bench file decodes to the same bench result
+
+  Scenario: A plot is an image with a series for each percentile
+    Given a bench result of scenario latency with seed 3
+    Then the bench plot of a run without latencies is refused
+    And the bench plot of a run with latencies is a PNG image
--- a/tests/steps/bench_steps.py
+++ b/tests/steps/bench_steps.py
@@ -11,6 +11,7 @@
 
 from devtools.bench.arrivals import poisson_times
 from devtools.bench.histograms import (
+    Row,
     encode,
     new_histogram,
     record,
@@ -19,6 +20,7 @@
 )
 from devtools.bench.machine import Machine
 from devtools.bench.plan import Figures, interleaved
+from devtools.bench.plots import write_plot
 from devtools.bench.quiet import MachineTicks, is_quiet
 from devtools.bench.report import BenchResult, table, write_result
 
@@ -173,3 +175,34 @@
         'model',
         'load_average',
     }
+
+
+@then('the bench plot of a run without latencies is refused')
+def refuse_plot(context):
+    with tempfile.TemporaryDirectory() as folder:
+        try:
+            write_plot(context.result, Path(folder) / 'run.json')
+        except ValueError as error:
+            assert 'no latencies' in str(error), error
+            return
+    raise AssertionError('no error')
+
+
+@then('the bench plot of a run with latencies is a PNG image')
+def check_plot(context):
+    row = Row(
+        label='local',
+        kind='call',
+        calls=1,
+        good=1,
+        outcomes={},
+        p50_ms=1,
+        p99_ms=2,
+        p999_ms=3,
+        lag_p99_ms=0.1,
+    )
+    result = msgspec.structs.replace(context.result, rows=[row, row])
+    with tempfile.TemporaryDirectory() as folder:
+        image = write_plot(result, Path(folder) / 'run.json')
+        assert image.name == 'run.png', image
+        assert image.read_bytes().startswith(b'\x89PNG')
