--- a/devtools/bench/load_process.py
+++ b/devtools/bench/load_process.py
@@ -16,7 +16,11 @@
 from hdrh.histogram import HdrHistogram
 from yarl import URL
 
-from burdocklead.request.headers import NOT_RUN_HEADER, OUTCOME_HEADER
+from burdocklead.request.headers import (
+    DEADLINE_HEADER,
+    NOT_RUN_HEADER,
+    OUTCOME_HEADER,
+)
 from burdocklead.values import Outcome
 from devtools.bench.arrivals import AddressChooser, step_schedule
 from devtools.bench.histograms import encode, new_histogram, record
@@ -173,7 +177,10 @@
 
     async def outcome_of(self, url: URL, kind: CallKind) -> str:
         """Return what became of one call."""
-        headers = {WORK_HEADER: str(kind.work_ms)}
+        headers = {
+            WORK_HEADER: str(kind.work_ms),
+            DEADLINE_HEADER: str(kind.limit_ms),
+        }
         body = b'x' * kind.body_bytes or None
         try:
             async with self.session.request(
