--- a/burdocklead/connection/frames.py
+++ b/burdocklead/connection/frames.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from burdocklead.exceptions import LinkError
-from burdocklead.values import LoadReport, RefusalCause
+from burdocklead.values import CrashReport, LoadReport, RefusalCause
 from burdocklead.version.deployment import Priority
 
 LENGTH = struct.Struct('>I')
@@ -121,6 +121,7 @@
         crash_suspected: True if the upstream closed without an answer.
         load: Load beside the upstream.
         final: False if a later question may still bring the truth.
+        crashes: What the entry must know before it sends the call again.
     """
 
     attempt_id: str
@@ -128,6 +129,7 @@
     crash_suspected: bool
     load: LoadReport
     final: bool = True
+    crashes: tuple[CrashReport, ...] = ()
 
 
 class Cancel(msgspec.Struct, frozen=True, tag='cancel', array_like=True):
@@ -178,6 +180,12 @@
     load: LoadReport
 
 
+class CrashNotice(msgspec.Struct, frozen=True, tag='crash', array_like=True):
+    """Requests that were at an upstream when it crashed, or were cleared."""
+
+    reports: tuple[CrashReport, ...]
+
+
 AttemptResult = Answer | Refusal | Lost
 Frame = (
     Hello
@@ -192,6 +200,7 @@
     | Verdict
     | Ping
     | Pong
+    | CrashNotice
 )
 
 _encoder = msgspec.msgpack.Encoder()
--- a/burdocklead/connection/link_server.py
+++ b/burdocklead/connection/link_server.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Coroutine
+from collections.abc import Coroutine, Sequence
 from dataclasses import dataclass
 from typing import Any, Protocol
 
@@ -15,6 +15,7 @@
     AttemptResult,
     AttemptState,
     Cancel,
+    CrashNotice,
     Frame,
     Hello,
     Ping,
@@ -28,7 +29,7 @@
 from burdocklead.exceptions import LinkError
 from burdocklead.metrics import LINK_ENDS, LINKS_OPEN, MetricSet
 from burdocklead.settings import DaemonSettings
-from burdocklead.values import Address, LoadReport
+from burdocklead.values import Address, CrashReport, LoadReport
 
 HANDSHAKE_LIMIT_S = 2.0
 SWEEP_INTERVAL_S = 5.0
@@ -38,6 +39,13 @@
 log = logbook.Logger('link')
 
 
+class CrashTaker(Protocol):
+    """What takes reports of crashes."""
+
+    def take(self, reports: Sequence[CrashReport]) -> None:
+        """Merge what another daemon reports."""
+
+
 class AttemptHandler(Protocol):
     """What the listener needs from the daemon behind it."""
 
@@ -55,6 +63,10 @@
     def query(self, query: Query) -> Verdict:
         """Return what is known of an attempt and fence it if unseen."""
 
+    @property
+    def guard(self) -> CrashTaker:
+        """Return what takes reports of crashes."""
+
     def load(self) -> LoadReport:
         """Return the present load."""
 
@@ -193,6 +205,8 @@
         match frame:
             case Attempt():
                 self._reply_later(protocol, peer, self.handler.run(frame))
+            case CrashNotice():
+                self.handler.guard.take(frame.reports)
             case Ping(number):
                 pong = Pong(number, self.handler.load())
                 protocol.send(pong, urgent=True)
--- a/burdocklead/connection/peer_link.py
+++ b/burdocklead/connection/peer_link.py
@@ -13,6 +13,7 @@
     AttemptResult,
     AttemptState,
     Cancel,
+    CrashNotice,
     Frame,
     Lost,
     Ping,
@@ -139,8 +140,8 @@
         with contextlib.suppress(LinkError):
             self._send(cancel, urgent=True)
 
-    def probe(self) -> None:
-        """Ask for the load over the open link; the reply is handed on.
+    def tell(self, frame: Ping | CrashNotice) -> None:
+        """Send a frame that nobody waits for over the open link.
 
         The link does not count as used, so that probes keep none open.
 
@@ -149,9 +150,9 @@
         """
         if self.protocol is None:
             raise LinkError(
-                'connection is closed', step='probe', peer=self.daemon_id
+                'connection is closed', step='send', peer=self.daemon_id
             )
-        self.protocol.send(Ping(0))
+        self.protocol.send(frame, urgent=True)
 
     def is_waiting(self) -> bool:
         """Return True while an attempt or a question is in progress."""
--- a/burdocklead/metrics.py
+++ b/burdocklead/metrics.py
@@ -72,6 +72,7 @@
     'control_unproved', 'Control messages without proof of the cluster key.'
 )
 CONTROL_BAD = _counter('control_bad', 'Control messages not decoded.')
+CRASH_REPORTS = _counter('crash_reports', 'Requests at crashes seen here.')
 RETRIES = _counter('retries', 'Retries started or refused.', 'result')
 HEDGES = _counter('hedges', 'Hedges by what became of them.', 'result')
 PROBES = _counter('probes', 'Probes of upstreams.', 'result')
@@ -97,6 +98,7 @@
     CONTROL_BYTES,
     CONTROL_UNPROVED,
     CONTROL_BAD,
+    CRASH_REPORTS,
     RETRIES,
     HEDGES,
     PROBES,
--- a/burdocklead/process/daemon_parts.py
+++ b/burdocklead/process/daemon_parts.py
@@ -23,6 +23,7 @@
 from burdocklead.request.routing import Router
 from burdocklead.request.signal_watch import SignalWatch
 from burdocklead.settings import DaemonSettings
+from burdocklead.version.deployment import Crashes
 
 
 class DaemonParts:
@@ -55,6 +56,8 @@
             self.metrics,
             self.router,
         )
+        self.executor.guard.peers = self.directory
+        self.executor.guard.limits = self.crash_limits
         prefix = f'{settings.daemon_id}.{self.incarnation:x}'
         self.dispatcher = Dispatcher(
             prefix,
@@ -63,6 +66,7 @@
             self.router,
             self.rng,
             self.metrics,
+            self.executor.guard,
         )
         self.keyed_calls = KeyedCalls(
             self.dispatcher, self.control.request, self.answer_limit
@@ -76,6 +80,11 @@
         )
         self.links = LinkServer(self.executor, identity, settings, self.metrics)
 
+    def crash_limits(self) -> Crashes:
+        """Return the limits on crashes in force."""
+        deployment = self.directory.deployment()
+        return deployment.crashes if deployment else Crashes()
+
     def tell_signal(self, daemon_id: str, reason: str) -> None:
         """Count and record a load signal that died or came back."""
         if reason:
--- a/burdocklead/process/directory.py
+++ b/burdocklead/process/directory.py
@@ -3,16 +3,19 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from collections.abc import Iterable
 
 import logbook
 
 from burdocklead.connection.control_messages import MemberUpdate
 from burdocklead.connection.frame_protocol import LinkEnd
+from burdocklead.connection.frames import CrashNotice
 from burdocklead.connection.handshake import LinkIdentity
 from burdocklead.connection.peer_link import PeerLink
 from burdocklead.durable.configuration import AcceptedFile
 from burdocklead.events import EventKind, EventRing
+from burdocklead.exceptions import LinkError
 from burdocklead.metrics import MetricSet
 from burdocklead.request.attempt_runner import Link
 from burdocklead.request.local_link import LocalLink
@@ -98,6 +101,14 @@
         link = self.links.get(member.daemon_id)
         return link if link is not None and link.protocol else None
 
+    async def notify(self, member: Member, notice: CrashNotice) -> None:
+        """Send a notice to a daemon; a failure is not told."""
+        link = self.link_to(member)
+        if isinstance(link, PeerLink):
+            with contextlib.suppress(LinkError):
+                await link.open(member.incarnation)
+                link.tell(notice)
+
     def take_updates(
         self, updates: Iterable[MemberUpdate], *, whole: bool
     ) -> None:
@@ -151,6 +162,7 @@
 
     def _add(self, member: Member) -> None:
         known = self.members.get(member.daemon_id)
+        self.local_link.executor.guard.take(member.crashes)
         self.members[member.daemon_id] = member
         if known is None:
             self.events.record(EventKind.member_joined, peer=member.daemon_id)
--- a/burdocklead/process/own_member.py
+++ b/burdocklead/process/own_member.py
@@ -154,6 +154,7 @@
             slots=self.executor.gate.queue.table.slots,
             draining=self.draining,
             version_in_force=version,
+            crashes=self.executor.guard.block_list.own(),
         )
         if following == self.member:
             return
--- a/burdocklead/process/prober.py
+++ b/burdocklead/process/prober.py
@@ -6,6 +6,7 @@
 import contextlib
 from dataclasses import dataclass
 
+from burdocklead.connection.frames import Ping
 from burdocklead.connection.peer_link import PeerLink
 from burdocklead.exceptions import LinkError
 from burdocklead.metrics import (
@@ -72,7 +73,7 @@
         loop = asyncio.get_running_loop()
         sent_at = loop.time()
         with contextlib.suppress(LinkError):
-            link.probe()
+            link.tell(Ping(0))
         await asyncio.sleep(PROBE_TIMEOUT_S)
         view = self.planner.router.view_of(link.daemon_id)
         if view.load_at >= sent_at:
--- /dev/null
+++ b/burdocklead/request/block_list.py
@@ -0,0 +1,147 @@
+"""Requests that crash their upstreams, and those that may, without I/O.
+
+Reports are merged by the id of the crash, so that they may come twice, in any
+order and over several ways. A request seen in progress at one crash is a
+suspect; once enough crashes are laid on it, it is blocked. A suspect that is
+answered is cleared.
+"""
+
+from __future__ import annotations
+
+import enum
+import hashlib
+from collections import OrderedDict
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass, field
+
+import msgspec
+
+from burdocklead.values import CrashReport, Member
+from burdocklead.version.deployment import Crashes
+
+EXPIRY_INTERVAL_S = 1
+REMEMBERED_REQUESTS = 10_000
+OWN_REPORTS = 64
+DIGEST_DIGITS = 32
+
+
+class Standing(enum.Enum):
+    """How a request is treated."""
+
+    clear = 'clear'
+    suspect = 'suspect'
+    blocked = 'blocked'
+
+
+def fingerprint_of(service: str, method: str, path: str, body: bytes) -> str:
+    """Return a digest of what makes two requests the same."""
+    head = f'{service}\n{method}\n{path}\n'
+    digest = hashlib.sha256(head.encode(errors='surrogateescape') + body)
+    return digest.hexdigest()[:DIGEST_DIGITS]
+
+
+@dataclass(slots=True)
+class BlockList:
+    """Crash reports by request.
+
+    Attributes:
+        daemon_id: This daemon.
+        reports: Reports by fingerprint and crash, oldest request first.
+        expired_at_s: Wall time of the last removal of old reports in s.
+    """
+
+    daemon_id: str
+    reports: OrderedDict[str, dict[str, CrashReport]] = field(
+        default_factory=OrderedDict
+    )
+    expired_at_s: float = 0
+
+    def take(self, reports: Iterable[CrashReport]) -> bool:
+        """Merge reports; return True if anything was new."""
+        news = False
+        for report in reports:
+            known = self.reports.setdefault(report.fingerprint, {})
+            earlier = known.get(report.crash_id)
+            if earlier is None or (report.cleared and not earlier.cleared):
+                known[report.crash_id] = report
+                news = True
+        while len(self.reports) > REMEMBERED_REQUESTS:
+            self.reports.popitem(last=False)
+        return news
+
+    def clear(self, fingerprint: str) -> tuple[CrashReport, ...]:
+        """Clear a request of all crashes; return the changed reports."""
+        cleared = tuple(
+            msgspec.structs.replace(report, cleared=True)
+            for report in self._standing_reports(fingerprint)
+        )
+        self.take(cleared)
+        return cleared
+
+    def standing(
+        self, fingerprint: str, limits: Crashes, wall_s: float
+    ) -> Standing:
+        """Return how a request is treated at a time of the wall clock."""
+        self.expire(limits, wall_s)
+        crashes = self._standing_reports(fingerprint)
+        if not crashes:
+            return Standing.clear
+        proven = any(report.alone for report in crashes)
+        if proven and len(crashes) >= limits.max_crashes:
+            return Standing.blocked
+        return Standing.suspect
+
+    def expire(self, limits: Crashes, wall_s: float) -> None:
+        """Forget requests whose last crash is long ago."""
+        if abs(wall_s - self.expired_at_s) < EXPIRY_INTERVAL_S:
+            return
+        self.expired_at_s = wall_s
+        oldest = wall_s - limits.block_seconds
+        for fingerprint, known in tuple(self.reports.items()):
+            if all(report.at_s < oldest for report in known.values()):
+                self.reports.pop(fingerprint)
+
+    def own(self) -> tuple[CrashReport, ...]:
+        """Return the latest reports of crashes seen by this daemon."""
+        own = [
+            report
+            for known in self.reports.values()
+            for report in known.values()
+            if report.daemon_id == self.daemon_id
+        ]
+        own.sort(key=lambda report: report.at_s)
+        return tuple(own[-OWN_REPORTS:])
+
+    def blocked(self, limits: Crashes, wall_s: float) -> tuple[str, ...]:
+        """Return the fingerprints of all blocked requests."""
+        return tuple(
+            fingerprint
+            for fingerprint in tuple(self.reports)
+            if self.standing(fingerprint, limits, wall_s) is Standing.blocked
+        )
+
+    def trial_place(
+        self, fingerprint: str, members: Sequence[Member]
+    ) -> Member | None:
+        """Return the only place at which a suspect may run.
+
+        All daemons with the same members find the same place. One at which
+        it crashed before is taken only if there is no other.
+        """
+        crashed = {
+            report.daemon_id for report in self._standing_reports(fingerprint)
+        }
+        spared = [one for one in members if one.daemon_id not in crashed]
+        return max(
+            spared or members,
+            key=lambda one: _weight(fingerprint, one.daemon_id),
+            default=None,
+        )
+
+    def _standing_reports(self, fingerprint: str) -> list[CrashReport]:
+        known = self.reports.get(fingerprint, {})
+        return [report for report in known.values() if not report.cleared]
+
+
+def _weight(fingerprint: str, daemon_id: str) -> bytes:
+    return hashlib.sha256(f'{fingerprint}{daemon_id}'.encode()).digest()
--- /dev/null
+++ b/burdocklead/request/crash_guard.py
@@ -0,0 +1,229 @@
+"""Holds suspects of crashes apart and tells other daemons of crashes."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import time
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+from typing import Protocol
+
+import msgspec
+
+from burdocklead.connection.frames import (
+    Answer,
+    Attempt,
+    AttemptResult,
+    CrashNotice,
+    Lost,
+)
+from burdocklead.events import EventKind, EventRing
+from burdocklead.metrics import CRASH_REPORTS, MetricSet
+from burdocklead.request.block_list import (
+    BlockList,
+    Standing,
+    fingerprint_of,
+)
+from burdocklead.request.routing import Candidates
+from burdocklead.values import CrashReport, Member, RefusalCause
+from burdocklead.version.deployment import Crashes
+
+GROUP_S = 0.2
+NOTICE_LIMIT_S = 0.25
+
+
+class CrashPeers(Protocol):
+    """The other upstreams of a service and the way to their daemons."""
+
+    def candidates(self, service: str) -> Candidates:
+        """Return the upstreams of a service that may get new work."""
+
+    async def notify(self, member: Member, notice: CrashNotice) -> None:
+        """Send a notice to a daemon; a failure is not told."""
+
+
+@dataclass(frozen=True, slots=True)
+class CrashGroup:
+    """Attempts lost at one crash.
+
+    Attributes:
+        crash_id: Names the crash.
+        until: Loop time until which lost attempts belong to it in s.
+        trial: Suspect that ran at the crash, empty if none did.
+        alone: True if only one attempt can be to blame.
+    """
+
+    crash_id: str
+    until: float
+    trial: str
+    alone: bool
+
+
+@dataclass(slots=True)
+class CrashGuard:
+    """Lets one suspect at a time run, at one place only.
+
+    Attributes:
+        block_list: What is known of crashes.
+        events: Ring for blocked requests.
+        metrics: Counts crash reports.
+        limits: Returns the limits in force.
+        peers: The other upstreams, None without any.
+        trial: Held by the suspect that runs.
+        trial_attempt: Its attempt, empty if none runs.
+        group: The last crash.
+    """
+
+    block_list: BlockList
+    events: EventRing
+    metrics: MetricSet
+    limits: Callable[[], Crashes] = Crashes
+    peers: CrashPeers | None = None
+    trial: asyncio.Lock = field(default_factory=asyncio.Lock)
+    trial_attempt: str = ''
+    group: CrashGroup | None = None
+    numbers: itertools.count[int] = field(default_factory=itertools.count)
+
+    def standing(self, fingerprint: str) -> Standing:
+        """Return how a request is treated now."""
+        return self.block_list.standing(fingerprint, self.limits(), time.time())
+
+    def trial_place(self, service: str, fingerprint: str) -> Member | None:
+        """Return where a suspect may run, None if it may run anywhere."""
+        if self.peers is None:
+            return None
+        if self.standing(fingerprint) is not Standing.suspect:
+            return None
+        members = self.peers.candidates(service).members
+        return self.block_list.trial_place(fingerprint, members)
+
+    async def enter(
+        self, attempt: Attempt, deadline: float
+    ) -> RefusalCause | None:
+        """Return why an attempt must not run; a suspect waits for its turn.
+
+        Args:
+            attempt: The attempt; ``judge`` must follow if it may run.
+            deadline: Loop time of its deadline in s.
+        """
+        if not self.block_list.reports:
+            return None
+        fingerprint = _fingerprint(attempt)
+        cause = self._refusal_cause(attempt, fingerprint)
+        if cause or self.standing(fingerprint) is Standing.clear:
+            return cause
+        try:
+            async with asyncio.timeout_at(deadline):
+                await self.trial.acquire()
+        except TimeoutError:
+            return RefusalCause.deadline
+        cause = self._refusal_cause(attempt, fingerprint)
+        if cause or self.standing(fingerprint) is Standing.clear:
+            self.trial.release()
+            return cause
+        self.trial_attempt = attempt.attempt_id
+        return None
+
+    async def judge(
+        self, attempt: Attempt, result: AttemptResult, in_progress: int
+    ) -> AttemptResult:
+        """Learn from a result and return what is passed on.
+
+        Args:
+            attempt: The attempt.
+            result: Its result.
+            in_progress: Attempts that were at the upstream with it.
+        """
+        try:
+            match result:
+                case Lost(crash_suspected=True):
+                    crashes = await self._blame(attempt, in_progress)
+                    return msgspec.structs.replace(result, crashes=crashes)
+                case Answer() if self.trial_attempt == attempt.attempt_id:
+                    cleared = self.block_list.clear(_fingerprint(attempt))
+                    await self._spread(attempt.service, cleared)
+        finally:
+            self._leave(attempt)
+        return result
+
+    def take(self, reports: Sequence[CrashReport]) -> None:
+        """Merge what another daemon reports."""
+        if reports and self.block_list.take(reports):
+            self._tell(reports)
+
+    def _leave(self, attempt: Attempt) -> None:
+        """Let the next suspect run if this attempt was one."""
+        if self.trial_attempt == attempt.attempt_id:
+            self.trial_attempt = ''
+            self.trial.release()
+
+    def _refusal_cause(
+        self, attempt: Attempt, fingerprint: str
+    ) -> RefusalCause | None:
+        if self.standing(fingerprint) is Standing.blocked:
+            return RefusalCause.crash_suspect
+        place = self.trial_place(attempt.service, fingerprint)
+        if place is None or place.daemon_id == self.block_list.daemon_id:
+            return None
+        return RefusalCause.suspect_elsewhere
+
+    async def _blame(
+        self, attempt: Attempt, in_progress: int
+    ) -> tuple[CrashReport, ...]:
+        group = self._group_of(in_progress)
+        if group.trial and group.trial != attempt.attempt_id:
+            return ()
+        report = CrashReport(
+            fingerprint=_fingerprint(attempt),
+            crash_id=group.crash_id,
+            daemon_id=self.block_list.daemon_id,
+            at_s=int(time.time()),
+            alone=group.alone,
+        )
+        if self.block_list.take((report,)):
+            self.metrics.count(CRASH_REPORTS)
+            self._tell((report,))
+            await self._spread(attempt.service, (report,))
+        return (report,)
+
+    def _group_of(self, in_progress: int) -> CrashGroup:
+        now = asyncio.get_running_loop().time()
+        if self.group is None or self.group.until < now:
+            number = next(self.numbers)
+            self.group = CrashGroup(
+                f'{self.block_list.daemon_id}.{time.time_ns():x}.{number}',
+                now + GROUP_S,
+                self.trial_attempt,
+                alone=bool(self.trial_attempt) or in_progress <= 1,
+            )
+        return self.group
+
+    async def _spread(
+        self, service: str, reports: tuple[CrashReport, ...]
+    ) -> None:
+        """Tell the daemons beside all other upstreams of a service."""
+        if self.peers is None or not reports:
+            return
+        notice = CrashNotice(reports)
+        sends = [
+            asyncio.ensure_future(self.peers.notify(member, notice))
+            for member in self.peers.candidates(service).members
+            if member.daemon_id != self.block_list.daemon_id
+        ]
+        if sends:
+            await asyncio.wait(sends, timeout=NOTICE_LIMIT_S)
+
+    def _tell(self, reports: Sequence[CrashReport]) -> None:
+        named = {report.fingerprint for report in reports}
+        for fingerprint in named:
+            if self.standing(fingerprint) is Standing.blocked:
+                self.events.record(
+                    EventKind.request_blocked, detail=fingerprint
+                )
+
+
+def _fingerprint(attempt: Attempt) -> str:
+    return fingerprint_of(
+        attempt.service, attempt.method, attempt.path, attempt.body
+    )
--- a/burdocklead/request/dispatch.py
+++ b/burdocklead/request/dispatch.py
@@ -9,10 +9,12 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from burdocklead.connection.frames import Attempt, AttemptResult
+from burdocklead.connection.frames import Attempt, AttemptResult, Lost
 from burdocklead.metrics import HEDGES, RETRIES, MetricSet
 from burdocklead.request.attempt_runner import AttemptRunner, Directory
-from burdocklead.request.call import Call, CallResult, outcome_of
+from burdocklead.request.block_list import Standing, fingerprint_of
+from burdocklead.request.call import Call, CallResult, not_run, outcome_of
+from burdocklead.request.crash_guard import CrashGuard
 from burdocklead.request.hedging import HedgeResult, run_hedged
 from burdocklead.request.retries import (
     RetryBudget,
@@ -21,7 +23,7 @@
     may_repeat,
 )
 from burdocklead.request.routing import Router
-from burdocklead.values import Member
+from burdocklead.values import Member, RefusalCause
 
 MS_PER_S = 1000
 
@@ -37,6 +39,7 @@
         router: Chooses the upstream.
         rng: Source of jitter.
         metrics: Counts retries and hedges.
+        guard: Knows requests that crash upstreams, None without it.
         budgets: Retry budgets by service.
     """
 
@@ -46,6 +49,7 @@
     router: Router
     rng: random.Random
     metrics: MetricSet
+    guard: CrashGuard | None = None
     budgets: dict[str, RetryBudget] = field(default_factory=dict)
     numbers: itertools.count[int] = field(default_factory=itertools.count)
 
@@ -56,6 +60,9 @@
     def choose(self, call: Call, tried: set[str]) -> Member | None:
         """Return the upstream for the next attempt, None if there is none."""
         candidates = self.directory.candidates(call.match.service_name)
+        place = self._trial_place(call)
+        if place is not None and place.daemon_id not in tried:
+            return place
         now = asyncio.get_running_loop().time()
         return self.router.choose(
             candidates.without(tried), call.match.key, now
@@ -63,6 +70,8 @@
 
     async def run(self, call: Call) -> CallResult:
         """Return the result of a call without a key."""
+        if self._is_blocked(call):
+            return not_run(RefusalCause.crash_suspect)
         self.budget_of(call).earn()
         tried: set[str] = set()
         results: list[AttemptResult] = []
@@ -74,6 +83,8 @@
             tried.add(member.daemon_id)
             found = await self._run_or_hedge(call, member, tried, number)
             results.extend(found.results)
+            if self._crashed_enough(results):
+                return outcome_of(results)
             number += found.hedged
             if not await self.repeat_allowed(call, results[-1], number):
                 return outcome_of(results)
@@ -104,6 +115,27 @@
             self.metrics.count(HEDGES, 'cancelled', amount=found.cancelled)
         return found
 
+    def _is_blocked(self, call: Call) -> bool:
+        if self.guard is None or not self.guard.block_list.reports:
+            return False
+        return self.guard.standing(_fingerprint(call)) is Standing.blocked
+
+    def _trial_place(self, call: Call) -> Member | None:
+        if self.guard is None or not self.guard.block_list.reports:
+            return None
+        service = call.match.service_name
+        return self.guard.trial_place(service, _fingerprint(call))
+
+    def _crashed_enough(self, results: list[AttemptResult]) -> bool:
+        """Return True if attempts of one call crashed enough upstreams."""
+        if self.guard is None:
+            return False
+        lost = [one for one in results if isinstance(one, Lost)]
+        for one in lost:
+            self.guard.take(one.crashes)
+        crashes = sum(one.crash_suspected for one in lost)
+        return crashes >= self.guard.limits().max_crashes
+
     async def _attempt(
         self, call: Call, member: Member, number: int
     ) -> AttemptResult:
@@ -161,3 +193,10 @@
             number=number,
             queue_limit=rules.service.queue_limit,
         )
+
+
+def _fingerprint(call: Call) -> str:
+    rules = call.match
+    return fingerprint_of(
+        rules.service_name, call.method, rules.path, call.body
+    )
--- a/burdocklead/request/execution.py
+++ b/burdocklead/request/execution.py
@@ -27,6 +27,8 @@
 )
 from burdocklead.request.attempt_journal import AttemptJournal
 from burdocklead.request.attempt_table import AttemptRecord, AttemptTable
+from burdocklead.request.block_list import BlockList
+from burdocklead.request.crash_guard import CrashGuard
 from burdocklead.request.headers import ANSWER_HEADER
 from burdocklead.request.slot_gate import SlotGate
 from burdocklead.request.upstream_client import (
@@ -77,6 +79,7 @@
         table: Attempts seen so far.
         client: Carries attempts to the upstream, None before the start.
         executions: Attempts in progress by id.
+        guard: Holds suspects of crashes apart.
     """
 
     def __init__(
@@ -98,6 +101,9 @@
         )
         self.client: UpstreamClient | None = None
         self.executions: dict[str, Execution] = {}
+        self.guard = CrashGuard(
+            BlockList(settings.daemon_id), journal.events, journal.metrics
+        )
 
     async def close(self) -> None:
         """Close the client."""
@@ -168,16 +174,18 @@
     async def _execute(self, execution: Execution) -> AttemptResult:
         attempt = execution.attempt
         try:
-            result = await self._admit_and_send(execution)
+            cause = await self.guard.enter(attempt, execution.deadline)
+            result = await self._admit_and_send(execution, cause)
         except asyncio.CancelledError:
             result = self._unfinished(execution, 'cancelled')
         except Exception as error:
             log.exception('attempt failed', attempt=attempt.attempt_id)
             result = self._unfinished(execution, type(error).__name__)
+        sent = sum(one.sent for one in self.executions.values())
         self.executions.pop(attempt.attempt_id, None)
         self.table.finish(attempt.attempt_id, result)
         self.journal.finish(attempt, result)
-        return result
+        return await self.guard.judge(attempt, result, sent)
 
     def _unfinished(self, execution: Execution, reason: str) -> AttemptResult:
         if execution.sent:
@@ -185,9 +193,11 @@
         cause = RefusalCause.internal_error
         return self._refusal(execution.attempt, cause)
 
-    async def _admit_and_send(self, execution: Execution) -> AttemptResult:
+    async def _admit_and_send(
+        self, execution: Execution, cause: RefusalCause | None
+    ) -> AttemptResult:
         attempt = execution.attempt
-        cause = self._refusal_cause(attempt)
+        cause = cause or self._refusal_cause(attempt)
         if cause is not None:
             return self._refusal(attempt, cause)
         verdict = await self.gate.admit(_ticket_of(execution))
--- a/burdocklead/values.py
+++ b/burdocklead/values.py
@@ -63,6 +63,7 @@
     no_quorum = 'no-quorum'
     key_in_progress = 'key-in-progress'
     crash_suspect = 'crash-suspect'
+    suspect_elsewhere = 'suspect-elsewhere'
     overloaded = 'overloaded'
 
 
@@ -82,6 +83,26 @@
     expected_wait_ms: float = 0
 
 
+class CrashReport(msgspec.Struct, frozen=True, array_like=True):
+    """A request that was at an upstream when it crashed.
+
+    Attributes:
+        fingerprint: Digest of the request.
+        crash_id: Names the crash over all daemons.
+        daemon_id: Daemon beside the upstream.
+        at_s: Wall time of the crash in s.
+        alone: True if no other request can be to blame.
+        cleared: True once the request was answered.
+    """
+
+    fingerprint: str
+    crash_id: str
+    daemon_id: str
+    at_s: int
+    alone: bool
+    cleared: bool = False
+
+
 class Member(msgspec.Struct, frozen=True, kw_only=True):
     """One daemon as the others know it.
 
@@ -97,6 +118,7 @@
         draining: True if the upstream must get no new work.
         version_in_force: Configuration version that the daemon serves.
         admin: Address of the daemon's pages for operators.
+        crashes: Requests seen at crashes of the upstream.
     """
 
     daemon_id: str
@@ -110,3 +132,4 @@
     draining: bool = False
     version_in_force: int = 0
     admin: Address | None = None
+    crashes: tuple[CrashReport, ...] = ()
--- /dev/null
+++ b/tests/request/crashes.feature
@@ -0,0 +1,36 @@
+Feature: A request that crashes its upstreams is contained
+
+  Scenario Outline: Reports are merged whatever their order and number
+    Given crash reports of 2 crashes of one request and its clearance from the first
+    When a block list takes them in order <order>
+    Then the crash suspect's standing is "suspect"
+
+    Examples:
+      | order   |
+      | 0 1 2   |
+      | 2 1 0   |
+      | 0 0 2 1 2 1 0 |
+
+  Scenario: Enough crashes block, and the block ends
+    Given crash reports of 2 crashes of one request
+    When a block list takes them in order 0 1
+    Then the crash suspect's standing is "blocked"
+    And 601 seconds later the crash suspect's standing is "clear"
+
+  Scenario: Requests that were at one crash together are not blocked by it
+    Given a limit of 1 crash and a crash of 3 requests at once
+    Then all 3 crash suspects' standing is "suspect"
+
+  Scenario: All daemons try a suspect at the same spared place
+    Given crash reports of 1 crash of one request
+    When a block list takes them in order 0
+    Then every order of 3 members gives the same trial place, which is not "u0"
+
+  Scenario: The request is refused after 2 crashes and healthy calls go on
+    Given a deployment with 3 job-sheets, 1 archive
+    And the file "examples/cedarline.toml" is in force everywhere
+    And upstreams are started again whenever they crash
+    When a crashing GET "/job-sheets/sheets/bad" is resent 8 times through every daemon
+    Then upstreams crashed at most 2 times
+    And the last crashing call has the outcome "not-run" and the cause "crash-suspect"
+    And healthy calls sent meanwhile were all answered
--- /dev/null
+++ b/tests/steps/crash_steps.py
@@ -0,0 +1,203 @@
+"""Steps about requests that crash their upstreams."""
+
+from __future__ import annotations
+
+import itertools
+import threading
+
+import msgspec
+import requests
+from behave import given, then, when
+
+from burdocklead.request.block_list import BlockList
+from burdocklead.request.headers import CAUSE_HEADER, OUTCOME_HEADER
+from burdocklead.values import CrashReport
+from burdocklead.version.deployment import Crashes
+from devtools.upstream import CRASH_EXIT_CODE, CRASH_HEADER
+from tests.steps.routing_simulation import member
+
+CALL_TIMEOUT_S = 20
+AT_S = 1000
+
+
+def _report(number, fingerprint='f', *, alone=True):
+    return CrashReport(fingerprint, f'crash{number}', 'u0', AT_S, alone)
+
+
+@given('crash reports of {count:d} crash of one request')
+@given('crash reports of {count:d} crashes of one request')
+def plan_reports(context, count):
+    """Make a report of each crash."""
+    context.reports = [_report(number) for number in range(count)]
+
+
+@given(
+    'crash reports of {count:d} crashes of one request and its clearance '
+    'from the first'
+)
+def plan_clearance(context, count):
+    """Add the cleared form of the first report."""
+    plan_reports(context, count)
+    cleared = msgspec.structs.replace(context.reports[0], cleared=True)
+    context.reports.append(cleared)
+
+
+@when('a block list takes them in order {order}')
+def take_reports(context, order):
+    """Merge the reports one by one."""
+    context.block_list = BlockList('u9')
+    for index in order.split():
+        context.block_list.take([context.reports[int(index)]])
+
+
+@then('the crash suspect\'s standing is "{standing}"')
+def check_standing(context, standing):
+    """Compare the standing with what was expected."""
+    seen = context.block_list.standing('f', Crashes(), AT_S)
+    assert seen.value == standing, seen
+
+
+@then('{later:d} seconds later the crash suspect\'s standing is "{standing}"')
+def check_later_standing(context, later, standing):
+    """Compare the standing after some time."""
+    seen = context.block_list.standing('f', Crashes(), AT_S + later)
+    assert seen.value == standing, seen
+
+
+@given('a limit of 1 crash and a crash of {count:d} requests at once')
+def plan_common_crash(context, count):
+    """Report one crash of several requests."""
+    context.block_list = BlockList('u9')
+    for number in range(count):
+        report = _report(0, f'f{number}', alone=False)
+        context.block_list.take([report])
+
+
+@then('all {count:d} crash suspects\' standing is "{standing}"')
+def check_all_standings(context, count, standing):
+    """Compare each standing with what was expected."""
+    limits = Crashes(max_crashes=1)
+    for number in range(count):
+        seen = context.block_list.standing(f'f{number}', limits, AT_S)
+        assert seen.value == standing, seen
+
+
+@then(
+    'every order of {count:d} members gives the same trial place, which is '
+    'not "{crashed}"'
+)
+def check_trial_place(context, count, crashed):
+    """Ask for the place with the members in any order."""
+    members = [member(number) for number in range(count)]
+    places = {
+        context.block_list.trial_place('f', order).daemon_id
+        for order in itertools.permutations(members)
+    }
+    assert len(places) == 1, places
+    assert crashed not in places, places
+
+
+class Restarter(threading.Thread):
+    """Starts crashed upstreams again and counts the crashes."""
+
+    def __init__(self, deployment):
+        """Watch the upstreams of a deployment."""
+        super().__init__(daemon=True)
+        self.deployment = deployment
+        self.crashes = 0
+        self.stopping = threading.Event()
+
+    def run(self):
+        """Watch until told to stop."""
+        while not self.stopping.wait(0.02):
+            for process in self.deployment.upstreams.values():
+                if process.is_running():
+                    continue
+                self.crashes += process.popen.returncode == CRASH_EXIT_CODE
+                process.start()
+                process.wait_ready()
+
+
+class HealthyCaller(threading.Thread):
+    """Sends calls that do no harm and keeps their outcomes."""
+
+    def __init__(self, deployment):
+        """Send through every daemon in turn."""
+        super().__init__(daemon=True)
+        self.deployment = deployment
+        self.outcomes = []
+        self.stopping = threading.Event()
+
+    def run(self):
+        """Send until told to stop."""
+        for number in itertools.count():
+            if self.stopping.is_set():
+                return
+            names = list(self.deployment.daemons)
+            answer = requests.get(
+                self.deployment.url(
+                    names[number % len(names)], f'/job-sheets/sheets/{number}'
+                ),
+                timeout=CALL_TIMEOUT_S,
+            )
+            told = (
+                answer.headers.get(OUTCOME_HEADER),
+                answer.headers.get(CAUSE_HEADER),
+            )
+            self.outcomes.append(told)
+
+
+@given('upstreams are started again whenever they crash')
+def start_restarter(context):
+    """Start the watch."""
+    context.restarter = Restarter(context.deployment)
+    context.restarter.start()
+
+
+@when(
+    'a crashing {method} "{target}" is resent {count:d} times through every '
+    'daemon'
+)
+def send_crashing(context, method, target, count):
+    """Send the crashing call through one daemon after the other."""
+    callers = [HealthyCaller(context.deployment) for _ in range(4)]
+    for caller in callers:
+        caller.start()
+    names = list(context.deployment.daemons)
+    for number in range(count):
+        context.response = requests.request(
+            method,
+            context.deployment.url(names[number % len(names)], target),
+            headers={CRASH_HEADER: 'yes'},
+            timeout=CALL_TIMEOUT_S,
+        )
+    for stopped in callers:
+        stopped.stopping.set()
+        stopped.join()
+    context.restarter.stopping.set()
+    context.restarter.join()
+    context.healthy = [told for one in callers for told in one.outcomes]
+
+
+@then('upstreams crashed at most {count:d} times')
+def check_crashes(context, count):
+    """Check the number of crashes; at least one was caused."""
+    assert 1 <= context.restarter.crashes <= count, context.restarter.crashes
+
+
+@then(
+    'the last crashing call has the outcome "{outcome}" and the cause "{cause}"'
+)
+def check_last_call(context, outcome, cause):
+    """Check what the resending caller was told at last."""
+    headers = context.response.headers
+    seen = (headers.get(OUTCOME_HEADER), headers.get(CAUSE_HEADER))
+    assert seen == (outcome, cause), seen
+
+
+@then('healthy calls sent meanwhile were all answered')
+def check_healthy(context):
+    """Check the calls that went on."""
+    assert len(context.healthy) > 50, len(context.healthy)
+    others = [told for told in context.healthy if told[0] != 'answered']
+    assert not others, (len(context.healthy), others)
