--- a/burdocklead/connection/peer_access.py
+++ b/burdocklead/connection/peer_access.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import ssl
 from dataclasses import dataclass
 
 from burdocklead.connection.cluster_key import ClusterKey, load_cluster_key
 from burdocklead.connection.tls import TlsFiles, load_tls
+from burdocklead.exceptions import SettingsError
 from burdocklead.settings import ControlSettings, DaemonSettings
 
 
@@ -34,3 +36,19 @@
             settings.tls_certificate, settings.tls_key, settings.tls_authority
         ),
     )
+
+
+def caller_tls(
+    settings: DaemonSettings, access: PeerAccess
+) -> ssl.SSLContext | None:
+    """Return the TLS of the callers' interface, None for plain HTTP.
+
+    Raises:
+        SettingsError: If TLS is wanted and its files are not set.
+    """
+    if settings.caller_tls == 'off':
+        return None
+    if access.tls is None:
+        reason = 'TLS for callers needs the TLS files'
+        raise SettingsError(reason, step='tls')
+    return access.tls.server_context(verify_peer=False)
--- a/burdocklead/connection/peer_link.py
+++ b/burdocklead/connection/peer_link.py
@@ -222,14 +222,15 @@
         loop = asyncio.get_running_loop()
         greeting = Greeting(self.identity, self.daemon_id)
         self.greeting = greeting
+        tls = self.identity.client_tls()
         _, protocol = await loop.create_connection(
             lambda: FrameProtocol(
                 self._receive, self._closed, self.settings.max_frame_bytes()
             ),
             self.address.host,
             self.address.port,
-            ssl=self.identity.client_tls,
-            server_hostname=PEER_NAME if self.identity.client_tls else None,
+            ssl=tls,
+            server_hostname=PEER_NAME if tls else None,
         )
         try:
             self.incarnation = await greeting.greet(protocol)
--- a/burdocklead/request/block_list.py
+++ b/burdocklead/request/block_list.py
@@ -10,7 +10,7 @@
 
 import enum
 import hashlib
-from collections import OrderedDict
+from collections import Counter, OrderedDict
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
 
@@ -86,7 +86,7 @@
         crashes = self._standing_reports(fingerprint)
         if not crashes:
             return Standing.clear
-        proven = any(report.alone for report in crashes)
+        proven = len(crashes) > 1 or crashes[0].alone
         if proven and len(crashes) >= limits.max_crashes:
             return Standing.blocked
         return Standing.suspect
@@ -125,19 +125,31 @@
     ) -> Member | None:
         """Return the only place at which a suspect may run.
 
-        All daemons with the same members find the same place. One at which
-        it crashed before is taken only if there is no other.
+        All daemons that know the same find the same place: one at which it
+        did not crash, if there is any, and of those one with few crashes.
         """
         crashed = {
             report.daemon_id for report in self._standing_reports(fingerprint)
         }
         spared = [one for one in members if one.daemon_id not in crashed]
-        return max(
+        crashes = self._crashes_by_daemon()
+        return min(
             spared or members,
-            key=lambda one: _weight(fingerprint, one.daemon_id),
+            key=lambda one: (
+                crashes[one.daemon_id],
+                _weight(fingerprint, one.daemon_id),
+            ),
             default=None,
         )
 
+    def _crashes_by_daemon(self) -> Counter[str]:
+        crashes = {
+            report.crash_id: report.daemon_id
+            for known in self.reports.values()
+            for report in known.values()
+        }
+        return Counter(crashes.values())
+
     def _standing_reports(self, fingerprint: str) -> list[CrashReport]:
         known = self.reports.get(fingerprint, {})
         return [report for report in known.values() if not report.cleared]
--- a/burdocklead/request/dispatch.py
+++ b/burdocklead/request/dispatch.py
@@ -48,7 +48,7 @@
     runner: AttemptRunner
     router: Router
     rng: random.Random
-    metrics: MetricSet
+    metrics: MetricSet = field(default_factory=MetricSet)
     guard: CrashGuard | None = None
     budgets: dict[str, RetryBudget] = field(default_factory=dict)
     numbers: itertools.count[int] = field(default_factory=itertools.count)
--- a/tests/steps/crash_steps.py
+++ b/tests/steps/crash_steps.py
@@ -13,10 +13,12 @@
 from burdocklead.request.headers import CAUSE_HEADER, OUTCOME_HEADER
 from burdocklead.values import CrashReport
 from burdocklead.version.deployment import Crashes
+from devtools.local_deployment import wait_until
 from devtools.upstream import CRASH_EXIT_CODE, CRASH_HEADER
 from tests.steps.routing_simulation import member
 
 CALL_TIMEOUT_S = 20
+HEALTHY_CALLS = 100
 AT_S = 1000
 
 
@@ -87,7 +89,13 @@
     'not "{crashed}"'
 )
 def check_trial_place(context, count, crashed):
-    """Ask for the place with the members in any order."""
+    """Ask for the place with the members in any order.
+
+    Other requests crashed the other upstreams more often.
+    """
+    for place, number in itertools.product(('u1', 'u2'), range(2)):
+        other = CrashReport('g', f'{place}.{number}', place, AT_S, True)
+        context.block_list.take([other])
     members = [member(number) for number in range(count)]
     places = {
         context.block_list.trial_place('f', order).daemon_id
@@ -171,6 +179,10 @@
             headers={CRASH_HEADER: 'yes'},
             timeout=CALL_TIMEOUT_S,
         )
+    wait_until(
+        lambda: all(len(one.outcomes) > HEALTHY_CALLS for one in callers),
+        'healthy calls go on',
+    )
     for stopped in callers:
         stopped.stopping.set()
         stopped.join()
@@ -198,6 +210,5 @@
 @then('healthy calls sent meanwhile were all answered')
 def check_healthy(context):
     """Check the calls that went on."""
-    assert len(context.healthy) > 50, len(context.healthy)
     others = [told for told in context.healthy if told[0] != 'answered']
     assert not others, (len(context.healthy), others)
