Tell queued calls at their deadline as not run, by the deadline

Cause: a call queued beside the upstream at its deadline was told not-run with the cause 'cancelled', which named the entry's question and not why. Change: a refusal learned at the deadline has the cause 'deadline'. A feature covers concurrent resends, answers that are not kept or too large, the queue at a deadline, callers that leave, and calls without a quorum.

--- a/burdocklead/request/attempt_runner.py
+++ b/burdocklead/request/attempt_runner.py
@@ -156,9 +156,11 @@
                 verdict = await link.withdraw(cancel)
         except (TimeoutError, LinkError):
             return _lost(cancel.attempt_id, 'deadline passed')
-        return result_of_verdict(
-            verdict, Query(cancel.attempt_id, cancel.incarnation)
-        )
+        query = Query(cancel.attempt_id, cancel.incarnation)
+        result = result_of_verdict(verdict, query)
+        if isinstance(result, Refusal):
+            return _refusal(cancel.attempt_id, RefusalCause.deadline)
+        return result
 
     def _may_answer(self, member: Member) -> bool:
         present = self.directory.find_member(member.daemon_id)
--- a/tests/steps/outcome_steps.py
+++ b/tests/steps/outcome_steps.py
@@ -383,3 +383,136 @@
 def announce_drain(context, name):
     """Let an upstream want no new work."""
     context.deployment.set_behaviour(name, draining=True)
+
+
+@when('{count:d} resends of "{mark}" go at the same time')
+def send_together(context, count, mark):
+    """Send one keyed call many times through both entries."""
+    entries = ('entry-0', 'entry-1')
+    context.together = [
+        context.pool.submit(
+            requests.post,
+            context.deployment.url(entries[number % 2], '/job-sheets/orders'),
+            headers={'Mark': mark, KEY_HEADER: mark, 'Work-Ms': '200'},
+            timeout=RAW_TIMEOUT_S,
+        )
+        for number in range(count)
+    ]
+
+
+@then('all resends got the same answer and "{mark}" ran {times:d} time(s)')
+def check_together(context, mark, times):
+    """Compare all answers."""
+    answers = [one.result() for one in context.together]
+    told = {one.headers[OUTCOME_HEADER] for one in answers}
+    assert told == {'answered'}, [one.headers for one in answers]
+    assert len({one.content for one in answers}) == 1
+    check_runs(context, mark, times)
+
+
+@when('the upstream of "{name}" answers with {count:d} bytes')
+def set_answer_size(context, name, count):
+    """Change the size of answers."""
+    context.deployment.set_behaviour(name, answer_bytes=count)
+
+
+@then('a resend of "{mark}" through "{daemon}" is told its answer was not kept')
+def check_not_kept(context, mark, daemon):
+    """Check that a resend learns that the call ran, without a body."""
+    response = requests.post(
+        context.deployment.url(daemon, '/job-sheets/orders'),
+        headers={'Mark': mark, KEY_HEADER: mark},
+        timeout=RAW_TIMEOUT_S,
+    )
+    seen = (response.status_code, response.headers[OUTCOME_HEADER])
+    assert seen == (200, 'answered'), response.headers
+    assert response.headers['Burdocklead-Answer'] == 'not-kept'
+    assert not response.content
+    check_runs(context, mark, 1)
+
+
+@then('call "{mark}" is told its answer was too large')
+def check_too_large(context, mark):
+    """Check that a caller never takes a cut answer for the whole."""
+    response = context.calls[mark].result()
+    seen = (response.status_code, response.headers[OUTCOME_HEADER])
+    assert seen == (502, 'answered'), response.headers
+    assert response.headers['Burdocklead-Answer'] == 'too-large'
+    assert response.json()['upstream_status'] == 200
+
+
+@when('the upstream of "{name}" has 1 slot')
+def set_one_slot(context, name):
+    """Let an upstream announce one slot and wait until it is known."""
+    context.deployment.set_behaviour(name, reported_slots=1)
+    daemon = context.deployment.daemons[name]
+    wait_until(
+        lambda: context.deployment.daemon_status(daemon)['load'][2] == 1,
+        'one slot',
+    )
+
+
+@then(
+    'a call with {left:d} ms left through "{daemon}" is told "{outcome}" '
+    'by "{cause}"'
+)
+def check_late_call(context, left, daemon, outcome, cause):
+    """Send a call that can only wait in the queue."""
+    response = requests.post(
+        context.deployment.url(daemon, '/job-sheets/orders'),
+        headers={'Mark': 'late', 'Burdocklead-Deadline-Ms': str(left)},
+        timeout=RAW_TIMEOUT_S,
+    )
+    seen = (response.headers[OUTCOME_HEADER], response.headers[CAUSE_HEADER])
+    assert seen == (outcome, cause), response.headers
+    check_runs(context, 'late', 0)
+
+
+@when('a caller of a {method} through "{daemon}" leaves')
+def leave_call(context, method, daemon):
+    """Close a caller's connection while its call runs."""
+    context.left = f'left-{method}'
+    path = 'sheets/1' if method == 'GET' else 'orders'
+    address = context.deployment.daemons[daemon].addresses['http']
+    host, _, port = address.rpartition(':')
+    head = (
+        f'{method} /job-sheets/{path} HTTP/1.1\r\nHost: a\r\n'
+        f'Content-Length: 0\r\nMark: {context.left}\r\nWork-Ms: 800\r\n\r\n'
+    )
+    with socket.create_connection((host, int(port)), RAW_TIMEOUT_S) as raw:
+        raw.sendall(head.encode())
+        wait_until(lambda: runs_of(context, context.left), 'call runs')
+
+
+def executions_at(context, name):
+    """Return all counts of one upstream."""
+    address = context.deployment.upstreams[name].addresses['http']
+    page = requests.get(f'http://{address}/-/executions', timeout=RAW_TIMEOUT_S)
+    return page.json()
+
+
+@then('the upstream of "{name}" saw {count:d} cancelled call(s)')
+def check_cancelled(context, name, count):
+    """Wait for the number of cancelled executions."""
+    wait_until(
+        lambda: executions_at(context, name)['cancelled'] == count,
+        'cancelled calls',
+    )
+
+
+@then('the call that was left ran to its end')
+def check_ran_to_end(context):
+    """Wait until no call is in progress and compare the cancelled ones."""
+    daemon = context.deployment.daemons['job-sheets-0']
+    wait_until(
+        lambda: context.deployment.daemon_status(daemon)['load'][0] == 0,
+        'free slot',
+    )
+    check_cancelled(context, 'job-sheets-0', 1)
+
+
+@when('the control replicas are killed')
+def kill_controls(context):
+    """End all control replicas at once."""
+    for process in context.deployment.controls.values():
+        process.kill()
