Check links against bad keys, frames and bounds, and over TLS

Cause: the handshake, the bounds and TLS of links had no check of their own. Change: a feature joins a link and a listener over loopback in one process.

--- /dev/null
+++ b/tests/steps/link_steps.py
@@ -0,0 +1,313 @@
+"""Steps that join a link and a listener over loopback in this process."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+
+import trustme
+from behave import given, then, when
+
+from burdocklead.connection.cluster_key import ClusterKey
+from burdocklead.connection.frames import (
+    LENGTH,
+    Answer,
+    Attempt,
+    FrameBuffer,
+    Hello,
+    Proof,
+    Welcome,
+    encode_frame,
+)
+from burdocklead.connection.handshake import LinkIdentity
+from burdocklead.connection.link_server import LinkServer
+from burdocklead.connection.peer_access import PeerAccess
+from burdocklead.connection.peer_link import PeerLink
+from burdocklead.connection.tls import load_tls
+from burdocklead.exceptions import LinkError
+from burdocklead.metrics import MetricSet
+from burdocklead.options import read_settings
+from burdocklead.settings import DaemonSettings
+from burdocklead.values import Address, LoadReport
+from burdocklead.version.deployment import Priority
+
+INCARNATION = 7
+LIMIT_S = 20
+NO_LOAD = LoadReport(0, 0, 1)
+MEGABYTE = 1000000
+KEY = 'sixteen byte key'
+
+
+class EchoHandler:
+    """Answers attempts with the size of their body; ``wait`` never ends."""
+
+    def __init__(self):
+        """Start without attempts."""
+        self.runs = 0
+
+    async def run(self, attempt):
+        """Return an answer."""
+        self.runs += 1
+        if attempt.body == b'wait':
+            await asyncio.Event().wait()
+        size = str(len(attempt.body)).encode()
+        return Answer(attempt.attempt_id, 200, (), size, NO_LOAD)
+
+    def load(self):
+        """Return no load."""
+        return NO_LOAD
+
+
+def settings_of(name):
+    """Return settings with small bounds and large bodies."""
+    return read_settings(
+        DaemonSettings,
+        {
+            'daemon_id': name,
+            'zone': 'victoria',
+            'control': 'none=127.0.0.1:1',
+            'max_pending_attempts': '3',
+            'max_links': '2',
+            'max_body_bytes': '67108864',
+        },
+        {},
+    )
+
+
+def tls_access(folder, authority):
+    """Return access with a certificate of an authority."""
+    folder.mkdir()
+    leaf = authority.issue_cert('burdocklead', '127.0.0.1')
+    leaf.private_key_pem.write_to_path(folder / 'key.pem')
+    authority.cert_pem.write_to_path(folder / 'authority.pem')
+    for blob in leaf.cert_chain_pems:
+        blob.write_to_path(folder / 'certificate.pem', append=True)
+    files = load_tls(
+        folder / 'certificate.pem',
+        folder / 'key.pem',
+        folder / 'authority.pem',
+    )
+    return PeerAccess(ClusterKey(KEY.encode()), files)
+
+
+def start_listener(context, name, access):
+    """Start a listener on a loop that ends with the scenario."""
+    context.loop = asyncio.new_event_loop()
+    context.add_cleanup(context.loop.close)
+    context.handler = EchoHandler()
+    context.metrics = MetricSet()
+    context.server = LinkServer(
+        context.handler,
+        LinkIdentity(Hello(name, INCARNATION), access),
+        settings_of(name),
+        context.metrics,
+    )
+    context.address = run(
+        context, context.server.start(Address('127.0.0.1', 0))
+    )
+
+
+def run(context, coroutine):
+    """Run a coroutine on the scenario's loop."""
+    return context.loop.run_until_complete(asyncio.wait_for(coroutine, LIMIT_S))
+
+
+def open_link(context, wanted, access):
+    """Open a link and keep it or the error."""
+
+    async def connect():
+        context.link = PeerLink(
+            LinkIdentity(Hello('client', 1), access),
+            wanted,
+            context.address,
+            lambda daemon_id, load: None,
+            settings_of('client'),
+            MetricSet(),
+        )
+        await context.link.open(INCARNATION)
+
+    context.error = None
+    try:
+        run(context, connect())
+    except LinkError as error:
+        context.error = error
+
+
+def attempt(number, body):
+    """Return an attempt with a body."""
+    return Attempt(
+        attempt_id=f'client.1.{number:x}',
+        call_id='call',
+        incarnation=INCARNATION,
+        service='orders',
+        route='one',
+        method='POST',
+        path='/',
+        headers=(),
+        body=body,
+        remaining_ms=1000,
+        idempotent=False,
+        priority=Priority.normal,
+        cost_ms=1,
+        number=1,
+        queue_limit=1,
+    )
+
+
+@given('a link listener of daemon "{name}" with the key "{key}"')
+def listen(context, name, key):
+    """Start a listener over plain TCP."""
+    start_listener(context, name, PeerAccess(ClusterKey(key.encode())))
+
+
+@given('a link listener of daemon "{name}" over TLS')
+def listen_over_tls(context, name):
+    """Start a listener over TLS."""
+    context.authority = trustme.CA()
+    access = tls_access(context.folder / 'server', context.authority)
+    start_listener(context, name, access)
+
+
+@when('a link to daemon "{wanted}" opens with the key "{key}"')
+def open_with_key(context, wanted, key):
+    """Open a link over plain TCP."""
+    open_link(context, wanted, PeerAccess(ClusterKey(key.encode())))
+
+
+@when('a link to daemon "{wanted}" opens over TLS')
+def open_over_tls(context, wanted):
+    """Open a link over TLS."""
+    access = tls_access(context.folder / 'client', context.authority)
+    open_link(context, wanted, access)
+
+
+@when('a link to daemon "{wanted}" opens over TLS of another authority')
+def open_over_other_tls(context, wanted):
+    """Open a link over TLS with a certificate that nobody trusts."""
+    access = tls_access(context.folder / 'other', trustme.CA())
+    open_link(context, wanted, access)
+
+
+@then('the link is refused with "{reason}"')
+def check_refused(context, reason):
+    """Compare the reason."""
+    assert context.error is not None, 'the link opened'
+    assert context.error.reason == reason, context.error
+    assert context.error.step == 'connect', context.error
+
+
+@then('the link is refused with any error')
+def check_refused_at_all(context):
+    """Check that the link did not open."""
+    assert context.error is not None, 'the link opened'
+
+
+@then('the listener ran {count:d} attempts')
+def check_runs(context, count):
+    """Compare the attempts that reached the handler."""
+    assert context.handler.runs == count, context.handler.runs
+
+
+@then('an attempt over the link is answered')
+def check_answered(context):
+    """Run an attempt."""
+    assert context.error is None, context.error
+    answer = run(context, context.link.run_attempt(attempt(1, b'abc')))
+    assert answer.body == b'3', answer
+
+
+async def send_raw(address, kind):
+    """Send frames of a kind and wait until the listener closes."""
+    reader, writer = await asyncio.open_connection(address.host, address.port)
+    identity = LinkIdentity(
+        Hello('raw', 1), PeerAccess(ClusterKey(KEY.encode()))
+    )
+    hello = identity.greet('b')
+    if kind == 'an attempt before any proof':
+        writer.write(encode_frame(attempt(1, b'abc')))
+    elif kind == 'a frame larger than the bound':
+        writer.write(LENGTH.pack(2**31))
+    elif kind == 'a frame that is no message':
+        writer.writelines((LENGTH.pack(4), b'\xc1\xc1\xc1\xc1'))
+    else:
+        writer.write(encode_frame(hello))
+        frames = FrameBuffer().feed(await reader.read(65536))
+        assert isinstance(frames[0], Welcome), frames
+        proof = Proof(b'wrong')
+        if kind == 'a proven hello and then itself':
+            proof = identity.prove(hello, frames[0])
+        writer.write(encode_frame(proof))
+        writer.write(encode_frame(hello))
+    with contextlib.suppress(ConnectionError):
+        await reader.read()
+    writer.close()
+
+
+@when('a raw connection sends {kind}')
+def send_kind(context, kind):
+    """Send bad frames."""
+    run(context, send_raw(context.address, kind))
+
+
+@then('the listener closes it and counts "{end}"')
+def check_end(context, end):
+    """Compare the counter of link ends."""
+    page, _ = context.metrics.render(['text/plain'])
+    wanted = f'burdocklead_link_ends_total{{reason="{end}"}} 1'
+    assert wanted in page.decode().splitlines(), page.decode()
+
+
+@then(
+    'an attempt of {megabytes:d} MB and one of 1 byte over the link '
+    'are answered'
+)
+def check_large(context, megabytes):
+    """Run a large attempt beside a small one."""
+
+    async def run_both():
+        return await asyncio.gather(
+            context.link.run_attempt(attempt(1, bytes(megabytes * MEGABYTE))),
+            context.link.run_attempt(attempt(2, b'x')),
+        )
+
+    bodies = [answer.body for answer in run(context, run_both())]
+    assert bodies == [str(megabytes * MEGABYTE).encode(), b'1'], bodies
+
+
+@then(
+    'the attempt after {count:d} unanswered ones is refused at the step '
+    '"{step}"'
+)
+def check_pending_bound(context, count, step):
+    """Fill a link with attempts that are never answered."""
+
+    async def fill():
+        waiting = [
+            asyncio.create_task(
+                context.link.run_attempt(attempt(10 + number, b'wait'))
+            )
+            for number in range(count)
+        ]
+        await asyncio.sleep(0)
+        try:
+            await context.link.run_attempt(attempt(99, b'more'))
+        except LinkError as error:
+            return error
+        finally:
+            for task in waiting:
+                task.cancel()
+
+    error = run(context, fill())
+    assert error is not None, 'not refused'
+    assert error.step == step, error
+
+
+@then('the third link to the listener is refused')
+def check_link_bound(context):
+    """Open links until the bound."""
+    errors = []
+    for _ in range(2):
+        open_link(context, 'b', PeerAccess(ClusterKey(KEY.encode())))
+        errors.append(context.error)
+    assert errors[0] is None, errors
+    assert errors[1] is not None, errors
