--- a/tests/connection/links.feature
+++ b/tests/connection/links.feature
@@ -42,3 +42,5 @@
     Then the link is refused with any error
     When a link to daemon "b" opens over TLS of another authority
     Then the link is refused with any error
+    When a link to daemon "b" opens over TLS without a certificate
+    Then the link is refused with any error
--- a/tests/steps/link_steps.py
+++ b/tests/steps/link_steps.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import ssl
 
 import trustme
 from behave import given, then, when
@@ -90,10 +91,20 @@
     return PeerAccess(ClusterKey(KEY.encode()), files)
 
 
+def end_loop(loop):
+    """Cancel what still runs and close a loop."""
+    tasks = asyncio.all_tasks(loop)
+    for task in tasks:
+        task.cancel()
+    if tasks:
+        loop.run_until_complete(asyncio.wait(tasks, timeout=1))
+    loop.close()
+
+
 def start_listener(context, name, access):
     """Start a listener on a loop that ends with the scenario."""
     context.loop = asyncio.new_event_loop()
-    context.add_cleanup(context.loop.close)
+    context.add_cleanup(end_loop, context.loop)
     context.handler = EchoHandler()
     context.metrics = MetricSet()
     context.server = LinkServer(
@@ -188,6 +199,27 @@
     open_link(context, wanted, access)
 
 
+class WithoutCertificate:
+    """TLS of a client that trusts the authority and shows nothing."""
+
+    def __init__(self, authority):
+        """Trust an authority."""
+        self.authority = authority
+
+    def client_context(self):
+        """Return the context of a link without a certificate."""
+        context = ssl.create_default_context()
+        self.authority.configure_trust(context)
+        return context
+
+
+@when('a link to daemon "{wanted}" opens over TLS without a certificate')
+def open_without_certificate(context, wanted):
+    """Open a link over TLS that shows no certificate."""
+    tls = WithoutCertificate(context.authority)
+    open_link(context, wanted, PeerAccess(ClusterKey(KEY.encode()), tls))
+
+
 @then('the link is refused with "{reason}"')
 def check_refused(context, reason):
     """Compare the reason."""
