--- a/burdocklead/connection/link_server.py
+++ b/burdocklead/connection/link_server.py
@@ -25,6 +25,7 @@
     Welcome,
 )
 from burdocklead.connection.handshake import LinkIdentity
+from burdocklead.events import EventKind, EventRing
 from burdocklead.exceptions import LinkError
 from burdocklead.metrics import LINK_ENDS, LINKS_OPEN, MetricSet
 from burdocklead.settings import DaemonSettings
@@ -90,8 +91,10 @@
         identity: LinkIdentity,
         settings: DaemonSettings,
         metrics: MetricSet,
+        events: EventRing,
     ) -> None:
         """Prepare a listener in front of the handler."""
+        self.events = events
         self.handler = handler
         self.identity = identity
         self.settings = settings
@@ -136,7 +139,10 @@
     def accept(self) -> FrameProtocol:
         """Return the protocol of a new connection."""
         protocol = FrameProtocol(
-            self._receive, self._closed, self.settings.max_frame_bytes()
+            self._receive,
+            self._closed,
+            self.identity.clock,
+            self.settings.max_frame_bytes(),
         )
         self.peers[protocol] = Peer()
         asyncio.get_running_loop().call_later(
@@ -148,11 +154,17 @@
         peer = self.peers.get(protocol)
         if peer is not None and not peer.proven:
             protocol.close(LinkEnd.unproven)
+            # A failed TLS handshake made the protocol but no connection.
+            self.peers.pop(protocol, None)
 
     def _closed(self, protocol: FrameProtocol, end: LinkEnd) -> None:
-        self.peers.pop(protocol, None)
+        peer = self.peers.pop(protocol, None)
+        if peer and peer.hello and peer.proven:
+            self.events.record(
+                EventKind.link_closed, peer=peer.hello.daemon_id, detail=end
+            )
         self.metrics.count(LINK_ENDS, end.value)
-        self.metrics.set(LINKS_OPEN, len(self.peers))
+        self.metrics.set(LINKS_OPEN, self._proven_links())
 
     def _receive(self, protocol: FrameProtocol, frame: Frame) -> None:
         peer = self.peers.get(protocol)
@@ -174,7 +186,11 @@
                     peer.hello, peer.welcome, frame
                 )
                 self._end_unproven(protocol)
-                self.metrics.set(LINKS_OPEN, len(self.peers))
+                if peer.proven:
+                    self.events.record(
+                        EventKind.link_opened, peer=peer.hello.daemon_id
+                    )
+                self.metrics.set(LINKS_OPEN, self._proven_links())
             case _:
                 protocol.close(LinkEnd.unproven)
 
@@ -182,13 +198,16 @@
         if hello.wanted_id != self.identity.hello.daemon_id:
             protocol.close(LinkEnd.wrong_peer)
             return
-        if len(self.peers) > self.settings.max_links:
+        if self._proven_links() >= self.settings.max_links:
             protocol.close(LinkEnd.too_many)
             return
         peer.hello = hello
         peer.welcome = self.identity.welcome(hello)
         protocol.send(peer.welcome)
 
+    def _proven_links(self) -> int:
+        return sum(peer.proven for peer in self.peers.values())
+
     def _serve(self, protocol: FrameProtocol, peer: Peer, frame: Frame) -> None:
         match frame:
             case Attempt():
--- a/burdocklead/process/daemon_parts.py
+++ b/burdocklead/process/daemon_parts.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import random
 import time
 
@@ -12,19 +11,19 @@
 from burdocklead.connection.handshake import LinkIdentity
 from burdocklead.connection.link_server import LinkServer
 from burdocklead.connection.peer_access import load_peer_access
-from burdocklead.events import EventRing
-from burdocklead.metrics import MetricSet
+from burdocklead.events import EventKind, EventRing
+from burdocklead.metrics import SIGNAL_DEAD, MetricSet
 from burdocklead.process.caller_http import CallerPages
 from burdocklead.process.directory import DaemonDirectory
 from burdocklead.request.attempt_journal import AttemptJournal
-from burdocklead.request.attempt_runner import AttemptRunner
 from burdocklead.request.dispatch import Dispatcher
 from burdocklead.request.execution import AttemptExecutor
 from burdocklead.request.keyed_call import KeyedCalls
 from burdocklead.request.local_link import LocalLink
+from burdocklead.request.recording_runner import RecordingRunner
 from burdocklead.request.routing import Router
+from burdocklead.request.signal_watch import SignalWatch
 from burdocklead.settings import DaemonSettings
-from burdocklead.values import LoadReport
 
 
 class DaemonParts:
@@ -43,11 +42,13 @@
             self.incarnation,
             AttemptJournal(self.events, self.metrics),
         )
-        self.router = Router(settings.zone, rng)
+        self.router = Router(settings.zone, rng, SignalWatch(self.tell_signal))
         self.access = load_peer_access(settings)
         self.control = ControlGroup(settings.control, self.access)
         identity = LinkIdentity(
-            Hello(settings.daemon_id, self.incarnation), self.access
+            Hello(settings.daemon_id, self.incarnation),
+            self.access,
+            self.clock,
         )
         self.directory = DaemonDirectory(
             settings,
@@ -55,15 +56,16 @@
             LocalLink(self.executor),
             self.events,
             self.metrics,
-            self.observe_load,
+            self.router,
         )
         prefix = f'{settings.daemon_id}.{self.incarnation:x}'
         self.dispatcher = Dispatcher(
             prefix,
             self.directory,
-            AttemptRunner(self.directory, self.router),
+            RecordingRunner(self.directory, self.router, self.events),
             self.router,
             rng,
+            self.metrics,
         )
         self.keyed_calls = KeyedCalls(
             self.dispatcher, self.control.request, self.answer_limit
@@ -75,12 +77,19 @@
             self.events,
             self.metrics,
         )
-        self.links = LinkServer(self.executor, identity, settings, self.metrics)
+        self.links = LinkServer(
+            self.executor, identity, settings, self.metrics, self.events
+        )
 
-    def observe_load(self, daemon_id: str, load: LoadReport) -> None:
-        """Pass a load report to the router."""
-        now = asyncio.get_running_loop().time()
-        self.router.observe_load(daemon_id, load, now)
+    def tell_signal(self, daemon_id: str, reason: str) -> None:
+        """Count and record a load signal that died or came back."""
+        if reason:
+            self.metrics.count(SIGNAL_DEAD, reason.replace(' ', '-'))
+        self.events.record(
+            EventKind.signal_dead,
+            peer=daemon_id,
+            detail=reason or 'alive again',
+        )
 
     def answer_limit(self) -> int:
         """Return the largest answer of a keyed call that is kept in bytes."""
--- a/burdocklead/process/daemon_process.py
+++ b/burdocklead/process/daemon_process.py
@@ -20,6 +20,9 @@
 from burdocklead.process.daemon_parts import DaemonParts
 from burdocklead.process.lifecycle import Lifecycle, write_ready_file
 from burdocklead.process.own_member import OwnMember
+from burdocklead.process.prober import Prober
+from burdocklead.process.supervision import Supervisor, watch_process
+from burdocklead.request.measuring import MeasuringBudget, ProbePlanner
 from burdocklead.request.upstream_client import HttpUpstreamClient
 from burdocklead.settings import DaemonSettings
 from burdocklead.values import Address, Member
@@ -65,7 +68,8 @@
             self.parts.settings.max_answer_bytes
         )
         servers = await self._start_servers()
-        tasks = self._start_tasks(servers.own)
+        supervisor = watch_process(self.parts.metrics, lifecycle)
+        tasks = self._start_tasks(servers.own, supervisor)
         lifecycle.start_serving()
         write_ready_file(self.parts.settings.ready_file, servers.addresses)
         await lifecycle.stop_requested.wait()
@@ -93,15 +97,15 @@
             self.parts.events,
             notice=settings.drain_notice,
         )
-        pages = DaemonPages(
-            own, self.parts.directory, self.parts.metrics
-        ).application()
+        pages = DaemonPages(own, self.parts).application()
         admin_runner, admin = await start_site(pages, settings.admin_listen)
         own.member = msgspec.structs.replace(own.member, admin=admin)
         addresses = {'http': str(http), 'link': str(link), 'admin': str(admin)}
         return DaemonServers(own, callers, admin_runner, addresses)
 
-    def _start_tasks(self, own: OwnMember) -> list[asyncio.Task[None]]:
+    def _start_tasks(
+        self, own: OwnMember, supervisor: Supervisor
+    ) -> list[asyncio.Task[None]]:
         agent = ControlAgent(
             self.parts.control,
             own,
@@ -109,9 +113,16 @@
             self.parts.clock,
             self.parts.settings.heartbeat_interval,
         )
+        prober = Prober(
+            self.parts.directory,
+            ProbePlanner(self.parts.router),
+            MeasuringBudget(),
+            self.parts.metrics,
+        )
         return [
-            asyncio.create_task(agent.run_forever()),
-            asyncio.create_task(_expire_forever(own)),
+            supervisor.start('prober', prober.run_forever()),
+            supervisor.start('heartbeats', agent.run_forever()),
+            supervisor.start('lease', _expire_forever(own)),
         ]
 
     def _describe(self, link: Address, http: Address) -> Member:
--- a/burdocklead/request/attempt_runner.py
+++ b/burdocklead/request/attempt_runner.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Sequence
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -19,7 +18,7 @@
 )
 from burdocklead.exceptions import LinkError
 from burdocklead.request.call import Call
-from burdocklead.request.routing import Router
+from burdocklead.request.routing import Candidates, Router
 from burdocklead.values import LoadReport, Member, RefusalCause
 
 GRACE_S = 0.25
@@ -54,7 +53,7 @@
 class Directory(Protocol):
     """The upstreams that may get work and the links to them."""
 
-    def candidates(self, service: str) -> Sequence[Member]:
+    def candidates(self, service: str) -> Candidates:
         """Return the upstreams of a service that may get new work."""
 
     def find_member(self, daemon_id: str) -> Member | None:
@@ -83,11 +82,27 @@
 
         Cancelling this coroutine cancels the attempt at its upstream.
         """
-        self.router.start_attempt(member.daemon_id)
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        route = call.match.key
+        self.router.start_attempt(member.daemon_id, route, started)
         try:
-            return await self._open_and_run(call, member, attempt)
+            result = await self._open_and_run(call, member, attempt)
+        except asyncio.CancelledError:
+            now = loop.time()
+            self.router.observe_given_up(
+                member.daemon_id, route, now - started, now
+            )
+            raise
         finally:
-            self.router.finish_attempt(member.daemon_id)
+            self.router.finish_attempt(member.daemon_id, route)
+        now = loop.time()
+        if result.load.slots:
+            self.router.observe_load(member.daemon_id, result.load, now)
+        self.router.observe_result(
+            member.daemon_id, route, result, now - started, now
+        )
+        return result
 
     async def resolve(
         self, member: Member, query: Query, limit_s: float = RESOLVE_LIMIT_S
--- a/burdocklead/request/dispatch.py
+++ b/burdocklead/request/dispatch.py
@@ -5,12 +5,21 @@
 import asyncio
 import itertools
 import random
+from collections.abc import Coroutine
 from dataclasses import dataclass, field
+from typing import Any
 
 from burdocklead.connection.frames import Attempt, AttemptResult
+from burdocklead.metrics import HEDGES, RETRIES, MetricSet
 from burdocklead.request.attempt_runner import AttemptRunner, Directory
 from burdocklead.request.call import Call, CallResult, outcome_of
-from burdocklead.request.retries import RetryBudget, backoff_s, may_repeat
+from burdocklead.request.hedging import HedgeResult, run_hedged
+from burdocklead.request.retries import (
+    RetryBudget,
+    backoff_s,
+    may_hedge,
+    may_repeat,
+)
 from burdocklead.request.routing import Router
 from burdocklead.values import Member
 
@@ -27,6 +36,7 @@
         runner: Carries one attempt to its result.
         router: Chooses the upstream.
         rng: Source of jitter.
+        metrics: Counts retries and hedges.
         budgets: Retry budgets by service.
     """
 
@@ -35,6 +45,7 @@
     runner: AttemptRunner
     router: Router
     rng: random.Random
+    metrics: MetricSet
     budgets: dict[str, RetryBudget] = field(default_factory=dict)
     numbers: itertools.count[int] = field(default_factory=itertools.count)
 
@@ -45,28 +56,59 @@
     def choose(self, call: Call, tried: set[str]) -> Member | None:
         """Return the upstream for the next attempt, None if there is none."""
         candidates = self.directory.candidates(call.match.service_name)
-        untried = [one for one in candidates if one.daemon_id not in tried]
         now = asyncio.get_running_loop().time()
-        if not (untried or candidates):
-            return None
-        return self.router.choose(untried or candidates, now)
+        return self.router.choose(
+            candidates.without(tried), call.match.key, now
+        )
 
     async def run(self, call: Call) -> CallResult:
         """Return the result of a call without a key."""
         self.budget_of(call).earn()
         tried: set[str] = set()
         results: list[AttemptResult] = []
-        for number in itertools.count(1):
+        number = 1
+        while True:
             member = self.choose(call, tried)
             if member is None:
                 return outcome_of(results)
-            attempt = self.attempt_of(call, member, self.new_id(), number)
-            result = await self.runner.run(call, member, attempt)
-            results.append(result)
-            if not await self.repeat_allowed(call, result, number):
-                return outcome_of(results)
             tried.add(member.daemon_id)
-        raise AssertionError('unreachable')
+            found = await self._run_or_hedge(call, member, tried, number)
+            results.extend(found.results)
+            number += found.hedged
+            if not await self.repeat_allowed(call, results[-1], number):
+                return outcome_of(results)
+            number += 1
+
+    async def _run_or_hedge(
+        self, call: Call, member: Member, tried: set[str], number: int
+    ) -> HedgeResult:
+        """Return the results of an attempt and of its hedge, if any."""
+        first = self._attempt(call, member, number)
+        if not may_hedge(call, number + 1):
+            return HedgeResult((await first,))
+
+        def start_hedge() -> Coroutine[Any, Any, AttemptResult] | None:
+            other = self.choose(call, tried)
+            if other is None or other.daemon_id in tried:
+                return None
+            if not self.budget_of(call).spend():
+                self.metrics.count(HEDGES, 'over-budget')
+                return None
+            tried.add(other.daemon_id)
+            return self._attempt(call, other, number + 1)
+
+        after_s = call.match.service.hedge_after_ms / MS_PER_S
+        found = await run_hedged(first, start_hedge, after_s)
+        if found.hedged:
+            self.metrics.count(HEDGES, 'started')
+            self.metrics.count(HEDGES, 'cancelled', amount=found.cancelled)
+        return found
+
+    async def _attempt(
+        self, call: Call, member: Member, number: int
+    ) -> AttemptResult:
+        attempt = self.attempt_of(call, member, self.new_id(), number)
+        return await self.runner.run(call, member, attempt)
 
     async def repeat_allowed(
         self, call: Call, result: AttemptResult, number: int
@@ -80,7 +122,9 @@
         if loop.time() + pause >= call.deadline:
             return False
         if not self.budget_of(call).spend():
+            self.metrics.count(RETRIES, 'over-budget')
             return False
+        self.metrics.count(RETRIES, 'started')
         await asyncio.sleep(pause)
         return True
 
--- a/burdocklead/request/execution.py
+++ b/burdocklead/request/execution.py
@@ -113,11 +113,11 @@
         known = self.table.begin(attempt.attempt_id)
         if known is not None:
             return await self._repeated(attempt, known)
+        self.journal.start(attempt)
         loop = asyncio.get_running_loop()
         deadline = loop.time() + attempt.remaining_ms / MS_PER_S
         execution = Execution(attempt, deadline)
         self.executions[attempt.attempt_id] = execution
-        self.journal.start(attempt)
         execution.task = loop.create_task(self._execute(execution))
         return await asyncio.shield(execution.task)
 
@@ -190,11 +190,13 @@
         cause = self._refusal_cause(attempt)
         if cause is not None:
             return self._refusal(attempt, cause)
+        loop = asyncio.get_running_loop()
+        arrived = loop.time()
         verdict = await self.gate.admit(_ticket_of(execution))
         if isinstance(verdict, Refused):
             return self._refusal(attempt, verdict.cause)
-        loop = asyncio.get_running_loop()
         started = loop.time()
+        self.journal.admit(started - arrived)
         finished = False
         try:
             result = await self._send(execution)
--- a/devtools/fuzz/request_world.py
+++ b/devtools/fuzz/request_world.py
@@ -45,7 +45,7 @@
 from burdocklead.request.execution import AttemptExecutor
 from burdocklead.request.keyed_call import KeyedCalls
 from burdocklead.request.local_link import LocalLink
-from burdocklead.request.routing import Router
+from burdocklead.request.routing import Candidates, Router
 from burdocklead.request.upstream_client import (
     UpstreamAnswer,
     UpstreamLost,
@@ -208,7 +208,9 @@
             slots=SLOTS,
         )
         hello = Hello(self.name, incarnation)
-        self.identity = LinkIdentity(hello, PeerAccess(ClusterKey(b'fuzz')))
+        self.identity = LinkIdentity(
+            hello, PeerAccess(ClusterKey(b'fuzz')), world.events.clock
+        )
         self.executor = AttemptExecutor(
             self.settings, incarnation, AttemptJournal(world.events, metrics)
         )
@@ -217,7 +219,7 @@
         self.executor.upstream = self.member.link
         self.executor.service = SERVICE
         self.server = LinkServer(
-            self.executor, self.identity, self.settings, metrics
+            self.executor, self.identity, self.settings, metrics, world.events
         )
         self.members: dict[str, Member] = dict(world.members)
         self.links: dict[str, PeerLink] = {}
@@ -228,6 +230,7 @@
             AttemptRunner(self, router),
             router,
             world.rng,
+            metrics,
         )
         self.keyed_calls = KeyedCalls(
             self.dispatcher, self.request_claim, lambda: ANSWER_LIMIT
@@ -237,9 +240,12 @@
         """Return the protocol of a new connection."""
         return self.server.accept()
 
-    def candidates(self, service: str) -> list[Member]:
+    def candidates(self, service: str) -> Candidates:
         """Return the upstreams that may get new work."""
-        return [one for one in self.members.values() if not one.draining]
+        members = tuple(
+            one for one in self.members.values() if not one.draining
+        )
+        return Candidates(members, members)
 
     def find_member(self, daemon_id: str) -> Member | None:
         """Return a present daemon."""
--- a/devtools/processes.py
+++ b/devtools/processes.py
@@ -23,6 +23,7 @@
     'control': 'burdocklead.programs.control',
     'upstream': 'devtools.upstream',
     'forwarder': 'devtools.forwarder',
+    'bare-proxy': 'devtools.bench.bare_proxy',
     'profiled-daemon': 'devtools.bench.profiled_daemon',
 }
 
--- a/tests/steps/link_steps.py
+++ b/tests/steps/link_steps.py
@@ -9,9 +9,10 @@
 import trustme
 from behave import given, then, when
 
+from burdocklead.clock import HybridClock
 from burdocklead.connection.cluster_key import ClusterKey
 from burdocklead.connection.frames import (
-    LENGTH,
+    HEADER,
     Answer,
     Attempt,
     FrameBuffer,
@@ -25,6 +26,7 @@
 from burdocklead.connection.peer_access import PeerAccess
 from burdocklead.connection.peer_link import PeerLink
 from burdocklead.connection.tls import load_tls
+from burdocklead.events import EventRing
 from burdocklead.exceptions import LinkError
 from burdocklead.metrics import MetricSet
 from burdocklead.options import read_settings
@@ -35,6 +37,7 @@
 INCARNATION = 7
 LIMIT_S = 20
 NO_LOAD = LoadReport(0, 0, 1)
+CLOCK = HybridClock()
 MEGABYTE = 1000000
 KEY = 'sixteen byte key'
 
@@ -109,9 +112,10 @@
     context.metrics = MetricSet()
     context.server = LinkServer(
         context.handler,
-        LinkIdentity(Hello(name, INCARNATION), access),
+        LinkIdentity(Hello(name, INCARNATION), access, HybridClock()),
         settings_of(name),
         context.metrics,
+        EventRing(name, HybridClock()),
     )
     context.address = run(
         context, context.server.start(Address('127.0.0.1', 0))
@@ -128,7 +132,7 @@
 
     async def connect():
         context.link = PeerLink(
-            LinkIdentity(Hello('client', 1), access),
+            LinkIdentity(Hello('client', 1), access, HybridClock()),
             wanted,
             context.address,
             lambda daemon_id, load: None,
@@ -252,24 +256,24 @@
     """Send frames of a kind and wait until the listener closes."""
     reader, writer = await asyncio.open_connection(address.host, address.port)
     identity = LinkIdentity(
-        Hello('raw', 1), PeerAccess(ClusterKey(KEY.encode()))
+        Hello('raw', 1), PeerAccess(ClusterKey(KEY.encode())), CLOCK
     )
     hello = identity.greet('b')
     if kind == 'an attempt before any proof':
-        writer.write(encode_frame(attempt(1, b'abc')))
+        writer.write(encode_frame(attempt(1, b'abc'), CLOCK.issue()))
     elif kind == 'a frame larger than the bound':
-        writer.write(LENGTH.pack(2**31))
+        writer.write(HEADER.pack(2**31, 0, 0))
     elif kind == 'a frame that is no message':
-        writer.writelines((LENGTH.pack(4), b'\xc1\xc1\xc1\xc1'))
+        writer.writelines((HEADER.pack(4, 0, 0), b'\xc1\xc1\xc1\xc1'))
     else:
-        writer.write(encode_frame(hello))
+        writer.write(encode_frame(hello, CLOCK.issue()))
         frames = FrameBuffer().feed(await reader.read(65536))
         assert isinstance(frames[0], Welcome), frames
         proof = Proof(b'wrong')
         if kind == 'a proven hello and then itself':
             proof = identity.prove(hello, frames[0])
-        writer.write(encode_frame(proof))
-        writer.write(encode_frame(hello))
+        writer.write(encode_frame(proof, CLOCK.issue()))
+        writer.write(encode_frame(hello, CLOCK.issue()))
     with contextlib.suppress(ConnectionError):
         await reader.read()
     writer.close()
--- a/tests/steps/tls_steps.py
+++ b/tests/steps/tls_steps.py
@@ -97,7 +97,7 @@
     )
     context.authority_file = files['authority']
     context.deployment.start_controls()
-    context.deployment.start_upstreams({'job-sheets': count})
+    context.deployment.start_upstreams({'job-sheets': count, 'archive': 1})
 
 
 @then('a control client without a certificate gets no answer')
--- a/tests/timeline/timeline.feature
+++ b/tests/timeline/timeline.feature
@@ -6,6 +6,14 @@
     And the time line process "b" records "attempt-finished"
     Then the merged time line is "a attempt-started, b attempt-finished"
 
+  Scenario: A link carries the clock with every frame
+    Given time line clocks "a" at 100 and "b" at 40
+    When a frame of the time line process "a" after "attempt-sent" reaches "b"
+    And the time line process "b" records "attempt-started"
+    Then the merged time line is "a attempt-sent, b attempt-started"
+    When a peer sends "a" a frame stamped with the highest count
+    Then the time line process "a" still sends frames in order
+
   Scenario: A stamp from far in the future does not move other clocks
     Given time line clocks "a" at 90000000000 and "b" at 40
     When the time line process "a" records "link-opened" and its stamp reaches "b"
@@ -84,6 +92,10 @@
     And the program complains "timeline: a: older events are overwritten (7 since its start)"
     And the program complains "timeline: b: gave an answer that has no meaning"
     And the program complains "timeline: d1: advertises no admin address"
+    Given a stand-in replica "b" that answers "GET /v1/events" with 200 application/json {"process":"b","overwritten":0,"gap":false,"more":true,"events":[{"time":[5,0],"process":"b","kind":"link-closed"}]}
+    When the operator types "timeline"
+    Then the program ends with 0 and prints "b                link-closed"
+    And the program complains "timeline: b: gave events out of order"
     When the operator types "timeline --html /nowhere/page.html"
     Then the program ends with 2 and complains "timeline: /nowhere/page.html: No such file or directory"
 
@@ -92,11 +104,13 @@
     And the file "examples/cedarline.toml" is in force everywhere
     When a client sends GET "/job-sheets/sheets/17" through "work-orders-0"
     And the operator asks for the time line of that call
-    Then the path of the call is "job-sheets-0 attempt-started, job-sheets-0 attempt-finished, work-orders-0 call-answered"
+    Then the path of the call is "work-orders-0 call-received, work-orders-0 attempt-sent, job-sheets-0 attempt-started, job-sheets-0 attempt-finished, work-orders-0 call-answered"
     When the operator asks for the time line of "--process work-orders-0 --kind state-change"
     Then the path of the call is "work-orders-0 state-change"
     When the operator asks for the time line of "--service job-sheets --kind call-answered,call-refused"
     Then the path of the call is "work-orders-0 call-answered"
+    When the operator asks for the time line of "--process job-sheets-0 --kind link-opened"
+    Then the path of the call is "job-sheets-0 link-opened"
     When the operator follows the time line for a moment
     Then each event is shown once and in causal order
     When the operator writes the time line page
