--- a/tests/request/outcome_fuzz.feature
+++ b/tests/request/outcome_fuzz.feature
@@ -31,10 +31,10 @@
       | retired entries    |
 
   Scenario Outline: Scenes with <event> are safe and find a path without <part>
-    When the fuzzer of the request path plays 60 scenes with <event>
+    When the fuzzer of the request path plays 200 scenes with <event>
     Then the fuzzer found no broken promise
     Given a request path without <part>
-    When the fuzzer of the request path plays 60 scenes with <event>
+    When the fuzzer of the request path plays 200 scenes with <event>
     Then the fuzzer found a broken promise
 
     Examples:
