--- a/burdocklead/connection/control_messages.py
+++ b/burdocklead/connection/control_messages.py
@@ -97,6 +97,18 @@
     age_ms: float
 
 
+class Renewal(msgspec.Struct, frozen=True, array_like=True):
+    """When a present daemon was last heard of.
+
+    Attributes:
+        daemon_id: The daemon.
+        age_ms: Time since then.
+    """
+
+    daemon_id: str
+    age_ms: float
+
+
 class Heartbeat(msgspec.Struct, frozen=True, tag=True):
     """A daemon describes itself and asks for what changed."""
 
@@ -118,6 +130,7 @@
         quorum_age_ms: Time since the replica last heard of a quorum.
         time: Hybrid time of the replica.
         replica_set: The replica set if newer than the known epoch.
+        renewals: Leases of all present daemons, for replicas only.
     """
 
     cursor: Cursor
@@ -127,6 +140,7 @@
     quorum_age_ms: float
     time: HybridTime
     replica_set: ReplicaSet | None = None
+    renewals: tuple[Renewal, ...] = ()
 
 
 class Exchange(msgspec.Struct, frozen=True, tag=True):
--- a/burdocklead/durable/proposer.py
+++ b/burdocklead/durable/proposer.py
@@ -24,8 +24,8 @@
 from burdocklead.durable.tally import PhaseResult, Tally
 from burdocklead.exceptions import BurdockleadError, QuorumError
 
-MAX_ROUNDS = 12
-BACKOFF_S = 0.01
+MAX_ROUNDS = 60
+MIN_ROUND_S = 0.005
 PHASE_TIMEOUT_S = 2.0
 FIRST_BALLOT_TIMEOUT_S = 0.25
 FIRST_BALLOT_PAUSE_S = 5.0
@@ -92,17 +92,27 @@
             QuorumError: If no quorum answered or rounds kept conflicting;
                 the update may yet take effect.
         """
+        loop = asyncio.get_running_loop()
         async with self.locks.hold(key):
             value = await self._run_shortcut(key, update, maybe_new)
-            for attempt in range(MAX_ROUNDS):
+            for _ in range(MAX_ROUNDS):
                 if value is not None:
                     return value
+                started = loop.time()
                 value = await self._run_round(key, update)
                 if value is None:
-                    pause = BACKOFF_S * (attempt + 1) * self.jitter.random()
-                    await asyncio.sleep(pause)
+                    await self._pause(loop.time() - started)
         raise QuorumError('other proposers kept winning', step=STEP)
 
+    async def _pause(self, round_time: float) -> None:
+        """Wait up to twice the time of a round.
+
+        It does not grow with the rounds lost: then the loser would wait
+        long, while who won goes on at once and wins again.
+        """
+        limit = 2 * max(round_time, MIN_ROUND_S)
+        await asyncio.sleep(limit * self.jitter.random())
+
     async def _run_shortcut(
         self, key: str, update: Update, maybe_new: bool
     ) -> bytes | None:
--- a/tests/steps/operator_steps.py
+++ b/tests/steps/operator_steps.py
@@ -58,6 +58,7 @@
 
     do_GET = handle_request
     do_PUT = handle_request
+    do_POST = handle_request
 
     def log_message(self, *arguments):
         """Keep quiet."""
