--- a/Makefile
+++ b/Makefile
@@ -4,9 +4,11 @@
 STAMP = $(VENV)/installed.stamp
 SEED ?= 1
 COUNT ?= 1000
+SCENARIO ?= latency
+SECONDS ?= 12
 export PYTHONPATH = $(CURDIR)
 
-.PHONY: demo test fuzz model-check lint format types docs check clean
+.PHONY: demo test fuzz model-check reference lint format types docs check bench clean
 
 demo: $(STAMP)
 	$(PYTHON) -m devtools.demo
@@ -32,6 +34,12 @@
 types: $(STAMP)
 	$(VENV)/bin/mypy
 
+bench: $(STAMP)
+	$(PYTHON) -m devtools.bench --scenario $(SCENARIO) --seed $(SEED) --seconds $(SECONDS)
+
+reference: $(STAMP)
+	$(PYTHON) -m devtools.reference_pages
+
 docs: $(STAMP)
 	$(VENV)/bin/sphinx-build -q -W -b html docs docs/_build
 
--- a/burdocklead/clock.py
+++ b/burdocklead/clock.py
@@ -9,6 +9,8 @@
 import msgspec
 
 NS_PER_MS = 1_000_000
+MAX_COUNT = 2**32 - 1
+MAX_AHEAD_NS = 60_000_000_000
 
 
 class HybridTime(msgspec.Struct, frozen=True, array_like=True, order=True):
@@ -25,21 +27,39 @@
 
 @dataclass(slots=True)
 class HybridClock:
-    """Issues stamps later than all that were issued or observed."""
+    """Issues stamps later than all that were issued or observed.
+
+    Attributes:
+        wall_ns: Returns the wall clock in ns.
+        last: Latest stamp issued or observed.
+        ignored: Stamps too far ahead of the own wall clock to be observed.
+    """
 
     wall_ns: Callable[[], int] = time.time_ns
     last: HybridTime = field(default_factory=lambda: HybridTime(0, 0))
+    ignored: int = 0
 
     def issue(self) -> HybridTime:
         """Return a stamp for a local event."""
         now_ns = self.wall_ns()
         if now_ns > self.last.wall_ns:
             self.last = HybridTime(now_ns, 0)
-        else:
+        elif self.last.count < MAX_COUNT:
             self.last = HybridTime(self.last.wall_ns, self.last.count + 1)
+        else:
+            self.last = HybridTime(self.last.wall_ns + 1, 0)
         return self.last
 
     def observe(self, stamp: HybridTime) -> None:
-        """Take note of a stamp received from another process."""
-        if stamp > self.last:
-            self.last = stamp
+        """Take note of a stamp received from another process.
+
+        A stamp from far in the future is ignored, or one VM with a wrong
+        clock would move the time line of all the others.
+        """
+        if stamp <= self.last:
+            return
+        ahead_ns = stamp.wall_ns - self.wall_ns()
+        if ahead_ns > MAX_AHEAD_NS or stamp.count > MAX_COUNT:
+            self.ignored += 1
+            return
+        self.last = stamp
--- a/burdocklead/connection/frames.py
+++ b/burdocklead/connection/frames.py
@@ -7,11 +7,13 @@
 
 import msgspec
 
+from burdocklead.clock import HybridTime
 from burdocklead.exceptions import LinkError
 from burdocklead.values import LoadReport, RefusalCause
 from burdocklead.version.deployment import Priority
 
-LENGTH = struct.Struct('>I')
+# Length of the payload in bytes, then the sender's hybrid time.
+HEADER = struct.Struct('>IQI')
 MAX_FRAME_BYTES = 80 * 1024 * 1024
 Headers = tuple[tuple[str, str], ...]
 
@@ -22,13 +24,38 @@
     never_seen = 'never-seen'
     running = 'running'
     done = 'done'
+    forgotten = 'forgotten'
 
 
 class Hello(msgspec.Struct, frozen=True, tag='hello', array_like=True):
-    """First frame of each side: who is speaking."""
+    """First frame of a link: who connects and whom it means to reach.
+
+    Attributes:
+        daemon_id: Daemon that connects.
+        incarnation: Its incarnation.
+        nonce: Random bytes that the reply has to prove.
+        wanted_id: Daemon that is meant.
+    """
 
     daemon_id: str
     incarnation: int
+    nonce: bytes = b''
+    wanted_id: str = ''
+
+
+class Welcome(msgspec.Struct, frozen=True, tag='welcome', array_like=True):
+    """Reply to a hello: who was reached, with the proof of the cluster key."""
+
+    daemon_id: str
+    incarnation: int
+    nonce: bytes
+    proof: bytes
+
+
+class Proof(msgspec.Struct, frozen=True, tag='proof', array_like=True):
+    """Third frame: the connecting side proves the cluster key."""
+
+    proof: bytes
 
 
 class Attempt(msgspec.Struct, frozen=True, tag='attempt', array_like=True):
@@ -94,18 +121,26 @@
         attempt_id: The attempt.
         reason: What was seen, in a few words.
         crash_suspected: True if the upstream closed without an answer.
+        load: Load beside the upstream.
+        final: False if a later question may still bring the truth.
     """
 
     attempt_id: str
     reason: str
     crash_suspected: bool
     load: LoadReport
+    final: bool = True
 
 
 class Cancel(msgspec.Struct, frozen=True, tag='cancel', array_like=True):
-    """The answer of an attempt is no longer wanted."""
+    """The answer of an attempt is no longer wanted; asks like a query.
+
+    A waiting attempt is withdrawn, a running idempotent one is cut, any
+    other goes on.
+    """
 
     attempt_id: str
+    incarnation: int
 
 
 class Query(msgspec.Struct, frozen=True, tag='query', array_like=True):
@@ -121,7 +156,8 @@
     Attributes:
         attempt_id: The attempt asked for.
         incarnation: Incarnation of the daemon that replies.
-        state: What it knows; ``never_seen`` means fenced from now on.
+        state: What it knows; ``never_seen`` means fenced from now on,
+            ``forgotten`` that it may have run.
         result: The result if the attempt is done.
     """
 
@@ -147,6 +183,8 @@
 AttemptResult = Answer | Refusal | Lost
 Frame = (
     Hello
+    | Welcome
+    | Proof
     | Attempt
     | Answer
     | Refusal
@@ -162,19 +200,26 @@
 _decoder: msgspec.msgpack.Decoder[Frame] = msgspec.msgpack.Decoder(Frame)
 
 
-def encode_frame(frame: Frame) -> bytes:
-    """Return a frame with its length before it."""
+def encode_frame(frame: Frame, time: HybridTime) -> bytes:
+    """Return a frame with its length and the sender's time before it."""
     payload = _encoder.encode(frame)
-    return LENGTH.pack(len(payload)) + payload
+    return HEADER.pack(len(payload), time.wall_ns, time.count) + payload
 
 
 class FrameBuffer:
-    """Cuts a byte stream into frames."""
+    """Cuts a byte stream into frames.
+
+    Attributes:
+        max_bytes: Largest payload in bytes.
+        received: Bytes of frames that are not complete.
+        latest: Latest time that a complete frame was sent at.
+    """
 
     def __init__(self, max_bytes: int = MAX_FRAME_BYTES) -> None:
         """Start empty."""
         self.max_bytes = max_bytes
         self.received = bytearray()
+        self.latest = HybridTime(0, 0)
 
     def feed(self, chunk: bytes) -> list[Frame]:
         """Return the frames completed by a chunk.
@@ -185,15 +230,18 @@
         self.received += chunk
         frames: list[Frame] = []
         position = 0
-        while len(self.received) - position >= LENGTH.size:
-            length = LENGTH.unpack_from(self.received, position)[0]
+        latest = self.latest.wall_ns, self.latest.count
+        while len(self.received) - position >= HEADER.size:
+            length, *sent_at = HEADER.unpack_from(self.received, position)
             if length > self.max_bytes:
                 raise LinkError('frame is too large', step='receive')
-            start = position + LENGTH.size
+            start = position + HEADER.size
             if len(self.received) < start + length:
                 break
             frames.append(_decode(bytes(self.received[start : start + length])))
+            latest = max(latest, tuple(sent_at))
             position = start + length
+        self.latest = HybridTime(*latest)
         del self.received[:position]
         return frames
 
--- a/burdocklead/metrics.py
+++ b/burdocklead/metrics.py
@@ -4,8 +4,10 @@
 
 import enum
 from dataclasses import dataclass
+from typing import Any
 
 from aioprometheus import Counter, Gauge, Histogram, Registry
+from aioprometheus.histogram import Histogram as BucketCounts
 from aioprometheus.renderer import render
 
 LATENCY_BOUNDS_S = (
@@ -22,6 +24,8 @@
     1,
     2,
     5,
+    10,
+    30,
 )
 
 
@@ -50,44 +54,84 @@
     labels: tuple[str, ...] = ()
 
 
+DECLARED: list[Metric] = []
+
+
+def _declare(metric: Metric) -> Metric:
+    DECLARED.append(metric)
+    return metric
+
+
 def _counter(name: str, text: str, *labels: str) -> Metric:
-    return Metric(f'burdocklead_{name}_total', MetricKind.counter, text, labels)
+    full_name = f'burdocklead_{name}_total'
+    return _declare(Metric(full_name, MetricKind.counter, text, labels))
 
 
 def _gauge(name: str, text: str, *labels: str) -> Metric:
-    return Metric(f'burdocklead_{name}', MetricKind.gauge, text, labels)
+    full_name = f'burdocklead_{name}'
+    return _declare(Metric(full_name, MetricKind.gauge, text, labels))
 
 
 def _seconds(name: str, text: str, *labels: str) -> Metric:
     full_name = f'burdocklead_{name}_seconds'
-    return Metric(full_name, MetricKind.histogram, text, labels)
+    return _declare(Metric(full_name, MetricKind.histogram, text, labels))
 
 
 CALLS = _counter('calls', 'Calls of clients.', 'service', 'outcome')
 CALL_SECONDS = _seconds('call', 'Time of calls.', 'service', 'outcome')
 REFUSALS = _counter('refusals', 'Calls refused to clients.', 'cause')
 ATTEMPTS = _counter('attempts', 'Attempts by result.', 'result')
+QUEUE_SECONDS = _seconds('queue', 'Time attempts waited for a slot.')
+RETRY_BUDGET = _gauge(
+    'retry_budget_left', 'Retries that may be sent.', 'service'
+)
+MEMBERS = _gauge('members', 'Daemons known.', 'state')
+UPSTREAM_CALLS = _gauge('upstream_calls', 'Calls beside this daemon.', 'state')
+UPSTREAM_LIMIT = _gauge('upstream_limit', 'Calls let run at the same time.')
+UPSTREAM_SLOTS = _gauge('upstream_slots', 'Slots that the upstream announced.')
+QUORUM_AGE = _gauge('quorum_age_seconds', 'Time since a quorum was heard of.')
+STORE_SYNCS = _counter('store_syncs', 'Syncs of the durable file.')
+STORE_BYTES = _counter('store_written_bytes', 'Bytes written to that file.')
+EVENTS_OVERWRITTEN = _counter('events_overwritten', 'Events overwritten.')
+CLOCK_IGNORED = _counter('clock_ignored', 'Stamps too far ahead to observe.')
+UNEXPECTED_ERRORS = _counter('unexpected_errors', 'Errors no code expected.')
+READY = _gauge('ready', '1 if the process takes work, else 0.')
+CONTROL_MESSAGES = _counter('control_messages', 'Requests to control.')
 CONTROL_BYTES = _counter('control_bytes', 'Control traffic.', 'direction')
 CONTROL_UNPROVED = _counter(
     'control_unproved', 'Control messages without proof of the cluster key.'
 )
 CONTROL_BAD = _counter('control_bad', 'Control messages not decoded.')
+INTERNAL_ERRORS = _counter('internal_errors', 'Calls that failed within.')
+LATE_RESULTS = _counter('late_results', 'Results that nobody waited for.')
+LINK_ENDS = _counter('link_ends', 'Links ended by reason.', 'reason')
+LINK_PINGS = _counter('link_pings', 'Pings on links in use.')
+LINKS_OPEN = _gauge('links_open', 'Links of other daemons.')
+RETRIES = _counter('retries', 'Retries started or refused.', 'result')
+HEDGES = _counter('hedges', 'Hedges by what became of them.', 'result')
+PROBES = _counter('probes', 'Probes of upstreams.', 'result')
+MEASURING_MESSAGES = _counter('measuring_messages', 'Probes and their replies.')
+MEASURING_BYTES = _counter(
+    'measuring_bytes', 'Bytes of those with packet headers.'
+)
+SIGNAL_DEAD = _counter(
+    'signal_dead', 'Load signals found dead under traffic.', 'reason'
+)
 VERSION = _gauge('version_in_force', 'Configuration version in force.')
 
-DECLARED = (
-    CALLS,
-    CALL_SECONDS,
-    REFUSALS,
-    ATTEMPTS,
-    CONTROL_BYTES,
-    CONTROL_UNPROVED,
-    CONTROL_BAD,
-    VERSION,
-)
+SeriesKey = tuple[Metric, tuple[str, ...]]
 
 
 class MetricSet:
-    """The metrics of one process."""
+    """The metrics of one process.
+
+    A counter of the library builds its key from the labels at each call, so
+    counts are kept here and handed to the library for each scrape.
+
+    Attributes:
+        counts: Counts not yet handed over.
+        histograms: Histograms of the library by metric and labels.
+    """
 
     def __init__(self) -> None:
         """Register every declared metric."""
@@ -95,27 +139,46 @@
         self.collectors = {
             metric.name: self._collector_of(metric) for metric in DECLARED
         }
+        self.counts: dict[SeriesKey, float] = {
+            (metric, ()): 0
+            for metric in DECLARED
+            if metric.kind is MetricKind.counter and not metric.labels
+        }
+        self.histograms: dict[SeriesKey, Any] = {}
 
     def count(self, metric: Metric, *labels: str, amount: float = 1) -> None:
         """Add to a counter."""
-        named = dict(zip(metric.labels, labels, strict=True))
-        self.collectors[metric.name].add(named, amount)
+        key = (metric, labels)
+        self.counts[key] = self.counts.get(key, 0) + amount
 
     def set(self, metric: Metric, number: float, *labels: str) -> None:
-        """Set a gauge."""
-        named = dict(zip(metric.labels, labels, strict=True))
-        self.collectors[metric.name].set(named, number)
+        """Set a gauge, or a counter that is kept elsewhere."""
+        self.collectors[metric.name].set(_named(metric, labels), number)
 
     def observe(self, metric: Metric, seconds: float, *labels: str) -> None:
         """Add a time in s to a histogram."""
-        named = dict(zip(metric.labels, labels, strict=True))
-        self.collectors[metric.name].observe(named, seconds)
+        histogram = self.histograms.get((metric, labels))
+        if histogram is None:
+            histogram = self._histogram_of(metric, labels)
+        histogram.observe(seconds)
 
     def render(self, accepted: list[str]) -> tuple[bytes, dict[str, str]]:
         """Return the page for a scraper and its headers."""
+        for (metric, labels), amount in self.counts.items():
+            named = _named(metric, labels)
+            self.collectors[metric.name].add(named, amount)
+        self.counts.clear()
         content, headers = render(self.registry, accepted)
         return content, headers
 
+    def _histogram_of(self, metric: Metric, labels: tuple[str, ...]) -> Any:
+        collector = self.collectors[metric.name]
+        named = _named(metric, labels)
+        histogram = BucketCounts(*LATENCY_BOUNDS_S)
+        collector.set_value(named, histogram)
+        self.histograms[metric, labels] = histogram
+        return histogram
+
     def _collector_of(self, metric: Metric) -> Counter | Gauge | Histogram:
         if metric.kind is MetricKind.histogram:
             return Histogram(
@@ -127,3 +190,7 @@
         return metric.kind.value(
             metric.name, metric.help, registry=self.registry
         )
+
+
+def _named(metric: Metric, labels: tuple[str, ...]) -> dict[str, str]:
+    return dict(zip(metric.labels, labels, strict=True))
--- a/burdocklead/process/daemon_parts.py
+++ b/burdocklead/process/daemon_parts.py
@@ -2,26 +2,28 @@
 
 from __future__ import annotations
 
-import asyncio
 import random
 import time
 
 from burdocklead.clock import HybridClock
 from burdocklead.connection.control_client import ControlGroup
 from burdocklead.connection.frames import Hello
+from burdocklead.connection.handshake import LinkIdentity
 from burdocklead.connection.link_server import LinkServer
 from burdocklead.connection.peer_access import load_peer_access
-from burdocklead.events import EventRing
-from burdocklead.metrics import MetricSet
+from burdocklead.events import EventKind, EventRing
+from burdocklead.metrics import SIGNAL_DEAD, MetricSet
 from burdocklead.process.caller_http import CallerPages
 from burdocklead.process.directory import DaemonDirectory
-from burdocklead.request.attempt_runner import AttemptRunner
+from burdocklead.request.attempt_journal import AttemptJournal
 from burdocklead.request.dispatch import Dispatcher
 from burdocklead.request.execution import AttemptExecutor
 from burdocklead.request.keyed_call import KeyedCalls
+from burdocklead.request.local_link import LocalLink
+from burdocklead.request.recording_runner import RecordingRunner
 from burdocklead.request.routing import Router
+from burdocklead.request.signal_watch import SignalWatch
 from burdocklead.settings import DaemonSettings
-from burdocklead.values import LoadReport
 
 
 class DaemonParts:
@@ -34,37 +36,71 @@
         self.events = EventRing(settings.daemon_id, self.clock)
         self.metrics = MetricSet()
         self.incarnation = time.time_ns()
-        self.rng = random.Random(self.incarnation)
-        self.executor = AttemptExecutor(self.incarnation)
-        self.router = Router(settings.zone, self.rng)
+        rng = random.Random(self.incarnation)
+        self.executor = AttemptExecutor(
+            settings,
+            self.incarnation,
+            AttemptJournal(self.events, self.metrics),
+        )
+        self.router = Router(settings.zone, rng, SignalWatch(self.tell_signal))
         self.access = load_peer_access(settings)
         self.control = ControlGroup(settings.control, self.access)
-        hello = Hello(settings.daemon_id, self.incarnation)
+        identity = LinkIdentity(
+            Hello(settings.daemon_id, self.incarnation),
+            self.access,
+            self.clock,
+        )
         self.directory = DaemonDirectory(
-            hello, self.executor, self.events, self.observe_load
+            settings,
+            identity,
+            LocalLink(self.executor),
+            self.events,
+            self.metrics,
+            self.router,
         )
         prefix = f'{settings.daemon_id}.{self.incarnation:x}'
         self.dispatcher = Dispatcher(
             prefix,
             self.directory,
-            AttemptRunner(self.directory, self.router),
+            RecordingRunner(self.directory, self.router, self.events),
             self.router,
-            self.rng,
+            rng,
+            self.metrics,
         )
-        keyed_calls = KeyedCalls(
-            self.dispatcher, self.control, self.directory.find_member
+        self.keyed_calls = KeyedCalls(
+            self.dispatcher, self.control.request, self.answer_limit
         )
         self.callers = CallerPages(
-            settings,
             self.directory,
             self.dispatcher,
-            keyed_calls,
+            self.keyed_calls,
             self.events,
             self.metrics,
         )
-        self.links = LinkServer(self.executor)
+        self.links = LinkServer(
+            self.executor, identity, settings, self.metrics, self.events
+        )
 
-    def observe_load(self, daemon_id: str, load: LoadReport) -> None:
-        """Pass a load report to the router."""
-        now = asyncio.get_running_loop().time()
-        self.router.observe_load(daemon_id, load, now)
+    def tell_signal(self, daemon_id: str, reason: str) -> None:
+        """Count and record a load signal that died or came back."""
+        if reason:
+            self.metrics.count(SIGNAL_DEAD, reason.replace(' ', '-'))
+        self.events.record(
+            EventKind.signal_dead,
+            peer=daemon_id,
+            detail=reason or 'alive again',
+        )
+
+    def answer_limit(self) -> int:
+        """Return the largest answer of a keyed call that is kept in bytes."""
+        deployment = self.directory.deployment()
+        return deployment.claims.max_answer_bytes if deployment else 0
+
+    def is_working(self) -> bool:
+        """Return True while a call or an attempt is in progress here."""
+        return bool(
+            self.links.tasks
+            or self.executor.executions
+            or self.callers.in_progress
+            or self.keyed_calls.pending
+        )
--- a/burdocklead/process/replica_http.py
+++ b/burdocklead/process/replica_http.py
@@ -15,13 +15,9 @@
     SetChangeError,
 )
 from burdocklead.options import SocketAddress
-from burdocklead.process.admin_http import (
-    BAD_REQUEST,
-    UNAVAILABLE,
-    error_response,
-    json_response,
-)
+from burdocklead.process.admin_http import BAD_REQUEST, UNAVAILABLE
 from burdocklead.process.control_replica import ControlReplica
+from burdocklead.process.json_pages import error_response, json_response
 
 ACCEPTED = 202
 CONFLICT = 409
--- a/devtools/upstream.py
+++ b/devtools/upstream.py
@@ -20,7 +20,8 @@
 from aiohttp import ClientError, ClientSession, ClientTimeout, web
 
 from burdocklead.options import FilePath, SocketAddress
-from burdocklead.process.admin_http import json_response, start_site
+from burdocklead.process.admin_http import start_site
+from burdocklead.process.json_pages import json_response
 from burdocklead.process.lifecycle import write_ready_file
 from burdocklead.process.own_member import Announcement
 from burdocklead.request.headers import (
@@ -33,6 +34,7 @@
 
 MS_PER_S = 1000
 CRASH_HEADER = 'Crash-Upstream'
+ANSWER_HEADER = 'Answer'
 WORK_HEADER = 'Work-Ms'
 MARK = 'Mark'
 CRASH_EXIT_CODE = 70
@@ -68,6 +70,20 @@
     answer_bytes: int = 100
 
 
+class ScriptedAnswer(msgspec.Struct, frozen=True):
+    """An answer that a caller asks for with the ``Answer`` header.
+
+    Attributes:
+        status: HTTP status.
+        headers: Headers in order.
+        body: Text of the body.
+    """
+
+    status: int
+    headers: tuple[tuple[str, str], ...] = ()
+    body: str = ''
+
+
 class Executions(msgspec.Struct, frozen=True):
     """What the stand-in ran.
 
@@ -90,6 +106,18 @@
     highest_busy: int
 
 
+class LoadPage(msgspec.Struct, frozen=True):
+    """The load that the stand-in reports.
+
+    Attributes:
+        busy: Calls that run now.
+        slots: Slots that it claims to have.
+    """
+
+    busy: int
+    slots: int
+
+
 class StandInUpstream:
     """Serves calls with slots and a set service time."""
 
@@ -116,6 +144,7 @@
             [
                 web.put('/-/behaviour', self.set_behaviour),
                 web.get('/-/executions', self.show_executions),
+                web.get('/-/load', self.show_load),
                 web.route('*', '/{path:.*}', self.serve),
             ]
         )
@@ -142,6 +171,11 @@
             )
         )
 
+    async def show_load(self, request: web.Request) -> web.Response:
+        """Return the load as reported, true or not."""
+        slots = self.behaviour.reported_slots or self.slots
+        return json_response(LoadPage(self.busy, slots))
+
     async def serve(self, request: web.Request) -> web.Response:
         """Run one call."""
         if self.rng.random() < self.behaviour.shed_share:
@@ -195,14 +229,30 @@
             await asyncio.sleep(0.01)
 
     def _answer(self, request: web.Request, body: bytes) -> web.Response:
+        scripted = request.headers.get(ANSWER_HEADER)
+        if scripted is not None:
+            return _scripted_answer(scripted)
         mark = request.headers.get(MARK, '')
         filler = 'x' * max(self.behaviour.answer_bytes - len(mark), 0)
         return web.Response(
             text=f'{mark}\n{filler}',
-            headers={MARK: mark, 'Received-Bytes': str(len(body))},
+            headers={
+                MARK: mark,
+                'Received-Bytes': str(len(body)),
+                'Received-Headers': ','.join(request.headers).lower(),
+            },
         )
 
 
+def _scripted_answer(text: str) -> web.Response:
+    scripted = msgspec.json.decode(text, type=ScriptedAnswer)
+    response = web.Response(status=scripted.status, body=scripted.body.encode())
+    response.headers.popall('Content-Type', None)
+    for name, header in scripted.headers:
+        response.headers.add(name, header)
+    return response
+
+
 def _number(request: web.Request, name: str, default: float) -> float:
     text = request.headers.get(name)
     return default if text is None else float(text)
--- a/tests/durable/replica_set.feature
+++ b/tests/durable/replica_set.feature
@@ -24,7 +24,7 @@
     And 30 claims are held by way of "control-0"
     And control replica "control-2" is lost
     And control replica "control-1" restarts
-    And "control-3" replaces "control-2" by way of "control-0"
+    And an operator replaces "control-2" by "control-3"
     And control replica "control-0" is lost
     Then "control-3" refuses version 2 with another content
     And the 30 claims are still held by way of "control-3"
