--- /dev/null
+++ b/tests/steps/lease_steps.py
@@ -0,0 +1,92 @@
+"""Steps for leases of daemons and the age of a quorum."""
+
+from __future__ import annotations
+
+from behave import given, then, when
+
+from burdocklead.connection.control_messages import MemberUpdate, Renewal
+from burdocklead.durable.replica_set import NEVER_S
+from burdocklead.process.membership import MembershipView
+from burdocklead.values import Address, Member
+
+NOWHERE = Address('127.0.0.1', 1)
+MS_PER_S = 1000
+MEMBER = Member(
+    daemon_id='d1',
+    incarnation=1,
+    revision=1,
+    zone='victoria',
+    link=NOWHERE,
+    http=NOWHERE,
+)
+
+
+@given(
+    'a membership view with a lease of {lease:d} s that heard a daemon at '
+    '{at:g} s'
+)
+def make_view(context, lease, at):
+    """Make a view with one daemon."""
+    context.view = MembershipView('a', 1, lease)
+    context.view.observe(MEMBER, at)
+
+
+@when(
+    'another replica says at {at:g} s that it heard the daemon {age:g} s before'
+)
+def renew(context, at, age):
+    """Pass on a renewal."""
+    context.view.renew([Renewal('d1', age * MS_PER_S)], at)
+
+
+@when(
+    'another replica says at {at:g} s that the daemon is gone, heard {age:g} '
+    's before'
+)
+def pass_on_gone(context, at, age):
+    """Pass on that the daemon is gone."""
+    update = MemberUpdate(MEMBER, gone=True, age_ms=age * MS_PER_S)
+    context.view.merge([update], at)
+
+
+@then('nobody expires at {at:g} s')
+def check_nobody(context, at):
+    """Expire leases and expect none."""
+    assert not context.view.expire(at)
+
+
+@then('the daemon expires at {at:g} s')
+def check_expires(context, at):
+    """Expire leases and expect the daemon."""
+    assert context.view.expire(at) == [MEMBER]
+
+
+@then('the daemon is gone')
+def check_gone(context):
+    """Expect that nobody is present."""
+    assert not context.view.present()
+
+
+@then('the daemon is present')
+def check_present(context):
+    """Expect that the daemon is present."""
+    assert context.view.present() == [MEMBER]
+
+
+def age_of(context, text):
+    """Return the quorum age for ages by replica, as ``a 0, b 1``."""
+    pairs = [part.split() for part in text.split(', ')]
+    ages = {name: float(age) for name, age in pairs}
+    return context.set.quorum_age(ages)
+
+
+@then('the quorum age of {text} is {age:d} s')
+def check_age(context, text, age):
+    """Compare the age of a quorum."""
+    assert age_of(context, text) == age
+
+
+@then('the quorum age of {text} is never known')
+def check_no_age(context, text):
+    """Expect that there is no quorum."""
+    assert age_of(context, text) == NEVER_S
