--- a/tests/steps/replica_set_steps.py
+++ b/tests/steps/replica_set_steps.py
@@ -13,7 +13,7 @@
 import requests
 from behave import given, then, when
 
-from burdocklead.commands.context import CommandContext
+from burdocklead.commands.context import CommandContext, ExitCode
 from burdocklead.commands.replicas import replace_replica
 from burdocklead.connection.cluster_key import ClusterKey
 from burdocklead.connection.control_client import ControlClient
@@ -237,18 +237,22 @@
     assert status == 409, (status, context.body)
 
 
-@when('"{joining}" replaces "{leaving}" by way of "{name}"')
-def replace(context, joining, leaving, name):
+@when('an operator replaces "{leaving}" by "{joining}"')
+def replace(context, leaving, joining):
     """Replace a replica with the operators' function."""
     address = context.deployment.start_spare_control(joining)
-    reached = context.deployment.controls[name].addresses['admin']
-    flags = {'control_admin': f'{name}={reached}', 'timeout': '15'}
+    listed = ','.join(
+        f'{name}={process.addresses["admin"]}'
+        for name, process in context.deployment.controls.items()
+    )
+    flags = {'control_admin': listed, 'timeout': '15'}
     settings = read_settings(OperatorSettings, flags, {})
     output = io.StringIO()
     command = CommandContext(settings, False, output, output, {})
     code = asyncio.run(replace_replica(command, leaving, joining, address))
-    assert code == 0, output.getvalue()
-    assert leaving not in output.getvalue()
+    printed = output.getvalue()
+    assert code == ExitCode.done, printed
+    assert joining in printed and leaving not in printed, printed
 
 
 @then('"{blank}" is not ready and "{name}" accepts nothing')
