--- a/burdocklead/process/daemon_process.py
+++ b/burdocklead/process/daemon_process.py
@@ -120,7 +120,7 @@
             self.parts.metrics,
         )
         return [
-            supervisor.start('probes', prober.run_forever()),
+            supervisor.start('prober', prober.run_forever()),
             supervisor.start('heartbeats', agent.run_forever()),
             supervisor.start('lease', _expire_forever(own)),
         ]
--- a/burdocklead/process/replica_http.py
+++ b/burdocklead/process/replica_http.py
@@ -15,10 +15,7 @@
     SetChangeError,
 )
 from burdocklead.options import SocketAddress
-from burdocklead.process.admin_http import (
-    BAD_REQUEST,
-    UNAVAILABLE,
-)
+from burdocklead.process.admin_http import BAD_REQUEST, UNAVAILABLE
 from burdocklead.process.control_replica import ControlReplica
 from burdocklead.process.json_pages import error_response, json_response
 
--- a/devtools/fuzz/request_world.py
+++ b/devtools/fuzz/request_world.py
@@ -201,7 +201,7 @@
         )
         hello = Hello(self.name, incarnation)
         self.identity = LinkIdentity(
-            hello, PeerAccess(ClusterKey(b'fuzz')), HybridClock()
+            hello, PeerAccess(ClusterKey(b'fuzz')), world.events.clock
         )
         self.executor = AttemptExecutor(
             self.settings, incarnation, AttemptJournal(world.events, metrics)
