Say not known for what no replica tells; end quietly on an interrupt

Change: a list that nobody tells is "not known" (null in JSON); completion writes JSON; the interrupt has a test with a real process.

--- a/burdocklead/commands/control_pages.py
+++ b/burdocklead/commands/control_pages.py
@@ -36,6 +36,8 @@
 class ControlStatus(msgspec.Struct, frozen=True):
     """Status page of a control replica.
 
+    A replica that does not tell a list leaves it out; it is then not known.
+
     Attributes:
         replica: Name of the replica.
         version: Newest accepted version that it knows.
@@ -50,9 +52,9 @@
     version: int
     quorum: bool
     members: tuple[Member, ...]
-    drains: tuple[str, ...] = ()
-    blocked: tuple[str, ...] = ()
-    dead_signals: tuple[str, ...] = ()
+    drains: tuple[str, ...] | None = None
+    blocked: tuple[str, ...] | None = None
+    dead_signals: tuple[str, ...] | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/burdocklead/commands/status.py
+++ b/burdocklead/commands/status.py
@@ -32,7 +32,7 @@
 
 
 class StatusReport(msgspec.Struct, frozen=True):
-    """What ``status`` reports.
+    """What ``status`` reports; a list that nobody tells is None.
 
     Attributes:
         replicas: Control replicas in the order of the settings.
@@ -46,9 +46,9 @@
     replicas: tuple[ReplicaRow, ...]
     daemons: tuple[Member, ...]
     versions_in_force: dict[int, int]
-    drains: tuple[str, ...]
-    blocked: tuple[str, ...]
-    dead_signals: tuple[str, ...]
+    drains: tuple[str, ...] | None
+    blocked: tuple[str, ...] | None
+    dead_signals: tuple[str, ...] | None
 
 
 async def show_status(context: CommandContext) -> ExitCode:
@@ -104,8 +104,14 @@
     return member.incarnation, member.revision
 
 
-def _merged(groups: Iterable[tuple[str, ...]]) -> tuple[str, ...]:
-    return tuple(sorted({one for group in groups for one in group}))
+def _merged(
+    groups: Iterable[tuple[str, ...] | None],
+) -> tuple[str, ...] | None:
+    """Return all entries, None if no replica tells any list."""
+    told = [group for group in groups if group is not None]
+    if not told:
+        return None
+    return tuple(sorted(set(chain.from_iterable(told))))
 
 
 def _row_of(view: ReplicaView) -> ReplicaRow:
@@ -126,7 +132,7 @@
         ('blocked after crashes', report.blocked),
         ('dead signals', report.dead_signals),
     ):
-        context.write(f'{label}: {", ".join(names) or "none"}')
+        context.write(f'{label}: {_listed(names)}')
 
 
 def _replica_table(report: StatusReport) -> Table:
@@ -160,5 +166,11 @@
     return Table('', columns, rows)
 
 
+def _listed(names: tuple[str, ...] | None) -> str:
+    if names is None:
+        return 'not known'
+    return ', '.join(names) or 'none'
+
+
 def _yes_or_no(fact: bool) -> str:
     return 'yes' if fact else 'no'
--- a/burdocklead/commands/subcommands.py
+++ b/burdocklead/commands/subcommands.py
@@ -86,7 +86,11 @@
 async def _write_completion(
     flags: argparse.Namespace, context: CommandContext
 ) -> ExitCode:
-    context.output.write(f'{shtab.complete(build_parser(), flags.shell)}\n')
+    script = shtab.complete(build_parser(), flags.shell)
+    if context.as_json:
+        context.write_json({'shell': flags.shell, 'script': script})
+    else:
+        context.output.write(f'{script}\n')
     return ExitCode.done
 
 
--- a/tests/commands/operator_program.feature
+++ b/tests/commands/operator_program.feature
@@ -45,6 +45,19 @@
   Scenario: Completion is written for a shell
     When the operator types "completion bash"
     Then the program ends with 0 and prints "_shtab_burdocklead"
+    When the operator types "completion zsh --json"
+    Then the program ends with 0 and prints JSON where "shell" is "zsh"
+
+  Scenario: An interrupt ends the program without a traceback
+    Given a stand-in replica "a" that never answers
+    When the operator interrupts "status" while it waits
+    Then the program ends with 130 and says nothing
+
+  Scenario: A list that no replica tells is not known
+    Given a stand-in replica "a" that loses every answer
+    And the stand-in replica "a" shows version 1 with a quorum and the daemons "d1 at 1"
+    When the operator types "status"
+    Then the program ends with 0 and prints "drained by an operator: not known"
 
   Scenario: A file is accepted only when control says so
     Given a stand-in replica "a" that answers "PUT /v1/configuration" with acceptance
--- a/tests/steps/operator_steps.py
+++ b/tests/steps/operator_steps.py
@@ -5,6 +5,9 @@
 import contextlib
 import io
 import os
+import signal
+import subprocess
+import sys
 import threading
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 
@@ -14,7 +17,9 @@
 from burdocklead.commands.differences import find_differences
 from burdocklead.commands.runner import Streams, run_operator
 from burdocklead.version.configuration_file import decode_deployment, digest_of
+from devtools.local_deployment import wait_until
 
+STUCK_LIMIT_S = 20
 FILE_TEXT = """version = {version}
 [services.archive]
 queue_limit = {version}
@@ -34,6 +39,8 @@
     def __init__(self):
         super().__init__(('127.0.0.1', 0), StandInHandler)
         self.answers = {}
+        self.stuck = False
+        self.released = threading.Event()
         self.bodies = []
         threading.Thread(target=self.serve_forever, args=(0.01,)).start()
 
@@ -46,6 +53,8 @@
         self.server.bodies.append(self.rfile.read(length))
         path = self.path.partition('?')[0]
         answer = self.server.answers.get(f'{self.command} {path}')
+        if self.server.stuck:
+            self.server.released.wait(STUCK_LIMIT_S)
         if answer is None:
             self.close_connection = True
             return
@@ -85,6 +94,7 @@
 def stop_stand_ins(replicas):
     """End the stand-in replicas of a scenario."""
     for replica in replicas.values():
+        replica.released.set()
         replica.shutdown()
         replica.server_close()
 
@@ -121,6 +131,35 @@
     answers[request] = (200, 'application/json', body)
 
 
+@given('a stand-in replica "{name}" that never answers')
+def start_stuck(context, name):
+    """Start a replica that takes requests and does not answer."""
+    stand_in(context, name).stuck = True
+
+
+@when('the operator interrupts "{command}" while it waits')
+def interrupt(context, command):
+    """Run the program as a process and interrupt it."""
+    replica = stand_in(context, 'a')
+    address = f'a=127.0.0.1:{replica.server_address[1]}'
+    launcher = (
+        'import sys; from burdocklead.programs.operator import main; '
+        'sys.exit(main())'
+    )
+    process = subprocess.Popen(
+        [sys.executable, '-c', launcher, '--control-admin', address, command],
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+        text=True,
+    )
+    wait_until(lambda: replica.bodies, 'the program asks')
+    process.send_signal(signal.SIGINT)
+    printed, complaints = process.communicate()
+    context.printed = printed
+    context.complaints = complaints
+    context.code = process.returncode
+
+
 @given('the acceptance of the stand-in replica "{name}" is sent as "{kind}"')
 def change_type(context, name, kind):
     """Change the content type of the answer to a file."""
@@ -243,6 +282,13 @@
     assert 'Traceback' not in context.complaints, seen
 
 
+@then('the program ends with {code:d} and says nothing')
+def check_quiet(context, code):
+    """Compare the exit code and check that nothing was written."""
+    seen = (context.code, context.printed, context.complaints)
+    assert seen == (code, '', ''), seen
+
+
 @then('the program complains "{text}"')
 def check_complains(context, text):
     """Look for a part of standard error."""
