Show blocked requests and dead signals in the operators' status

Cause: the status of the operators' program had lines for both, and no page that filled them. Probes never left a daemon whose own upstream was the best.

Change: daemons carry the signals that they found dead in their description; control replicas show these and the requests that are blocked by the reports of all daemons. Probes ask only about other daemons' upstreams.

The step that starts crashed upstreams again waited for them and died of one that crashed at once, so that later crashes went uncounted; it waits no more.

--- a/burdocklead/process/control_http.py
+++ b/burdocklead/process/control_http.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import time
+from collections.abc import Sequence
+
 from aiohttp import web
 
 from burdocklead.exceptions import ConfigurationError, QuorumError
@@ -14,6 +17,10 @@
 )
 from burdocklead.process.control_replica import ControlReplica
 from burdocklead.process.operator_access import load_access, require_token
+from burdocklead.request.block_list import BlockList
+from burdocklead.values import Member
+from burdocklead.version.configuration_file import decode_deployment
+from burdocklead.version.deployment import Crashes
 
 CONFLICT = 409
 MAX_FILE_BYTES = 1048576
@@ -73,12 +80,26 @@
 
     async def status(self, request: web.Request) -> web.Response:
         """Return what the replica knows."""
+        members = self.replica.members.present()
         content = {
             'replica': self.replica.settings.replica_id,
             'version': self.replica.file.version,
             'quorum': self.is_ready(),
-            'members': self.replica.members.present(),
+            'members': members,
+            'blocked': self._blocked(members),
+            'dead_signals': sorted(
+                signal for member in members for signal in member.dead_signals
+            ),
             'syncs': self.replica.registers.store.syncs,
             'bytes_written': self.replica.registers.store.bytes_written,
         }
         return json_response(content)
+
+    def _blocked(self, members: Sequence[Member]) -> tuple[str, ...]:
+        """Return the requests that daemons refuse after crashes."""
+        block_list = BlockList('')
+        for member in members:
+            block_list.take(member.crashes)
+        text = self.replica.file.text
+        limits = decode_deployment(text).crashes if text else Crashes()
+        return block_list.blocked(limits, time.time())
--- a/burdocklead/process/daemon_process.py
+++ b/burdocklead/process/daemon_process.py
@@ -93,6 +93,7 @@
             self._describe(settings.link_advertise or link, http),
             self.parts.executor,
             self.parts.events,
+            self.parts.router.signals,
             notice=settings.drain_notice,
         )
         pages = DaemonPages(
@@ -116,7 +117,7 @@
         )
         prober = Prober(
             self.parts.directory,
-            ProbePlanner(self.parts.router),
+            ProbePlanner(self.parts.router, self.parts.settings.daemon_id),
             MeasuringBudget(),
             self.parts.metrics,
         )
--- a/burdocklead/process/own_member.py
+++ b/burdocklead/process/own_member.py
@@ -11,6 +11,7 @@
 from burdocklead.events import EventKind, EventRing
 from burdocklead.request.admission import admission_for
 from burdocklead.request.execution import AttemptExecutor
+from burdocklead.request.signal_watch import SignalWatch
 from burdocklead.values import Address, Member
 
 DEFAULT_LEASE_S = 3.0
@@ -52,6 +53,7 @@
         member: Last description sent.
         executor: Runs attempts at the upstream.
         events: Ring for announcements.
+        signals: Knows the load signals that are dead.
         changed: Set when control should be told at once.
         lease_ends: Loop time at which the upstream's lease ends in s.
         drains: Who wants no new work here.
@@ -62,6 +64,7 @@
     member: Member
     executor: AttemptExecutor
     events: EventRing
+    signals: SignalWatch = field(default_factory=SignalWatch)
     changed: asyncio.Event = field(default_factory=asyncio.Event)
     lease_ends: float = 0
     drains: set[DrainReason] = field(default_factory=set)
@@ -147,6 +150,13 @@
         self._refresh(version)
         return self.member
 
+    def _dead_signals(self) -> tuple[str, ...]:
+        own_id = self.member.daemon_id
+        return tuple(
+            f'load of {peer} at {own_id} {reason}'
+            for peer, reason in sorted(self.signals.dead().items())
+        )
+
     def _refresh(self, version: int) -> None:
         following = msgspec.structs.replace(
             self.member,
@@ -155,6 +165,7 @@
             draining=self.draining,
             version_in_force=version,
             crashes=self.executor.guard.block_list.own(),
+            dead_signals=self._dead_signals(),
         )
         if following == self.member:
             return
--- a/burdocklead/request/measuring.py
+++ b/burdocklead/request/measuring.py
@@ -71,10 +71,12 @@
 
     Attributes:
         router: What is known of the upstreams.
+        own_id: This daemon, which needs no probe.
         probed_at: Monotonic time of the last probe by daemon in s.
     """
 
     router: Router
+    own_id: str = ''
     probed_at: dict[str, float] = field(default_factory=dict)
 
     def plan(
@@ -90,7 +92,8 @@
                 self.router.called_at.pop(service)
                 continue
             candidates = services.get(service, Candidates())
-            best = self.router.best_drawn(candidates, now)
+            others = candidates.without((self.own_id,))
+            best = self.router.best_drawn(others, now)
             if best is not None and self._is_stale(best.daemon_id, now):
                 planned.append(best)
         return planned
--- a/burdocklead/values.py
+++ b/burdocklead/values.py
@@ -119,6 +119,7 @@
         version_in_force: Configuration version that the daemon serves.
         admin: Address of the daemon's pages for operators.
         crashes: Requests seen at crashes of the upstream.
+        dead_signals: Load signals that tell this daemon nothing.
     """
 
     daemon_id: str
@@ -133,3 +134,4 @@
     version_in_force: int = 0
     admin: Address | None = None
     crashes: tuple[CrashReport, ...] = ()
+    dead_signals: tuple[str, ...] = ()
--- a/tests/request/crashes.feature
+++ b/tests/request/crashes.feature
@@ -34,3 +34,6 @@
     Then upstreams crashed at most 2 times
     And the last crashing call has the outcome "not-run" and the cause "crash-suspect"
     And healthy calls sent meanwhile were all answered
+    When the operator runs "status"
+    Then the operator sees exit code 0 and "blocked after crashes: f60a9ece2bb838fd81c7be6aee356548"
+    And probes of every daemon are answered within 20 messages a second
--- a/tests/steps/crash_steps.py
+++ b/tests/steps/crash_steps.py
@@ -4,6 +4,8 @@
 
 import itertools
 import threading
+import time
+from collections import Counter
 
 import msgspec
 import requests
@@ -20,6 +22,7 @@
 CALL_TIMEOUT_S = 20
 HEALTHY_CALLS = 100
 AT_S = 1000
+WATCH_S = 1.5
 
 
 def _report(number, fingerprint='f', *, alone=True):
@@ -123,7 +126,6 @@
                     continue
                 self.crashes += process.popen.returncode == CRASH_EXIT_CODE
                 process.start()
-                process.wait_ready()
 
 
 class HealthyCaller(threading.Thread):
@@ -210,5 +212,31 @@
 @then('healthy calls sent meanwhile were all answered')
 def check_healthy(context):
     """Check the calls that went on."""
-    others = [told for told in context.healthy if told[0] != 'answered']
-    assert not others, (len(context.healthy), others)
+    others = Counter(context.healthy)
+    assert {outcome for outcome, _ in others} == {'answered'}, others
+
+
+def _counter(process, name, label=''):
+    page = requests.get(
+        f'http://{process.addresses["admin"]}/metrics', timeout=CALL_TIMEOUT_S
+    )
+    return sum(
+        float(line.rsplit(' ', 1)[1])
+        for line in page.text.splitlines()
+        if line.startswith(f'burdocklead_{name}_total') and label in line
+    )
+
+
+@then('probes of every daemon are answered within {limit:d} messages a second')
+def check_probes(context, limit):
+    """Count messages over some time, in which no call is sent."""
+    daemons = context.deployment.daemons.values()
+    started = time.monotonic()
+    before = [_counter(one, 'measuring_messages') for one in daemons]
+    time.sleep(WATCH_S)
+    after = [_counter(one, 'measuring_messages') for one in daemons]
+    elapsed = time.monotonic() - started
+    spent = [late - early for early, late in zip(before, after, strict=True)]
+    assert all(0 < one <= limit * (elapsed + 1) for one in spent), spent
+    answered = [_counter(one, 'probes', 'answered') for one in daemons]
+    assert all(answered), answered
