--- a/devtools/local_deployment.py
+++ b/devtools/local_deployment.py
@@ -114,51 +114,15 @@
             for index in range(count):
                 name = f'{service}-{index}'
                 names.append(name)
-                self.daemons[name] = self._daemon(name, ZONES[index % 3])
+                self.daemons[name] = daemon_process(self, name, index)
                 self.daemons[name].start()
         for name in names:
             self.daemons[name].wait_ready()
-            service = name.rpartition('-')[0]
-            self.upstreams[name] = self._upstream(name, service, slots)
+            self.upstreams[name] = upstream_process(self, name, slots)
             self.upstreams[name].start()
         for name in names:
             self.upstreams[name].wait_ready()
 
-    def _daemon(self, name: str, zone: str) -> ManagedProcess:
-        arguments = (
-            '--daemon-id',
-            name,
-            '--zone',
-            zone,
-            '--listen',
-            '127.0.0.1:0',
-            '--link-listen',
-            '127.0.0.1:0',
-            '--admin-listen',
-            '127.0.0.1:0',
-            '--control',
-            self.replica_list,
-            *self._link_flags(name),
-            *self.daemon_flags,
-        )
-        return ManagedProcess(name, self.daemon_program, arguments, self.folder)
-
-    def _link_flags(self, name: str) -> tuple[str, ...]:
-        forwarder = self.forwarders.get(name)
-        return forwarder.daemon_flags() if forwarder else ()
-
-    def _upstream(self, name: str, service: str, slots: int) -> ManagedProcess:
-        arguments = (
-            '--service',
-            service,
-            '--slots',
-            str(slots),
-            '--daemon',
-            self.daemons[name].addresses['admin'],
-        )
-        upstream = f'upstream-{name}'
-        return ManagedProcess(upstream, 'upstream', arguments, self.folder)
-
     def apply(self, path: Path) -> None:
         """Apply a file with the operators' program."""
         completed = self.run_operator('apply', str(path))
@@ -282,3 +246,50 @@
     return ManagedProcess(
         name, 'control', arguments, deployment.folder, deployment.sources
     )
+
+
+def daemon_process(
+    deployment: LocalDeployment, name: str, index: int
+) -> ManagedProcess:
+    """Return a daemon of a deployment, not started."""
+    forwarder = deployment.forwarders.get(name)
+    arguments = (
+        '--daemon-id',
+        name,
+        '--zone',
+        ZONES[index % len(ZONES)],
+        '--listen',
+        '127.0.0.1:0',
+        '--link-listen',
+        '127.0.0.1:0',
+        '--admin-listen',
+        '127.0.0.1:0',
+        '--control',
+        deployment.replica_list,
+        *(forwarder.daemon_flags() if forwarder else ()),
+        *deployment.daemon_flags,
+    )
+    return ManagedProcess(
+        name,
+        deployment.daemon_program,
+        arguments,
+        deployment.folder,
+        deployment.sources,
+    )
+
+
+def upstream_process(
+    deployment: LocalDeployment, name: str, slots: int
+) -> ManagedProcess:
+    """Return the upstream beside a daemon that serves, not started."""
+    arguments = (
+        '--service',
+        name.rpartition('-')[0],
+        '--slots',
+        str(slots),
+        '--daemon',
+        deployment.daemons[name].addresses['admin'],
+    )
+    return ManagedProcess(
+        f'upstream-{name}', 'upstream', arguments, deployment.folder
+    )
