--- a/burdocklead/connection/peer_link.py
+++ b/burdocklead/connection/peer_link.py
@@ -15,6 +15,7 @@
     Cancel,
     Frame,
     Lost,
+    Ping,
     Pong,
     Query,
     Refusal,
@@ -138,6 +139,20 @@
         with contextlib.suppress(LinkError):
             self._send(cancel, urgent=True)
 
+    def probe(self) -> None:
+        """Ask for the load over the open link; the reply is handed on.
+
+        The link does not count as used, so that probes keep none open.
+
+        Raises:
+            LinkError: If the link is closed.
+        """
+        if self.protocol is None:
+            raise LinkError(
+                'connection is closed', step='probe', peer=self.daemon_id
+            )
+        self.protocol.send(Ping(0))
+
     def is_waiting(self) -> bool:
         """Return True while an attempt or a question is in progress."""
         return bool(self.results or self.verdicts)
@@ -209,7 +224,10 @@
         tls = self.identity.client_tls()
         _, protocol = await loop.create_connection(
             lambda: FrameProtocol(
-                self._receive, self._closed, self.settings.max_frame_bytes()
+                self._receive,
+                self._closed,
+                self.identity.clock,
+                self.settings.max_frame_bytes(),
             ),
             self.address.host,
             self.address.port,
--- a/burdocklead/process/prober.py
+++ b/burdocklead/process/prober.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Coroutine
+import contextlib
 from dataclasses import dataclass
-from typing import Any
 
+from burdocklead.connection.peer_link import PeerLink
 from burdocklead.exceptions import LinkError
 from burdocklead.metrics import (
     MEASURING_BYTES,
@@ -16,33 +16,30 @@
 )
 from burdocklead.process.directory import DaemonDirectory
 from burdocklead.request.measuring import MeasuringBudget, ProbePlanner
-from burdocklead.values import Member
 
 PROBE_INTERVAL_S = 0.05
 PROBE_TIMEOUT_S = 0.5
 PROBE_MESSAGES = 2
-PROBE_BYTES = 160
+PROBE_BYTES = 184
 SILENT_WEIGHT = 2
 
-Probe = Callable[[Member], Coroutine[Any, Any, None]]
-
 
 @dataclass(frozen=True, slots=True)
 class Prober:
     """Sends probes where knowledge is old and a call would go.
 
+    Only open links carry probes: an upstream that calls go to has one.
+
     Attributes:
         directory: Upstreams by service.
         planner: Chooses whom to ask.
         budget: Messages and bytes that may be spent.
-        probe: Asks a daemon for its load or raises LinkError.
         metrics: Counts probes, messages and bytes.
     """
 
     directory: DaemonDirectory
     planner: ProbePlanner
     budget: MeasuringBudget
-    probe: Probe
     metrics: MetricSet
 
     async def run_forever(self) -> None:
@@ -60,7 +57,8 @@
         self.budget.limits = deployment.measuring
         now = asyncio.get_running_loop().time()
         for member in self.planner.plan(self.directory.by_service, now):
-            if member.daemon_id == self.directory.settings.daemon_id:
+            link = self.directory.open_link(member)
+            if link is None:
                 continue
             if not self.budget.take(PROBE_MESSAGES, PROBE_BYTES, now):
                 self.metrics.count(PROBES, 'over-budget')
@@ -68,16 +66,17 @@
             self.planner.note_probe(member.daemon_id, now)
             self.metrics.count(MEASURING_MESSAGES, amount=PROBE_MESSAGES)
             self.metrics.count(MEASURING_BYTES, amount=PROBE_BYTES)
-            group.create_task(self._run_probe(member))
+            group.create_task(self._run_probe(link))
 
-    async def _run_probe(self, member: Member) -> None:
+    async def _run_probe(self, link: PeerLink) -> None:
         loop = asyncio.get_running_loop()
-        try:
-            async with asyncio.timeout(PROBE_TIMEOUT_S):
-                await self.probe(member)
-        except (LinkError, TimeoutError):
-            self.metrics.count(PROBES, 'unanswered')
-            view = self.planner.router.view_of(member.daemon_id)
-            view.punish(SILENT_WEIGHT, loop.time())
+        sent_at = loop.time()
+        with contextlib.suppress(LinkError):
+            link.probe()
+        await asyncio.sleep(PROBE_TIMEOUT_S)
+        view = self.planner.router.view_of(link.daemon_id)
+        if view.load_at >= sent_at:
+            self.metrics.count(PROBES, 'answered')
             return
-        self.metrics.count(PROBES, 'answered')
+        self.metrics.count(PROBES, 'unanswered')
+        view.punish(SILENT_WEIGHT, loop.time())
