--- a/devtools/processes.py
+++ b/devtools/processes.py
@@ -120,10 +120,18 @@
         if self.popen is not None:
             self.popen.wait()
 
-    def stop(self) -> int:
-        """End the process gracefully and return its exit code."""
+    def ask_to_stop(self) -> None:
+        """Ask the process to stop; asked again it stops at once."""
         self.send_signal(signal.SIGCONT)
         self.send_signal(signal.SIGTERM)
+
+    def stop(self) -> int:
+        """End the process gracefully and return its exit code."""
+        self.ask_to_stop()
+        return self.wait_stopped()
+
+    def wait_stopped(self) -> int:
+        """Wait for the end, force it at the limit, return the exit code."""
         if self.popen is None:
             return 0
         try:
@@ -140,10 +148,9 @@
 def stop_all(processes: Sequence[ManagedProcess]) -> None:
     """End processes: all are asked first, then each is waited for."""
     for process in processes:
-        process.send_signal(signal.SIGCONT)
-        process.send_signal(signal.SIGTERM)
+        process.ask_to_stop()
     for process in processes:
-        process.stop()
+        process.wait_stopped()
 
 
 def kill_all(processes: Sequence[ManagedProcess]) -> None:
