Take waiting callers before a stop; keep the order of frames in the fuzzer

Change: the listener takes what waits with a backlog of 0 for 0.1 s before it closes. Frames of a connection without late ones get due times that grow. A connection that arrives in the last moment of those 0.1 s can still be reset; callers then see no outcome.

--- a/burdocklead/process/caller_server.py
+++ b/burdocklead/process/caller_server.py
@@ -7,7 +7,9 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 from ssl import SSLContext
 
 from aiohttp import StreamReader, web
@@ -15,7 +17,6 @@
 from aiohttp.http import RawRequestMessage
 from aiohttp.web_protocol import RequestHandler
 
-from burdocklead.process.admin_http import port_of
 from burdocklead.request.call import not_run
 from burdocklead.request.call_response import response_of
 from burdocklead.values import Address, RefusalCause
@@ -23,6 +24,9 @@
 CallHandler = Callable[[web.BaseRequest], Awaitable[web.Response]]
 
 
+LAST_ACCEPTS_S = 0.1
+
+
 class CallerConnection(RequestHandler):
     """One connection of a caller."""
 
@@ -97,15 +101,42 @@
         )
 
 
+@dataclass(frozen=True, slots=True)
+class CallerListener:
+    """The listening socket of the callers' interface.
+
+    Attributes:
+        runner: Serves the connections.
+        listening: The socket.
+        address: Address in use.
+    """
+
+    runner: web.ServerRunner
+    listening: socket.socket
+    address: Address
+
+    async def stop_accepting(self) -> None:
+        """Take the connections that wait, then refuse new ones.
+
+        Closing the socket at once would reset those that wait.
+        """
+        self.listening.listen(0)
+        await asyncio.sleep(LAST_ACCEPTS_S)
+        for site in tuple(self.runner.sites):
+            await site.stop()
+
+
 async def start_caller_server(
     server: CallerServer,
     address: Address,
     tls: SSLContext | None,
     shutdown_s: float,
-) -> tuple[web.ServerRunner, Address]:
-    """Serve callers and return the runner and the address in use."""
+) -> CallerListener:
+    """Serve callers and return the listener."""
     runner = web.ServerRunner(server, shutdown_timeout=shutdown_s)
     await runner.setup()
-    site = web.TCPSite(runner, address.host, address.port, ssl_context=tls)
-    await site.start()
-    return runner, Address(address.host, port_of(runner.addresses))
+    listening = socket.create_server((address.host, address.port))
+    listening.setblocking(False)
+    await web.SockSite(runner, listening, ssl_context=tls).start()
+    port = listening.getsockname()[1]
+    return CallerListener(runner, listening, Address(address.host, port))
--- a/burdocklead/process/daemon_process.py
+++ b/burdocklead/process/daemon_process.py
@@ -12,6 +12,7 @@
 from burdocklead.connection.peer_access import caller_tls
 from burdocklead.process.admin_http import start_site
 from burdocklead.process.caller_server import (
+    CallerListener,
     CallerServer,
     start_caller_server,
 )
@@ -39,13 +40,13 @@
 
     Attributes:
         own: Description sent to control.
-        callers: Runner of the callers' interface.
+        callers: Listener of the callers' interface.
         admin: Runner of the pages for upstream and operators.
         addresses: Addresses in use by name.
     """
 
     own: OwnMember
-    callers: web.ServerRunner
+    callers: CallerListener
     admin: web.AppRunner
     addresses: dict[str, str]
 
@@ -85,14 +86,14 @@
     async def _start_servers(self) -> DaemonServers:
         link = await self.parts.links.start(self.parts.settings.link_listen)
         settings = self.parts.settings
-        callers, http = await start_caller_server(
+        callers = await start_caller_server(
             CallerServer(self.parts.callers.take_call, settings.max_body_bytes),
             settings.listen,
             caller_tls(settings, self.parts.access),
             IDLE_CALLERS_S,
         )
         own = OwnMember(
-            self._describe(settings.link_advertise or link, http),
+            self._describe(settings.link_advertise or link, callers.address),
             self.parts.executor,
             self.parts.events,
             notice=settings.drain_notice,
@@ -100,7 +101,11 @@
         pages = DaemonPages(own, self.parts).application()
         admin_runner, admin = await start_site(pages, settings.admin_listen)
         own.member = msgspec.structs.replace(own.member, admin=admin)
-        addresses = {'http': str(http), 'link': str(link), 'admin': str(admin)}
+        addresses = {
+            'http': str(callers.address),
+            'link': str(link),
+            'admin': str(admin),
+        }
         return DaemonServers(own, callers, admin_runner, addresses)
 
     def _start_tasks(
@@ -135,19 +140,18 @@
             http=http,
         )
 
-    async def _drain(self, callers: web.ServerRunner) -> None:
+    async def _drain(self, callers: CallerListener) -> None:
         """Let all work end, within the limit for a graceful stop."""
         settings = self.parts.settings
         try:
             async with asyncio.timeout(settings.drain_limit):
                 await asyncio.sleep(settings.drain_notice)
-                for site in tuple(callers.sites):
-                    await site.stop()
+                await callers.stop_accepting()
                 while self.parts.is_working():
                     await asyncio.sleep(DRAIN_POLL_S)
         except TimeoutError:
             log.warning('drain limit reached', limit=settings.drain_limit)
-        await callers.cleanup()
+        await callers.runner.cleanup()
 
     async def _close(self, servers: DaemonServers) -> None:
         await self.parts.links.close()
--- a/devtools/fuzz/request_network.py
+++ b/devtools/fuzz/request_network.py
@@ -13,6 +13,7 @@
 
 NEAR_S = (0.0005, 0.003)
 LATE_S = (0.01, 2.5)
+ORDER_S = 1e-6
 SILENCED = 0.7
 
 
@@ -156,7 +157,7 @@
         delays = LATE_S if late else NEAR_S
         due = loop.time() + self.rng.uniform(*delays)
         if not self.rates.late:
-            due = max(due, target.due)
+            due = max(due, target.due + ORDER_S)
         target.due = due
         loop.call_at(due, callback, *arguments, context=target.owner.context)
 
--- a/devtools/local_deployment.py
+++ b/devtools/local_deployment.py
@@ -138,15 +138,11 @@
             '127.0.0.1:0',
             '--control',
             self.replica_list,
-            *self._link_flags(name),
+            *_link_flags(self.forwarders.get(name)),
             *self.daemon_flags,
         )
         return ManagedProcess(name, self.daemon_program, arguments, self.folder)
 
-    def _link_flags(self, name: str) -> tuple[str, ...]:
-        forwarder = self.forwarders.get(name)
-        return forwarder.daemon_flags() if forwarder else ()
-
     def _upstream(self, name: str, service: str, slots: int) -> ManagedProcess:
         arguments = (
             '--service',
@@ -282,3 +278,7 @@
     return ManagedProcess(
         name, 'control', arguments, deployment.folder, deployment.sources
     )
+
+
+def _link_flags(forwarder: ForwarderProcess | None) -> tuple[str, ...]:
+    return forwarder.daemon_flags() if forwarder else ()
