--- a/burdocklead/commands/replicas.py
+++ b/burdocklead/commands/replicas.py
@@ -3,32 +3,60 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Sequence
 
 import msgspec
 
 from burdocklead.commands.context import CommandContext, ExitCode
-from burdocklead.commands.control_pages import best_replica, with_token
-from burdocklead.commands.http_client import HttpAnswer, Request, send_request
+from burdocklead.commands.control_pages import ask_best
+from burdocklead.commands.http_client import HttpAnswer, Request
 from burdocklead.commands.tables import Table
-from burdocklead.exceptions import LostAnswerError
+from burdocklead.exceptions import (
+    BurdockleadError,
+    LostAnswerError,
+    SettingsError,
+)
+from burdocklead.options import NamedAddresses
 from burdocklead.process.replica_http import SetPage, SetRequest
 
 PAGE = '/v1/replicas'
-OK_STATUSES = frozenset((200, 202))
-CONFLICT = 409
+ACCEPTED_STATUSES = frozenset((200, 202))
 POLL_S = 0.2
 STEP = 'replicas'
+ACTIONS = ('list', 'add', 'remove', 'replace', 'cancel')
 
 
-class Problem(msgspec.Struct, frozen=True):
-    """Why control refused a step."""
+async def run_replicas(
+    context: CommandContext, action: str, names: Sequence[str]
+) -> ExitCode:
+    """Run one action on the replica set and return the exit code.
 
-    error: str
+    Raises:
+        SettingsError: If the action needs other names.
+    """
+    match action, tuple(names):
+        case 'list', ():
+            return await show_replicas(context)
+        case 'add', (joining,):
+            return await add_replica(context, *_named_address(joining))
+        case 'remove', (leaving,):
+            return await remove_replica(context, leaving)
+        case 'replace', (leaving, joining):
+            return await replace_replica(
+                context, leaving, *_named_address(joining)
+            )
+        case 'cancel', ():
+            return await cancel_change(context)
+        case _:
+            raise SettingsError(
+                f'{action} needs other names; see --help', step=STEP
+            )
 
 
 async def show_replicas(context: CommandContext) -> ExitCode:
     """Show the replica set and return the exit code."""
-    _write_set(context, _page_of(await _ask(context, 'GET', PAGE)))
+    answer = await ask_best(context, Request(STEP, 'GET', PAGE))
+    _write_set(context, answer.decode(SetPage))
     return ExitCode.done
 
 
@@ -67,49 +95,59 @@
         LostAnswerError: If it did not end in time; it may end later.
     """
     body = msgspec.json.encode(wanted)
-    answer = await _ask(context, 'POST', f'{PAGE}/{action}', body)
-    if answer.status == CONFLICT:
-        problem = answer.decode(Problem)
-        context.write(f'refused: {problem.error}')
-        return ExitCode.refused
-    page = _page_of(answer)
-    try:
-        async with asyncio.timeout(context.settings.timeout):
-            while page.following:
-                await asyncio.sleep(POLL_S)
-                page = _page_of(await _ask(context, 'GET', PAGE))
-    except TimeoutError:
-        reason = 'the change is still in progress'
-        raise LostAnswerError(reason, step=STEP, peer='control') from None
+    request = Request(STEP, 'POST', f'{PAGE}/{action}', body)
+    page = (await _ask_change(context, request)).decode(SetPage)
+    limit = asyncio.get_running_loop().time() + context.settings.timeout
+    while page.following:
+        if asyncio.get_running_loop().time() >= limit:
+            reason = 'the change is still in progress; see replicas list'
+            raise LostAnswerError(reason, step=STEP, peer='control')
+        await asyncio.sleep(POLL_S)
+        page = await _poll(context, page)
     _write_set(context, page)
     return ExitCode.done
 
 
-async def _ask(
-    context: CommandContext, method: str, path: str, body: bytes = b''
-) -> HttpAnswer:
-    view = await best_replica(context, STEP)
-    request = with_token(context, Request(STEP, method, path, body))
-    return await send_request(view.peer, request, context.settings.timeout)
+async def _ask_change(context: CommandContext, request: Request) -> HttpAnswer:
+    try:
+        return await ask_best(context, request, ACCEPTED_STATUSES)
+    except LostAnswerError as error:
+        reason = f'not known; see replicas list ({error.reason})'
+        raise LostAnswerError(reason, step=STEP, peer=error.peer) from None
 
 
-def _page_of(answer: HttpAnswer) -> SetPage:
-    if answer.status not in OK_STATUSES:
-        raise answer.failure()
+async def _poll(context: CommandContext, known: SetPage) -> SetPage:
+    # A replica may be cut off or leave while the set changes.
+    try:
+        answer = await ask_best(context, Request(STEP, 'GET', PAGE))
+    except BurdockleadError:
+        return known
     return answer.decode(SetPage)
 
 
+def _named_address(text: str) -> tuple[str, str]:
+    reason = 'must be NAME=IP:PORT'
+    try:
+        named = NamedAddresses().parse(text)
+    except ValueError:
+        raise SettingsError(reason, step=STEP, peer=text) from None
+    if len(named) > 1:
+        raise SettingsError(reason, step=STEP, peer=text)
+    name, address = named[0]
+    return name, str(address)
+
+
 def _write_set(context: CommandContext, page: SetPage) -> None:
     if context.as_json:
         context.write_json(page)
         return
-    context.write(f'epoch {page.epoch}')
-    rows = [
-        (one.replica_id, str(one.address), 'member') for one in page.replicas
-    ]
-    rows.extend(
-        (one.replica_id, str(one.address), 'joining')
-        for one in page.following
-        if one not in page.replicas
+    joining = [one for one in page.following if one not in page.replicas]
+    rows = (
+        *(
+            (one.replica_id, str(one.address), 'member')
+            for one in page.replicas
+        ),
+        *((one.replica_id, str(one.address), 'joining') for one in joining),
     )
-    context.write_table(Table('', ('replica', 'address', 'state'), tuple(rows)))
+    columns = ('replica', 'address', 'state')
+    context.write_table(Table(f'epoch {page.epoch}', columns, rows))
--- a/burdocklead/process/control_process.py
+++ b/burdocklead/process/control_process.py
@@ -48,7 +48,7 @@
         supervisor.start('expire', replica.expire_forever()),
         supervisor.start('recover', replica.recover_file()),
         supervisor.start('exchange', replica.exchange_forever()),
-        supervisor.start('change set', replica.changer.run_forever()),
+        supervisor.start('replica set', replica.changer.run_forever()),
     ]
 
 
--- a/burdocklead/process/daemon_process.py
+++ b/burdocklead/process/daemon_process.py
@@ -95,6 +95,7 @@
             self._describe(settings.link_advertise or link, http),
             self.parts.executor,
             self.parts.events,
+            self.parts.router.signals,
             notice=settings.drain_notice,
         )
         pages = DaemonPages(own, self.parts).application()
@@ -115,12 +116,12 @@
         )
         prober = Prober(
             self.parts.directory,
-            ProbePlanner(self.parts.router),
+            ProbePlanner(self.parts.router, self.parts.settings.daemon_id),
             MeasuringBudget(),
             self.parts.metrics,
         )
         return [
-            supervisor.start('prober', prober.run_forever()),
+            supervisor.start('probes', prober.run_forever()),
             supervisor.start('heartbeats', agent.run_forever()),
             supervisor.start('lease', _expire_forever(own)),
         ]
--- a/burdocklead/process/measurements.py
+++ b/burdocklead/process/measurements.py
@@ -81,6 +81,6 @@
     metrics.set(VERSION, replica.file.version)
     metrics.set(QUORUM_AGE, min(replica.quorum_age(), NEVER_S))
     measure_members(metrics, replica.members.present())
-    measure_control_traffic(metrics, tuple(replica.registers.clients.values()))
+    measure_control_traffic(metrics, replica.registers.clients.values())
     metrics.set(STORE_SYNCS, replica.registers.store.syncs)
     metrics.set(STORE_BYTES, replica.registers.store.bytes_written)
