--- a/burdocklead/process/daemon_admin_http.py
+++ b/burdocklead/process/daemon_admin_http.py
@@ -22,6 +22,7 @@
     measure_upstream,
 )
 from burdocklead.process.own_member import Announcement, OwnMember
+from burdocklead.values import Address
 
 
 class DaemonPages:
@@ -69,7 +70,7 @@
         text = await request.read()
         try:
             announcement = msgspec.json.decode(text, type=Announcement)
-            address = SocketAddress().parse(announcement.address)
+            address = _reachable(announcement.address)
         except (msgspec.DecodeError, ValueError) as error:
             refusal = BurdockleadError(str(error), step='announce')
             return error_response(refusal, BAD_REQUEST)
@@ -92,3 +93,10 @@
             'members': list(self.directory.members.values()),
         }
         return json_response(content)
+
+
+def _reachable(text: str) -> Address:
+    address = SocketAddress().parse(text)
+    if not address.port:
+        raise ValueError('the port must not be 0')
+    return address
--- a/burdocklead/process/own_member.py
+++ b/burdocklead/process/own_member.py
@@ -5,6 +5,7 @@
 import asyncio
 import enum
 from dataclasses import dataclass, field
+from typing import Annotated
 
 import msgspec
 
@@ -12,8 +13,12 @@
 from burdocklead.request.admission import admission_for
 from burdocklead.request.execution import AttemptExecutor
 from burdocklead.values import Address, Member
+from burdocklead.version.deployment import Name
 
 DEFAULT_LEASE_S = 3.0
+MIN_LEASE_S = 0.1
+MAX_LEASE_S = 3600
+MAX_SLOTS = 100000
 
 
 class Announcement(
@@ -29,10 +34,12 @@
         draining: True if it wants no new work.
     """
 
-    service: str
+    service: Name
     address: str
-    slots: int
-    lease_seconds: float = DEFAULT_LEASE_S
+    slots: Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
+    lease_seconds: Annotated[
+        float, msgspec.Meta(ge=MIN_LEASE_S, le=MAX_LEASE_S)
+    ] = DEFAULT_LEASE_S
     draining: bool = False
 
 
