--- a/burdocklead/connection/link_server.py
+++ b/burdocklead/connection/link_server.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Coroutine
+from collections.abc import Coroutine, Sequence
 from dataclasses import dataclass
 from typing import Any, Protocol
 
@@ -15,6 +15,7 @@
     AttemptResult,
     AttemptState,
     Cancel,
+    CrashNotice,
     Frame,
     Hello,
     Ping,
@@ -29,7 +30,7 @@
 from burdocklead.exceptions import LinkError
 from burdocklead.metrics import LINK_ENDS, LINKS_OPEN, MetricSet
 from burdocklead.settings import DaemonSettings
-from burdocklead.values import Address, LoadReport
+from burdocklead.values import Address, CrashReport, LoadReport
 
 HANDSHAKE_LIMIT_S = 2.0
 SWEEP_INTERVAL_S = 5.0
@@ -39,6 +40,13 @@
 log = logbook.Logger('link')
 
 
+class CrashTaker(Protocol):
+    """What takes reports of crashes."""
+
+    def take(self, reports: Sequence[CrashReport]) -> None:
+        """Merge what another daemon reports."""
+
+
 class AttemptHandler(Protocol):
     """What the listener needs from the daemon behind it."""
 
@@ -56,6 +64,10 @@
     def query(self, query: Query) -> Verdict:
         """Return what is known of an attempt and fence it if unseen."""
 
+    @property
+    def guard(self) -> CrashTaker:
+        """Return what takes reports of crashes."""
+
     def load(self) -> LoadReport:
         """Return the present load."""
 
@@ -154,6 +166,8 @@
         peer = self.peers.get(protocol)
         if peer is not None and not peer.proven:
             protocol.close(LinkEnd.unproven)
+            # A failed TLS handshake made the protocol but no connection.
+            self.peers.pop(protocol, None)
 
     def _closed(self, protocol: FrameProtocol, end: LinkEnd) -> None:
         peer = self.peers.pop(protocol, None)
@@ -162,7 +176,7 @@
                 EventKind.link_closed, peer=peer.hello.daemon_id, detail=end
             )
         self.metrics.count(LINK_ENDS, end.value)
-        self.metrics.set(LINKS_OPEN, len(self.peers))
+        self.metrics.set(LINKS_OPEN, self._proven_links())
 
     def _receive(self, protocol: FrameProtocol, frame: Frame) -> None:
         peer = self.peers.get(protocol)
@@ -188,7 +202,7 @@
                     self.events.record(
                         EventKind.link_opened, peer=peer.hello.daemon_id
                     )
-                self.metrics.set(LINKS_OPEN, len(self.peers))
+                self.metrics.set(LINKS_OPEN, self._proven_links())
             case _:
                 protocol.close(LinkEnd.unproven)
 
@@ -196,17 +210,22 @@
         if hello.wanted_id != self.identity.hello.daemon_id:
             protocol.close(LinkEnd.wrong_peer)
             return
-        if len(self.peers) > self.settings.max_links:
+        if self._proven_links() >= self.settings.max_links:
             protocol.close(LinkEnd.too_many)
             return
         peer.hello = hello
         peer.welcome = self.identity.welcome(hello)
         protocol.send(peer.welcome)
 
+    def _proven_links(self) -> int:
+        return sum(peer.proven for peer in self.peers.values())
+
     def _serve(self, protocol: FrameProtocol, peer: Peer, frame: Frame) -> None:
         match frame:
             case Attempt():
                 self._reply_later(protocol, peer, self.handler.run(frame))
+            case CrashNotice():
+                self.handler.guard.take(frame.reports)
             case Ping(number):
                 pong = Pong(number, self.handler.load())
                 protocol.send(pong, urgent=True)
