--- a/tests/process/admin_pages.feature
+++ b/tests/process/admin_pages.feature
@@ -37,7 +37,16 @@
       | PUT    | /v1/upstream           | {                                                             | 400    | truncated                   |
       | PUT    | /v1/upstream           | []                                                            | 400    | Expected `object`           |
       | PUT    | /v1/upstream           | {"service":"a","address":"b:1","slots":1}                     | 400    | must start with an IP       |
+      | PUT    | /v1/upstream           | {"service":"job-sheets","address":"127.0.0.1:1","slots":0}    | 400    | >= 1                        |
+      | PUT    | /v1/upstream           | {"service":"../a","address":"127.0.0.1:1","slots":1}          | 400    | matching regex              |
+      | PUT    | /v1/upstream           | {"service":"a","address":"127.0.0.1:0","slots":1}             | 400    | the port must not be 0      |
+      | PUT    | /v1/upstream           | {"service":"a","address":"127.0.0.1:1","slots":1,"lease_seconds":0} | 400 | >= 0.1               |
+      | PUT    | /v1/upstream           | {"service":"a","address":"127.0.0.1:1","slots":1,"lease_seconds":1e9} | 400 | <= 3600            |
       | PUT    | /v1/upstream           | {"service":"a","address":"127.0.0.1:1","slots":1,"colour":1}  | 400    | unknown field               |
+    And the admin metrics of "job-sheets-0" have
+      """
+      burdocklead_upstream_slots 20
+      """
     And the admin page "/readyz" of "job-sheets-0" has 200 and "true"
     When the processes "control-1, control-2" are killed
     Then the admin page "/readyz" of "control-0" has 503 and "no quorum" in the end
