--- /dev/null
+++ b/burdocklead/commands/replicas.py
@@ -0,0 +1,153 @@
+"""Show and change the set of control replicas."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Sequence
+
+import msgspec
+
+from burdocklead.commands.context import CommandContext, ExitCode
+from burdocklead.commands.control_pages import ask_best
+from burdocklead.commands.http_client import HttpAnswer, Request
+from burdocklead.commands.tables import Table
+from burdocklead.exceptions import (
+    BurdockleadError,
+    LostAnswerError,
+    SettingsError,
+)
+from burdocklead.options import NamedAddresses
+from burdocklead.process.replica_http import SetPage, SetRequest
+
+PAGE = '/v1/replicas'
+ACCEPTED_STATUSES = frozenset((200, 202))
+POLL_S = 0.2
+STEP = 'replicas'
+ACTIONS = ('list', 'add', 'remove', 'replace', 'cancel')
+
+
+async def run_replicas(
+    context: CommandContext, action: str, names: Sequence[str]
+) -> ExitCode:
+    """Run one action on the replica set and return the exit code.
+
+    Raises:
+        SettingsError: If the action needs other names.
+    """
+    match action, tuple(names):
+        case 'list', ():
+            return await show_replicas(context)
+        case 'add', (joining,):
+            return await add_replica(context, *_named_address(joining))
+        case 'remove', (leaving,):
+            return await remove_replica(context, leaving)
+        case 'replace', (leaving, joining):
+            return await replace_replica(
+                context, leaving, *_named_address(joining)
+            )
+        case 'cancel', ():
+            return await cancel_change(context)
+        case _:
+            raise SettingsError(
+                f'{action} needs other names; see --help', step=STEP
+            )
+
+
+async def show_replicas(context: CommandContext) -> ExitCode:
+    """Show the replica set and return the exit code."""
+    answer = await ask_best(context, Request(STEP, 'GET', PAGE))
+    _write_set(context, answer.decode(SetPage))
+    return ExitCode.done
+
+
+async def add_replica(
+    context: CommandContext, name: str, address: str
+) -> ExitCode:
+    """Bring a replica in and return the exit code."""
+    wanted = SetRequest(joining=name, address=address)
+    return await _change(context, 'add', wanted)
+
+
+async def remove_replica(context: CommandContext, name: str) -> ExitCode:
+    """Take a replica out and return the exit code."""
+    return await _change(context, 'remove', SetRequest(replica=name))
+
+
+async def replace_replica(
+    context: CommandContext, name: str, joining: str, address: str
+) -> ExitCode:
+    """Put a replica in place of another one and return the exit code."""
+    wanted = SetRequest(name, joining, address)
+    return await _change(context, 'replace', wanted)
+
+
+async def cancel_change(context: CommandContext) -> ExitCode:
+    """Take back the change in progress and return the exit code."""
+    return await _change(context, 'cancel', SetRequest())
+
+
+async def _change(
+    context: CommandContext, action: str, wanted: SetRequest
+) -> ExitCode:
+    """Ask for a change and wait until it has ended.
+
+    Raises:
+        LostAnswerError: If it did not end in time; it may end later.
+    """
+    body = msgspec.json.encode(wanted)
+    request = Request(STEP, 'POST', f'{PAGE}/{action}', body)
+    page = (await _ask_change(context, request)).decode(SetPage)
+    limit = asyncio.get_running_loop().time() + context.settings.timeout
+    while page.following:
+        if asyncio.get_running_loop().time() >= limit:
+            reason = 'the change is still in progress; see replicas list'
+            raise LostAnswerError(reason, step=STEP, peer='control')
+        await asyncio.sleep(POLL_S)
+        page = await _poll(context, page)
+    _write_set(context, page)
+    return ExitCode.done
+
+
+async def _ask_change(context: CommandContext, request: Request) -> HttpAnswer:
+    try:
+        return await ask_best(context, request, ACCEPTED_STATUSES)
+    except LostAnswerError as error:
+        reason = f'not known; see replicas list ({error.reason})'
+        raise LostAnswerError(reason, step=STEP, peer=error.peer) from None
+
+
+async def _poll(context: CommandContext, known: SetPage) -> SetPage:
+    # A replica may be cut off or leave while the set changes.
+    try:
+        answer = await ask_best(context, Request(STEP, 'GET', PAGE))
+    except BurdockleadError:
+        return known
+    return answer.decode(SetPage)
+
+
+def _named_address(text: str) -> tuple[str, str]:
+    reason = 'must be NAME=IP:PORT'
+    try:
+        named = NamedAddresses().parse(text)
+    except ValueError:
+        raise SettingsError(reason, step=STEP, peer=text) from None
+    if len(named) > 1:
+        raise SettingsError(reason, step=STEP, peer=text)
+    name, address = named[0]
+    return name, str(address)
+
+
+def _write_set(context: CommandContext, page: SetPage) -> None:
+    if context.as_json:
+        context.write_json(page)
+        return
+    joining = [one for one in page.following if one not in page.replicas]
+    rows = (
+        *(
+            (one.replica_id, str(one.address), 'member')
+            for one in page.replicas
+        ),
+        *((one.replica_id, str(one.address), 'joining') for one in joining),
+    )
+    columns = ('replica', 'address', 'state')
+    context.write_table(Table(f'epoch {page.epoch}', columns, rows))
--- a/burdocklead/connection/handshake.py
+++ b/burdocklead/connection/handshake.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from burdocklead.clock import HybridClock
 from burdocklead.connection.cluster_key import new_nonce
 from burdocklead.connection.frames import Hello, Proof, Welcome
 from burdocklead.connection.peer_access import PeerAccess
@@ -22,10 +23,12 @@
     Attributes:
         hello: Name and incarnation of this daemon.
         access: Key shared by the deployment, and TLS files.
+        clock: Hybrid clock that stamps the frames of its links.
     """
 
     hello: Hello
     access: PeerAccess
+    clock: HybridClock
 
     def client_tls(self) -> ssl.SSLContext | None:
         """Return the TLS of links that are opened, None for plain TCP."""
--- a/burdocklead/events.py
+++ b/burdocklead/events.py
@@ -31,10 +31,13 @@
     call_refused = 'call-refused'
     call_answered = 'call-answered'
     call_unknown = 'call-unknown'
+    attempt_sent = 'attempt-sent'
+    attempt_refused = 'attempt-refused'
+    attempt_lost = 'attempt-lost'
+    attempt_given_up = 'attempt-given-up'
     attempt_started = 'attempt-started'
     attempt_finished = 'attempt-finished'
     attempt_retried = 'attempt-retried'
-    attempt_hedged = 'attempt-hedged'
     attempt_fenced = 'attempt-fenced'
     link_opened = 'link-opened'
     link_closed = 'link-closed'
@@ -42,6 +45,7 @@
     request_blocked = 'request-blocked'
     replica_changed = 'replica-changed'
     quorum_lost = 'quorum-lost'
+    unexpected_error = 'unexpected-error'
     quorum_gained = 'quorum-gained'
 
 
--- a/burdocklead/metrics.py
+++ b/burdocklead/metrics.py
@@ -24,6 +24,8 @@
     1,
     2,
     5,
+    10,
+    30,
 )
 
 
@@ -52,29 +54,60 @@
     labels: tuple[str, ...] = ()
 
 
+DECLARED: list[Metric] = []
+
+
+def _declare(metric: Metric) -> Metric:
+    DECLARED.append(metric)
+    return metric
+
+
 def _counter(name: str, text: str, *labels: str) -> Metric:
-    return Metric(f'burdocklead_{name}_total', MetricKind.counter, text, labels)
+    full_name = f'burdocklead_{name}_total'
+    return _declare(Metric(full_name, MetricKind.counter, text, labels))
 
 
 def _gauge(name: str, text: str, *labels: str) -> Metric:
-    return Metric(f'burdocklead_{name}', MetricKind.gauge, text, labels)
+    full_name = f'burdocklead_{name}'
+    return _declare(Metric(full_name, MetricKind.gauge, text, labels))
 
 
 def _seconds(name: str, text: str, *labels: str) -> Metric:
     full_name = f'burdocklead_{name}_seconds'
-    return Metric(full_name, MetricKind.histogram, text, labels)
+    return _declare(Metric(full_name, MetricKind.histogram, text, labels))
 
 
 CALLS = _counter('calls', 'Calls of clients.', 'service', 'outcome')
 CALL_SECONDS = _seconds('call', 'Time of calls.', 'service', 'outcome')
 REFUSALS = _counter('refusals', 'Calls refused to clients.', 'cause')
 ATTEMPTS = _counter('attempts', 'Attempts by result.', 'result')
+QUEUE_SECONDS = _seconds('queue', 'Time attempts waited for a slot.')
+RETRY_BUDGET = _gauge(
+    'retry_budget_left', 'Retries that may be sent.', 'service'
+)
+MEMBERS = _gauge('members', 'Daemons known.', 'state')
+UPSTREAM_CALLS = _gauge('upstream_calls', 'Calls beside this daemon.', 'state')
+UPSTREAM_LIMIT = _gauge('upstream_limit', 'Calls let run at the same time.')
+UPSTREAM_SLOTS = _gauge('upstream_slots', 'Slots that the upstream announced.')
+QUORUM_AGE = _gauge('quorum_age_seconds', 'Time since a quorum was heard of.')
+STORE_SYNCS = _counter('store_syncs', 'Syncs of the durable file.')
+STORE_BYTES = _counter('store_written_bytes', 'Bytes written to that file.')
+EVENTS_OVERWRITTEN = _counter('events_overwritten', 'Events overwritten.')
+CLOCK_IGNORED = _counter('clock_ignored', 'Stamps too far ahead to observe.')
+UNEXPECTED_ERRORS = _counter('unexpected_errors', 'Errors no code expected.')
+READY = _gauge('ready', '1 if the process takes work, else 0.')
+CONTROL_MESSAGES = _counter('control_messages', 'Requests to control.')
 CONTROL_BYTES = _counter('control_bytes', 'Control traffic.', 'direction')
 CONTROL_UNPROVED = _counter(
     'control_unproved', 'Control messages without proof of the cluster key.'
 )
 CONTROL_BAD = _counter('control_bad', 'Control messages not decoded.')
 CRASH_REPORTS = _counter('crash_reports', 'Requests at crashes seen here.')
+INTERNAL_ERRORS = _counter('internal_errors', 'Calls that failed within.')
+LATE_RESULTS = _counter('late_results', 'Results that nobody waited for.')
+LINK_ENDS = _counter('link_ends', 'Links ended by reason.', 'reason')
+LINK_PINGS = _counter('link_pings', 'Pings on links in use.')
+LINKS_OPEN = _gauge('links_open', 'Links of other daemons.')
 RETRIES = _counter('retries', 'Retries started or refused.', 'result')
 HEDGES = _counter('hedges', 'Hedges by what became of them.', 'result')
 PROBES = _counter('probes', 'Probes of upstreams.', 'result')
@@ -85,37 +118,8 @@
 SIGNAL_DEAD = _counter(
     'signal_dead', 'Load signals found dead under traffic.', 'reason'
 )
-INTERNAL_ERRORS = _counter('internal_errors', 'Calls that failed within.')
-LATE_RESULTS = _counter('late_results', 'Results that nobody waited for.')
-LINK_ENDS = _counter('link_ends', 'Links ended by reason.', 'reason')
-LINK_PINGS = _counter('link_pings', 'Pings on links in use.')
-LINKS_OPEN = _gauge('links_open', 'Links of other daemons.')
 VERSION = _gauge('version_in_force', 'Configuration version in force.')
 
-DECLARED = (
-    CALLS,
-    CALL_SECONDS,
-    REFUSALS,
-    ATTEMPTS,
-    CONTROL_BYTES,
-    CONTROL_UNPROVED,
-    CONTROL_BAD,
-    CRASH_REPORTS,
-    RETRIES,
-    HEDGES,
-    PROBES,
-    MEASURING_MESSAGES,
-    MEASURING_BYTES,
-    SIGNAL_DEAD,
-    INTERNAL_ERRORS,
-    LATE_RESULTS,
-    LINK_ENDS,
-    LINK_PINGS,
-    LINKS_OPEN,
-    VERSION,
-)
-
-
 SeriesKey = tuple[Metric, tuple[str, ...]]
 
 
@@ -136,7 +140,11 @@
         self.collectors = {
             metric.name: self._collector_of(metric) for metric in DECLARED
         }
-        self.counts: dict[SeriesKey, float] = {}
+        self.counts: dict[SeriesKey, float] = {
+            (metric, ()): 0
+            for metric in DECLARED
+            if metric.kind is MetricKind.counter and not metric.labels
+        }
         self.histograms: dict[SeriesKey, Any] = {}
 
     def count(self, metric: Metric, *labels: str, amount: float = 1) -> None:
@@ -145,7 +153,7 @@
         self.counts[key] = self.counts.get(key, 0) + amount
 
     def set(self, metric: Metric, number: float, *labels: str) -> None:
-        """Set a gauge."""
+        """Set a gauge, or a counter that is kept elsewhere."""
         self.collectors[metric.name].set(_named(metric, labels), number)
 
     def observe(self, metric: Metric, seconds: float, *labels: str) -> None:
--- a/burdocklead/process/control_http.py
+++ b/burdocklead/process/control_http.py
@@ -4,6 +4,7 @@
 
 import time
 from collections.abc import Sequence
+from functools import partial
 
 from aiohttp import web
 
@@ -11,12 +12,14 @@
 from burdocklead.process.admin_http import (
     BAD_REQUEST,
     UNAVAILABLE,
+    CommonParts,
     add_common_pages,
-    error_response,
-    json_response,
 )
 from burdocklead.process.control_replica import ControlReplica
+from burdocklead.process.json_pages import error_response, json_response
+from burdocklead.process.measurements import measure_replica
 from burdocklead.process.operator_access import load_access, require_token
+from burdocklead.process.replica_http import ReplicaPages
 from burdocklead.request.block_list import BlockList
 from burdocklead.values import Member
 from burdocklead.version.configuration_file import decode_deployment
@@ -42,9 +45,12 @@
         )
         add_common_pages(
             application,
-            self.replica.events,
-            self.replica.metrics,
-            self.is_ready,
+            CommonParts(
+                self.replica.events,
+                self.replica.metrics,
+                self.not_ready,
+                partial(measure_replica, self.replica.metrics, self.replica),
+            ),
         )
         application.add_routes(
             [
@@ -53,12 +59,17 @@
                 web.get('/v1/status', self.status),
             ]
         )
+        application.add_routes(ReplicaPages(self.replica).routes())
         return application
 
     def is_ready(self) -> bool:
         """Return True while a quorum is heard of."""
         return self.replica.quorum_age() < QUORUM_AGE_LIMIT_S
 
+    def not_ready(self) -> str:
+        """Return why changes are not taken, empty if they are."""
+        return '' if self.is_ready() else 'no quorum'
+
     async def apply(self, request: web.Request) -> web.Response:
         """Decide on a configuration file."""
         text = await request.read()
--- a/burdocklead/process/daemon_parts.py
+++ b/burdocklead/process/daemon_parts.py
@@ -16,11 +16,11 @@
 from burdocklead.process.caller_http import CallerPages
 from burdocklead.process.directory import DaemonDirectory
 from burdocklead.request.attempt_journal import AttemptJournal
-from burdocklead.request.attempt_runner import AttemptRunner
 from burdocklead.request.dispatch import Dispatcher
 from burdocklead.request.execution import AttemptExecutor
 from burdocklead.request.keyed_call import KeyedCalls
 from burdocklead.request.local_link import LocalLink
+from burdocklead.request.recording_runner import RecordingRunner
 from burdocklead.request.routing import Router
 from burdocklead.request.signal_watch import SignalWatch
 from burdocklead.settings import DaemonSettings
@@ -47,7 +47,9 @@
         self.access = load_peer_access(settings)
         self.control = ControlGroup(settings.control, self.access)
         identity = LinkIdentity(
-            Hello(settings.daemon_id, self.incarnation), self.access
+            Hello(settings.daemon_id, self.incarnation),
+            self.access,
+            self.clock,
         )
         self.directory = DaemonDirectory(
             settings,
@@ -63,7 +65,7 @@
         self.dispatcher = Dispatcher(
             prefix,
             self.directory,
-            AttemptRunner(self.directory, self.router),
+            RecordingRunner(self.directory, self.router, self.events),
             self.router,
             rng,
             self.metrics,
@@ -79,7 +81,9 @@
             self.events,
             self.metrics,
         )
-        self.links = LinkServer(self.executor, identity, settings, self.metrics)
+        self.links = LinkServer(
+            self.executor, identity, settings, self.metrics, self.events
+        )
 
     def crash_limits(self) -> Crashes:
         """Return the limits on crashes in force."""
--- a/devtools/fuzz/request_network.py
+++ b/devtools/fuzz/request_network.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field
 from typing import Any, Protocol, cast
 
-from burdocklead.connection.frames import LENGTH
+from burdocklead.connection.frames import HEADER
 
 NEAR_S = (0.0005, 0.003)
 LATE_S = (0.01, 2.5)
@@ -175,6 +175,6 @@
     """Return the frames of a chunk with their lengths."""
     position = 0
     while position < len(chunk):
-        end = position + LENGTH.size + LENGTH.unpack_from(chunk, position)[0]
+        end = position + HEADER.size + HEADER.unpack_from(chunk, position)[0]
         yield chunk[position:end]
         position = end
--- a/tests/commands/operator_program.feature
+++ b/tests/commands/operator_program.feature
@@ -27,6 +27,10 @@
       | status --control-admin ,             | 2    | must name at least one replica                      |
       | polish                               | 2    | invalid choice: 'polish'                            |
       | completion tcsh                      | 2    | invalid choice: 'tcsh'                              |
+      | replicas add                         | 2    | replicas: add needs other names                     |
+      | replicas remove a b                  | 2    | replicas: remove needs other names                  |
+      | replicas add c4                      | 2    | replicas: c4: must be NAME=IP:PORT                  |
+      | replicas sack c4                     | 2    | invalid choice: 'sack'                              |
       | check binary.toml                    | 1    | check: binary.toml: 'utf-8' codec                   |
       | check empty.toml                     | 1    | check: empty.toml: version: is missing              |
       | status --control-admin a=127.0.0.1:1 | 3    | status: control: no replica answers                 |
@@ -124,6 +128,20 @@
     When the operator types "show"
     Then the program ends with 3 and complains "no replica has a quorum; cut off: a"
 
+  Scenario: The replica set is shown and changed only when control says so
+    Given a stand-in replica "a" that answers "GET /v1/replicas" with 200 application/json {"epoch":3,"replicas":[["c1",["127.0.0.1",1]]],"following":[]}
+    And the stand-in replica "a" shows version 1 with a quorum and the daemons "d1 at 1"
+    When the operator types "replicas"
+    Then the program ends with 0 and prints "c1       127.0.0.1:1  member"
+    When the operator types "replicas remove c1"
+    Then the program ends with 3 and complains "replicas: a: not known; see replicas list"
+    Given a stand-in replica "a" that answers "POST /v1/replicas/remove" with 409 application/json {"error":"the last replica can't leave"}
+    When the operator types "replicas remove c1"
+    Then the program ends with 1 and complains "replicas: a: the last replica can't leave"
+    Given a stand-in replica "a" that answers "POST /v1/replicas/remove" with 202 application/json {"epoch":3,"replicas":[["c1",["127.0.0.1",1]]],"following":[["c1",["127.0.0.1",1]]]}
+    When the operator types "replicas remove c1"
+    Then the program ends with 0 and prints "epoch 3"
+
   Scenario: Names from other processes can't command a terminal
     Given a stand-in replica "a" that loses every answer
     And the stand-in replica "a" shows version 1 with a quorum and the daemons "dESCAPE[2J at 1"
