--- a/burdocklead/connection/link_server.py
+++ b/burdocklead/connection/link_server.py
@@ -166,6 +166,8 @@
         peer = self.peers.get(protocol)
         if peer is not None and not peer.proven:
             protocol.close(LinkEnd.unproven)
+            # A failed TLS handshake made the protocol but no connection.
+            self.peers.pop(protocol, None)
 
     def _closed(self, protocol: FrameProtocol, end: LinkEnd) -> None:
         peer = self.peers.pop(protocol, None)
@@ -174,7 +176,7 @@
                 EventKind.link_closed, peer=peer.hello.daemon_id, detail=end
             )
         self.metrics.count(LINK_ENDS, end.value)
-        self.metrics.set(LINKS_OPEN, len(self.peers))
+        self.metrics.set(LINKS_OPEN, self._proven_links())
 
     def _receive(self, protocol: FrameProtocol, frame: Frame) -> None:
         peer = self.peers.get(protocol)
@@ -200,7 +202,7 @@
                     self.events.record(
                         EventKind.link_opened, peer=peer.hello.daemon_id
                     )
-                self.metrics.set(LINKS_OPEN, len(self.peers))
+                self.metrics.set(LINKS_OPEN, self._proven_links())
             case _:
                 protocol.close(LinkEnd.unproven)
 
@@ -208,13 +210,16 @@
         if hello.wanted_id != self.identity.hello.daemon_id:
             protocol.close(LinkEnd.wrong_peer)
             return
-        if len(self.peers) > self.settings.max_links:
+        if self._proven_links() >= self.settings.max_links:
             protocol.close(LinkEnd.too_many)
             return
         peer.hello = hello
         peer.welcome = self.identity.welcome(hello)
         protocol.send(peer.welcome)
 
+    def _proven_links(self) -> int:
+        return sum(peer.proven for peer in self.peers.values())
+
     def _serve(self, protocol: FrameProtocol, peer: Peer, frame: Frame) -> None:
         match frame:
             case Attempt():
--- a/burdocklead/metrics.py
+++ b/burdocklead/metrics.py
@@ -102,12 +102,12 @@
     'control_unproved', 'Control messages without proof of the cluster key.'
 )
 CONTROL_BAD = _counter('control_bad', 'Control messages not decoded.')
-CRASH_REPORTS = _counter('crash_reports', 'Requests at crashes seen here.')
 INTERNAL_ERRORS = _counter('internal_errors', 'Calls that failed within.')
 LATE_RESULTS = _counter('late_results', 'Results that nobody waited for.')
 LINK_ENDS = _counter('link_ends', 'Links ended by reason.', 'reason')
 LINK_PINGS = _counter('link_pings', 'Pings on links in use.')
 LINKS_OPEN = _gauge('links_open', 'Links of other daemons.')
+CRASH_REPORTS = _counter('crash_reports', 'Requests at crashes seen here.')
 RETRIES = _counter('retries', 'Retries started or refused.', 'result')
 HEDGES = _counter('hedges', 'Hedges by what became of them.', 'result')
 PROBES = _counter('probes', 'Probes of upstreams.', 'result')
--- a/devtools/local_deployment.py
+++ b/devtools/local_deployment.py
@@ -14,6 +14,7 @@
 import msgspec
 import requests
 
+from devtools.forwarder_process import ForwarderProcess
 from devtools.processes import (
     ManagedProcess,
     free_ports,
@@ -57,6 +58,7 @@
         controls: Control replicas by name.
         daemons: Daemons by name.
         upstreams: Stand-in upstreams by the name of their daemon.
+        forwarders: Forwarders before the links of daemons by their names.
     """
 
     folder: Path
@@ -68,6 +70,7 @@
     controls: dict[str, ManagedProcess] = field(default_factory=dict)
     daemons: dict[str, ManagedProcess] = field(default_factory=dict)
     upstreams: dict[str, ManagedProcess] = field(default_factory=dict)
+    forwarders: dict[str, ForwarderProcess] = field(default_factory=dict)
     replica_list: str = ''
 
     def start_controls(self, count: int = 3) -> None:
@@ -111,46 +114,15 @@
             for index in range(count):
                 name = f'{service}-{index}'
                 names.append(name)
-                self.daemons[name] = self._daemon(name, ZONES[index % 3])
+                self.daemons[name] = daemon_process(self, name, index)
                 self.daemons[name].start()
         for name in names:
             self.daemons[name].wait_ready()
-            service = name.rpartition('-')[0]
-            self.upstreams[name] = self._upstream(name, service, slots)
+            self.upstreams[name] = upstream_process(self, name, slots)
             self.upstreams[name].start()
         for name in names:
             self.upstreams[name].wait_ready()
 
-    def _daemon(self, name: str, zone: str) -> ManagedProcess:
-        arguments = (
-            '--daemon-id',
-            name,
-            '--zone',
-            zone,
-            '--listen',
-            '127.0.0.1:0',
-            '--link-listen',
-            '127.0.0.1:0',
-            '--admin-listen',
-            '127.0.0.1:0',
-            '--control',
-            self.replica_list,
-            *self.daemon_flags,
-        )
-        return ManagedProcess(name, self.daemon_program, arguments, self.folder)
-
-    def _upstream(self, name: str, service: str, slots: int) -> ManagedProcess:
-        arguments = (
-            '--service',
-            service,
-            '--slots',
-            str(slots),
-            '--daemon',
-            self.daemons[name].addresses['admin'],
-        )
-        upstream = f'upstream-{name}'
-        return ManagedProcess(upstream, 'upstream', arguments, self.folder)
-
     def apply(self, path: Path) -> None:
         """Apply a file with the operators' program."""
         completed = self.run_operator('apply', str(path))
@@ -240,6 +212,7 @@
             *self.upstreams.values(),
             *self.daemons.values(),
             *self.controls.values(),
+            *(one.process for one in self.forwarders.values()),
         ]
 
     def stop(self) -> None:
@@ -273,3 +246,50 @@
     return ManagedProcess(
         name, 'control', arguments, deployment.folder, deployment.sources
     )
+
+
+def daemon_process(
+    deployment: LocalDeployment, name: str, index: int
+) -> ManagedProcess:
+    """Return a daemon of a deployment, not started."""
+    forwarder = deployment.forwarders.get(name)
+    arguments = (
+        '--daemon-id',
+        name,
+        '--zone',
+        ZONES[index % len(ZONES)],
+        '--listen',
+        '127.0.0.1:0',
+        '--link-listen',
+        '127.0.0.1:0',
+        '--admin-listen',
+        '127.0.0.1:0',
+        '--control',
+        deployment.replica_list,
+        *(forwarder.daemon_flags() if forwarder else ()),
+        *deployment.daemon_flags,
+    )
+    return ManagedProcess(
+        name,
+        deployment.daemon_program,
+        arguments,
+        deployment.folder,
+        deployment.sources,
+    )
+
+
+def upstream_process(
+    deployment: LocalDeployment, name: str, slots: int
+) -> ManagedProcess:
+    """Return the upstream beside a daemon that serves, not started."""
+    arguments = (
+        '--service',
+        name.rpartition('-')[0],
+        '--slots',
+        str(slots),
+        '--daemon',
+        deployment.daemons[name].addresses['admin'],
+    )
+    return ManagedProcess(
+        f'upstream-{name}', 'upstream', arguments, deployment.folder
+    )
