Let operators drain a daemon, durably

Cause: a daemon could drain by its own signal or its upstream's word only; status said that drains are not known.

--- /dev/null
+++ b/burdocklead/commands/drain.py
@@ -0,0 +1,40 @@
+"""Drain a daemon, or end its drain."""
+
+from __future__ import annotations
+
+from urllib.parse import quote
+
+from burdocklead.commands.context import CommandContext, ExitCode
+from burdocklead.commands.control_pages import ask_in_turn
+from burdocklead.commands.http_client import OK, Request
+from burdocklead.durable.drains import DrainList
+from burdocklead.exceptions import LostAnswerError
+
+STEP = 'drain'
+
+
+async def drain_daemon(
+    context: CommandContext, daemon_id: str, *, undo: bool
+) -> ExitCode:
+    """Let a daemon take no new work, or take it again.
+
+    Raises:
+        LostAnswerError: If it is not known whether the change was accepted.
+        RefusedError: If control refuses it.
+    """
+    method = 'DELETE' if undo else 'PUT'
+    path = f'/v1/drains/{quote(daemon_id, safe="")}'
+    try:
+        answer = await ask_in_turn(context, Request(STEP, method, path))
+    except LostAnswerError as error:
+        reason = f'not known; give the same command again ({error.reason})'
+        raise LostAnswerError(reason, step=STEP, peer=error.peer) from None
+    if answer.status != OK:
+        raise answer.failure()
+    drains = answer.decode(DrainList)
+    if context.as_json:
+        context.write_json({'drained': drains.daemons})
+        return ExitCode.done
+    names = ', '.join(drains.daemons) or 'none'
+    context.write(f'drained by operators: {names}')
+    return ExitCode.done
--- a/burdocklead/commands/subcommands.py
+++ b/burdocklead/commands/subcommands.py
@@ -14,6 +14,7 @@
 from burdocklead.commands.check import check_file
 from burdocklead.commands.context import CommandContext, ExitCode
 from burdocklead.commands.diff import diff_file
+from burdocklead.commands.drain import drain_daemon
 from burdocklead.commands.replicas import ACTIONS, run_replicas
 from burdocklead.commands.show import show_file
 from burdocklead.commands.status import show_status
@@ -140,6 +141,17 @@
             ),
         ),
     ),
+    Subcommand(
+        'drain',
+        'let a daemon take no new work',
+        lambda flags, context: drain_daemon(
+            context, flags.daemon, undo=flags.undo
+        ),
+        (
+            Argument('daemon', 'name of the daemon', {}),
+            _switch('--undo', 'let it take work again'),
+        ),
+    ),
     Subcommand(
         'timeline',
         'show the events of all processes in causal order',
--- a/burdocklead/connection/control_messages.py
+++ b/burdocklead/connection/control_messages.py
@@ -7,6 +7,7 @@
 from burdocklead.clock import HybridTime
 from burdocklead.durable.claims import ClaimFinish, ClaimReply, ClaimStart
 from burdocklead.durable.configuration import AcceptedFile
+from burdocklead.durable.drains import NO_DRAINS, DrainList
 from burdocklead.durable.register import Phase, PhaseReply, Register
 from burdocklead.durable.replica_set import ReplicaSet
 from burdocklead.values import Member
@@ -131,6 +132,7 @@
         time: Hybrid time of the replica.
         replica_set: The replica set if newer than the known epoch.
         renewals: Leases of all present daemons, for replicas only.
+        drains: Daemons that operators drain.
     """
 
     cursor: Cursor
@@ -141,6 +143,7 @@
     time: HybridTime
     replica_set: ReplicaSet | None = None
     renewals: tuple[Renewal, ...] = ()
+    drains: DrainList = NO_DRAINS
 
 
 class Exchange(msgspec.Struct, frozen=True, tag=True):
--- a/burdocklead/events.py
+++ b/burdocklead/events.py
@@ -43,6 +43,7 @@
     link_closed = 'link-closed'
     signal_dead = 'signal-dead'
     request_blocked = 'request-blocked'
+    drains_changed = 'drains-changed'
     replica_changed = 'replica-changed'
     quorum_lost = 'quorum-lost'
     unexpected_error = 'unexpected-error'
--- a/burdocklead/process/control_agent.py
+++ b/burdocklead/process/control_agent.py
@@ -14,6 +14,7 @@
     Heartbeat,
     HeartbeatReply,
 )
+from burdocklead.durable.drains import NO_DRAINS, DrainList
 from burdocklead.exceptions import ControlError
 from burdocklead.process.directory import DaemonDirectory
 from burdocklead.process.own_member import OwnMember
@@ -29,6 +30,7 @@
     Attributes:
         connected: True if the last heartbeat was answered.
         known_epoch: Epoch of the replica set in use, 0 before the first.
+        drains: Newest drains of operators.
     """
 
     def __init__(
@@ -48,6 +50,7 @@
         self.cursor = Cursor()
         self.connected = False
         self.known_epoch = 0
+        self.drains = NO_DRAINS
 
     async def run_forever(self) -> None:
         """Send heartbeats until cancelled; at once after a change."""
@@ -91,10 +94,18 @@
             self.control.use_replicas(reply.replica_set.addresses())
         if reply.file is not None:
             self.directory.take_file(reply.file)
+        self._take_drains(reply.drains)
         if not self.connected:
             self.connected = True
             log.info('control reached', replica=reply.cursor.replica_id)
 
+    def _take_drains(self, drains: DrainList) -> None:
+        if drains.revision <= self.drains.revision:
+            return
+        self.drains = drains
+        own_id = self.own.member.daemon_id
+        self.own.set_operator_drain(own_id in drains.daemons)
+
     def _leave_replica(self, name: str, reason: str) -> None:
         self.control.leave_replica()
         if self.connected:
--- a/burdocklead/process/control_http.py
+++ b/burdocklead/process/control_http.py
@@ -8,7 +8,7 @@
 
 from aiohttp import web
 
-from burdocklead.exceptions import ConfigurationError, QuorumError
+from burdocklead.exceptions import ConfigurationError, QuorumError, RefusedError
 from burdocklead.process.admin_http import (
     BAD_REQUEST,
     UNAVAILABLE,
@@ -57,6 +57,8 @@
                 web.put('/v1/configuration', self.apply),
                 web.get('/v1/configuration', self.show),
                 web.get('/v1/status', self.status),
+                web.put('/v1/drains/{daemon}', self.drain),
+                web.delete('/v1/drains/{daemon}', self.drain),
             ]
         )
         application.add_routes(ReplicaPages(self.replica).routes())
@@ -89,6 +91,24 @@
             body=file.text, headers={'Burdocklead-Version': str(file.version)}
         )
 
+    async def drain(self, request: web.Request) -> web.Response:
+        """Drain a daemon, or end its drain."""
+        daemon_id = request.match_info['daemon']
+        drained = request.method == 'PUT'
+        present = {one.daemon_id for one in self.replica.members.present()}
+        if drained and daemon_id not in present:
+            error = RefusedError(
+                'no such daemon is present', step='drain', peer=daemon_id
+            )
+            return error_response(error, CONFLICT)
+        try:
+            drains = await self.replica.drains.change(
+                daemon_id, drained=drained
+            )
+        except QuorumError as error:
+            return error_response(error, UNAVAILABLE)
+        return json_response(drains)
+
     async def status(self, request: web.Request) -> web.Response:
         """Return what the replica knows."""
         members = self.replica.members.present()
@@ -98,6 +118,7 @@
             'quorum': self.is_ready(),
             'members': members,
             'blocked': self._blocked(members),
+            'drains': self.replica.drains.known.daemons,
             'dead_signals': sorted(
                 signal for member in members for signal in member.dead_signals
             ),
--- a/burdocklead/process/control_replica.py
+++ b/burdocklead/process/control_replica.py
@@ -44,6 +44,7 @@
 from burdocklead.exceptions import BurdockleadError, ControlError
 from burdocklead.metrics import MetricSet
 from burdocklead.process.membership import MembershipView
+from burdocklead.process.operator_drains import OperatorDrains
 from burdocklead.process.register_service import RegisterService
 from burdocklead.process.set_changer import SetChanger
 from burdocklead.settings import ControlSettings
@@ -76,6 +77,7 @@
             settings.replica_id, time.time_ns(), settings.member_lease
         )
         self.file = AcceptedFile()
+        self.drains = OperatorDrains(self.registers, self.events)
         self.peer_heard_at: dict[str, float] = {}
         self.cursors: dict[str, Cursor] = {}
         self.changer = SetChanger(self.registers, self.peer_heard_at)
@@ -157,6 +159,7 @@
         while True:
             try:
                 value = await self.registers.change(CONFIGURATION_KEY, bytes)
+                await self.drains.recover()
             except ControlError:
                 await asyncio.sleep(self.settings.exchange_interval)
                 continue
@@ -222,6 +225,7 @@
         self.cursors[peer.name] = reply.cursor
         self.members.merge(reply.updates, now)
         self.members.renew(reply.renewals, now)
+        self.drains.learn(reply.drains)
         if reply.file is not None:
             self.learn_file(reply.file)
 
@@ -249,6 +253,7 @@
             quorum_age_ms=self.quorum_age() * MS_PER_S,
             time=self.clock.issue(),
             replica_set=replica_set if newer_set else None,
+            drains=self.drains.known,
         )
 
     async def _change_claim(
