Let a cancelled control request end; hold ports until a process takes them

Cause: when a task is cancelled inside a socket of the messaging library, the library raises an error of its own. The client took it for a failed request, so the heartbeat loop went on and a daemon whose control was gone never ended after its drain. Second: the ports of replicas were free between their choice and the listen, and another process could get them. Change: a request that failed while its task is cancelled ends as cancelled; ports stay bound, without listening, until the deployment ends.

--- a/burdocklead/connection/control_client.py
+++ b/burdocklead/connection/control_client.py
@@ -63,6 +63,7 @@
                 received = await self._exchange(request.content)
         except (TimeoutError, pynng.NNGException) as error:
             self.close()
+            _raise_if_cancelled()
             reason = str(error) or 'no answer in time'
             raise ControlError(reason, step=step, peer=self.name) from error
         return self._checked(received, request.nonce, step)
@@ -111,6 +112,13 @@
         return socket
 
 
+def _raise_if_cancelled() -> None:
+    """Let a cancel through that the socket library reported as its own."""
+    task = asyncio.current_task()
+    if task is not None and task.cancelling():
+        raise asyncio.CancelledError
+
+
 class ControlGroup:
     """Clients of all replicas; requests stay with one that answers."""
 
--- a/devtools/local_deployment.py
+++ b/devtools/local_deployment.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 import subprocess
 import sys
 import time
@@ -17,8 +18,9 @@
 from devtools.forwarder_process import ForwarderProcess
 from devtools.processes import (
     ManagedProcess,
-    free_ports,
     kill_all,
+    port_of,
+    reserve_port,
     stop_all,
     use_repository_sources,
 )
@@ -72,12 +74,13 @@
     upstreams: dict[str, ManagedProcess] = field(default_factory=dict)
     forwarders: dict[str, ForwarderProcess] = field(default_factory=dict)
     replica_list: str = ''
+    reserved: list[socket.socket] = field(default_factory=list)
 
     def start_controls(self, count: int = 3) -> None:
         """Start control replicas and wait until they serve."""
         use_repository_sources()
         names = [f'control-{index}' for index in range(count)]
-        ports = free_ports(count)
+        ports = [self._reserve() for _ in range(count)]
         self.replica_list = ','.join(
             f'{name}=127.0.0.1:{port}'
             for name, port in zip(names, ports, strict=True)
@@ -92,7 +95,7 @@
 
     def start_spare_control(self, name: str) -> str:
         """Start a replica that is in no set; return its control address."""
-        port = free_ports(1)[0]
+        port = self._reserve()
         self.controls[name] = control_process(
             self, name, len(self.controls), port
         )
@@ -123,6 +126,10 @@
         for name in names:
             self.upstreams[name].wait_ready()
 
+    def _reserve(self) -> int:
+        self.reserved.append(reserve_port())
+        return port_of(self.reserved[-1])
+
     def apply(self, path: Path) -> None:
         """Apply a file with the operators' program."""
         completed = self.run_operator('apply', str(path))
@@ -218,10 +225,17 @@
     def stop(self) -> None:
         """End all processes gracefully."""
         stop_all(self.processes())
+        self._release()
 
     def kill(self) -> None:
         """End all processes at once."""
         kill_all(self.processes())
+        self._release()
+
+    def _release(self) -> None:
+        for reserved in self.reserved:
+            reserved.close()
+        self.reserved.clear()
 
 
 def control_process(
--- a/devtools/processes.py
+++ b/devtools/processes.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import contextlib
 import os
 import signal
 import socket
@@ -28,13 +27,21 @@
 }
 
 
-def free_ports(count: int) -> list[int]:
-    """Return ports that the kernel gave and that are free again."""
-    with contextlib.ExitStack() as stack:
-        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for reserved in sockets:
-            reserved.bind(('127.0.0.1', 0))
-        return [reserved.getsockname()[1] for reserved in sockets]
+def reserve_port() -> socket.socket:
+    """Return a bound socket whose port a started process may listen on.
+
+    While the socket is open, the kernel gives the port to nobody else; a
+    listener that allows the reuse of addresses may still take it.
+    """
+    reserved = socket.socket()
+    reserved.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    reserved.bind(('127.0.0.1', 0))
+    return reserved
+
+
+def port_of(reserved: socket.socket) -> int:
+    """Return the port of a bound socket."""
+    return int(reserved.getsockname()[1])
 
 
 @dataclass(slots=True)
--- a/tests/devtools/local_processes.feature
+++ b/tests/devtools/local_processes.feature
@@ -8,3 +8,8 @@
 
   Scenario: The pinned libraries name no folder of a machine
     Then each line of the constraints pins one library
+
+  Scenario: A reserved port goes to the process it is meant for only
+    When 200 ports are reserved and 400 others are taken from the kernel
+    Then none of the others is reserved
+    And a listener of the product takes a reserved port
--- a/tests/steps/local_process_steps.py
+++ b/tests/steps/local_process_steps.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import re
+import socket
 
+import pynng
 from behave import then, when
 
-from devtools.processes import source_root
+from devtools.processes import port_of, reserve_port, source_root
 
 PIN = re.compile(r'^[A-Za-z0-9._-]+==[A-Za-z0-9.+!]+$')
 
@@ -34,3 +36,33 @@
     lines = (source_root() / 'constraints.txt').read_text().splitlines()
     wrong = [line for line in lines if not PIN.match(line)]
     assert lines and not wrong, wrong
+
+
+@when(
+    '{count:d} ports are reserved and {others:d} others are taken from the '
+    'kernel'
+)
+def reserve_ports(context, count, others):
+    """Reserve ports, then let the kernel choose others."""
+    context.reserved = [reserve_port() for _ in range(count)]
+    taken = [socket.create_server(('127.0.0.1', 0)) for _ in range(others)]
+    context.taken = {port_of(one) for one in taken}
+    for one in (*context.reserved, *taken):
+        context.add_cleanup(one.close)
+
+
+@then('none of the others is reserved')
+def check_reserved(context):
+    """Compare the ports."""
+    reserved = {port_of(one) for one in context.reserved}
+    assert not reserved & context.taken, reserved & context.taken
+
+
+@then('a listener of the product takes a reserved port')
+def check_listener(context):
+    """Let a control socket listen on a reserved port."""
+    port = port_of(context.reserved[0])
+    with pynng.Rep0() as listener:
+        listener.listen(f'tcp://127.0.0.1:{port}')
+        with pynng.Req0() as client:
+            client.dial(f'tcp://127.0.0.1:{port}', block=True)
