--- a/burdocklead/connection/peer_access.py
+++ b/burdocklead/connection/peer_access.py
@@ -8,7 +8,7 @@
 from burdocklead.connection.cluster_key import ClusterKey, load_cluster_key
 from burdocklead.connection.tls import TlsFiles, load_tls
 from burdocklead.exceptions import SettingsError
-from burdocklead.settings import ControlSettings, DaemonSettings
+from burdocklead.settings import DaemonSettings, ProcessSettings
 
 
 @dataclass(frozen=True, slots=True)
@@ -24,7 +24,7 @@
     tls: TlsFiles | None = None
 
 
-def load_peer_access(settings: ControlSettings | DaemonSettings) -> PeerAccess:
+def load_peer_access(settings: ProcessSettings) -> PeerAccess:
     """Return the access that the settings name.
 
     Raises:
--- a/burdocklead/settings.py
+++ b/burdocklead/settings.py
@@ -25,11 +25,34 @@
 
 
 @dataclass(frozen=True, slots=True)
-class DaemonSettings:
+class ProcessSettings:
+    """Settings shared by the long-lived programs."""
+
+    zone: str = option(Text(), None, 'availability zone of this VM')
+    cluster_key_file: Path | None = option(
+        FilePath(must_exist=True), '', 'file with the shared cluster key'
+    )
+    tls_certificate: Path | None = option(
+        FilePath(must_exist=True), '', 'file with the certificate chain'
+    )
+    tls_key: Path | None = option(
+        FilePath(must_exist=True), '', 'file with the private key'
+    )
+    tls_authority: Path | None = option(
+        FilePath(must_exist=True), '', 'file with the authorities'
+    )
+    ready_file: Path | None = option(
+        FilePath(), '', 'file to write the addresses to once serving'
+    )
+    log_form: str = option(Choice(LOG_FORMS), 'text', 'form of log lines')
+    log_level: str = option(Choice(LOG_LEVELS), 'info', 'lowest log level')
+
+
+@dataclass(frozen=True, slots=True)
+class DaemonSettings(ProcessSettings):
     """Settings of one ``burdocklead-daemon`` process."""
 
     daemon_id: str = option(Text(), None, 'name of this daemon')
-    zone: str = option(Text(), None, 'availability zone of this VM')
     listen: Address = option(
         SocketAddress(), '127.0.0.1:8080', 'address for callers'
     )
@@ -91,26 +114,9 @@
     drain_limit: float = option(
         Number(0, 3600), '60', 'longest graceful stop in s'
     )
-    cluster_key_file: Path | None = option(
-        FilePath(must_exist=True), '', 'file with the shared cluster key'
-    )
-    tls_certificate: Path | None = option(
-        FilePath(must_exist=True), '', 'file with the certificate chain'
-    )
-    tls_key: Path | None = option(
-        FilePath(must_exist=True), '', 'file with the private key'
-    )
-    tls_authority: Path | None = option(
-        FilePath(must_exist=True), '', 'file with the authorities'
-    )
     caller_tls: str = option(
         Choice(SWITCH), 'off', 'on to serve callers over TLS with these files'
     )
-    ready_file: Path | None = option(
-        FilePath(), '', 'file to write the addresses to once serving'
-    )
-    log_form: str = option(Choice(LOG_FORMS), 'text', 'form of log lines')
-    log_level: str = option(Choice(LOG_LEVELS), 'info', 'lowest log level')
 
     def max_frame_bytes(self) -> int:
         """Return the size of the largest frame of a link."""
@@ -118,11 +124,10 @@
 
 
 @dataclass(frozen=True, slots=True)
-class ControlSettings:
+class ControlSettings(ProcessSettings):
     """Settings of one ``burdocklead-control`` process."""
 
     replica_id: str = option(Text(), None, 'name of this replica')
-    zone: str = option(Text(), None, 'availability zone of this VM')
     listen: Address = option(
         SocketAddress(), '127.0.0.1:8090', 'address for daemons and replicas'
     )
@@ -139,26 +144,9 @@
     exchange_interval: float = option(
         Number(0.05, 10), '0.25', 'time between exchanges of replicas in s'
     )
-    cluster_key_file: Path | None = option(
-        FilePath(must_exist=True), '', 'file with the shared cluster key'
-    )
     operator_token_file: Path | None = option(
         FilePath(must_exist=True), '', 'file with the operator token'
     )
-    tls_certificate: Path | None = option(
-        FilePath(must_exist=True), '', 'file with the certificate chain'
-    )
-    tls_key: Path | None = option(
-        FilePath(must_exist=True), '', 'file with the private key'
-    )
-    tls_authority: Path | None = option(
-        FilePath(must_exist=True), '', 'file with the authorities'
-    )
-    ready_file: Path | None = option(
-        FilePath(), '', 'file to write the addresses to once serving'
-    )
-    log_form: str = option(Choice(LOG_FORMS), 'text', 'form of log lines')
-    log_level: str = option(Choice(LOG_LEVELS), 'info', 'lowest log level')
 
 
 @dataclass(frozen=True, slots=True)
