--- a/burdocklead/process/daemon_process.py
+++ b/burdocklead/process/daemon_process.py
@@ -29,6 +29,7 @@
 from burdocklead.values import Address, Member
 
 DRAIN_POLL_S = 0.02
+DRAIN_QUIET_S = 1.0
 IDLE_CALLERS_S = 1.0
 LEASE_CHECK_S = 0.2
 log = logbook.Logger('daemon')
@@ -148,12 +149,23 @@
             async with asyncio.timeout(settings.drain_limit):
                 await asyncio.sleep(settings.drain_notice)
                 await callers.stop_accepting()
-                while self.parts.is_working():
-                    await asyncio.sleep(DRAIN_POLL_S)
+                await self._wait_quiet()
         except TimeoutError:
             log.warning('drain limit reached', limit=settings.drain_limit)
         await callers.runner.cleanup()
 
+    async def _wait_quiet(self) -> None:
+        """Wait until no work is left and none came for a while.
+
+        A connection that was accepted last may not have sent its call yet.
+        """
+        loop = asyncio.get_running_loop()
+        quiet_since = loop.time()
+        while loop.time() - quiet_since < DRAIN_QUIET_S:
+            await asyncio.sleep(DRAIN_POLL_S)
+            if self.parts.is_working():
+                quiet_since = loop.time()
+
     async def _close(self, servers: DaemonServers) -> None:
         await self.parts.links.close()
         self.parts.directory.close()
--- /dev/null
+++ b/tests/steps/late_call_steps.py
@@ -0,0 +1,34 @@
+"""Steps for a caller that connects while a daemon stops."""
+
+from __future__ import annotations
+
+import signal
+import socket
+import time
+
+from behave import then, when
+
+ANSWER_LIMIT_S = 5
+READ_BYTES = 65536
+
+
+@when(
+    'a caller connects to "{daemon}" {first:g} s after its SIGTERM and sends '
+    'its call {later:g} s later'
+)
+def connect_late(context, daemon, first, later):
+    """Connect before the listener closes, send the call after it."""
+    process = context.deployment.daemons[daemon]
+    host, _, port = process.addresses['http'].rpartition(':')
+    process.send_signal(signal.SIGTERM)
+    time.sleep(first)
+    with socket.create_connection((host, int(port)), ANSWER_LIMIT_S) as caller:
+        time.sleep(later)
+        caller.sendall(b'GET /job-sheets/sheets/1 HTTP/1.1\r\nHost: a\r\n\r\n')
+        context.late_answer = caller.recv(READ_BYTES)
+
+
+@then('that late call is answered')
+def check_late_answer(context):
+    """Check that the caller was told an outcome."""
+    assert b'Burdocklead-Outcome: ' in context.late_answer, context.late_answer
