Name what is done in place of 'take' and 'tell'

Cause: a newcomer reads take_file, take_call, tell_signal and must look up what each does. Change: apply_updates, install_file, handle_call, report_signal, merge, try_spend and others; no behaviour.

--- a/burdocklead/connection/link_server.py
+++ b/burdocklead/connection/link_server.py
@@ -43,7 +43,7 @@
 class CrashTaker(Protocol):
     """What takes reports of crashes."""
 
-    def take(self, reports: Sequence[CrashReport]) -> None:
+    def merge(self, reports: Sequence[CrashReport]) -> None:
         """Merge what another daemon reports."""
 
 
@@ -225,7 +225,7 @@
             case Attempt():
                 self._reply_later(protocol, peer, self.handler.run(frame))
             case CrashNotice():
-                self.handler.guard.take(frame.reports)
+                self.handler.guard.merge(frame.reports)
             case Ping(number):
                 pong = Pong(number, self.handler.load())
                 protocol.send(pong, urgent=True)
--- a/burdocklead/process/caller_http.py
+++ b/burdocklead/process/caller_http.py
@@ -66,7 +66,7 @@
         self.in_progress = 0
         self.draining = False
 
-    async def take_call(self, request: web.BaseRequest) -> web.Response:
+    async def handle_call(self, request: web.BaseRequest) -> web.Response:
         """Return the answer to one call with its outcome."""
         started = asyncio.get_running_loop().time()
         call_id = self.dispatcher.new_id()
--- a/burdocklead/process/control_agent.py
+++ b/burdocklead/process/control_agent.py
@@ -83,23 +83,23 @@
         if reply.quorum_age_ms > QUORUM_AGE_LIMIT_MS:
             self._leave_replica(client.name, 'cut off from its quorum')
             return
-        self._take(reply)
+        self._apply_reply(reply)
 
-    def _take(self, reply: HeartbeatReply) -> None:
+    def _apply_reply(self, reply: HeartbeatReply) -> None:
         self.clock.observe(reply.time)
-        self.directory.take_updates(reply.updates, whole=reply.whole)
+        self.directory.apply_updates(reply.updates, whole=reply.whole)
         self.cursor = reply.cursor
         if reply.replica_set is not None:
             self.known_epoch = reply.replica_set.epoch
             self.control.use_replicas(reply.replica_set.addresses())
         if reply.file is not None:
-            self.directory.take_file(reply.file)
-        self._take_drains(reply.drains)
+            self.directory.install_file(reply.file)
+        self._apply_drains(reply.drains)
         if not self.connected:
             self.connected = True
             log.info('control reached', replica=reply.cursor.replica_id)
 
-    def _take_drains(self, drains: DrainList) -> None:
+    def _apply_drains(self, drains: DrainList) -> None:
         if drains.revision <= self.drains.revision:
             return
         self.drains = drains
--- a/burdocklead/process/control_http.py
+++ b/burdocklead/process/control_http.py
@@ -131,7 +131,7 @@
         """Return the requests that daemons refuse after crashes."""
         block_list = BlockList('')
         for member in members:
-            block_list.take(member.crashes)
+            block_list.merge(member.crashes)
         text = self.replica.file.text
         limits = decode_deployment(text).crashes if text else Crashes()
         return block_list.blocked(limits, time.time())
--- a/burdocklead/process/daemon_parts.py
+++ b/burdocklead/process/daemon_parts.py
@@ -43,7 +43,9 @@
             self.incarnation,
             AttemptJournal(self.events, self.metrics),
         )
-        self.router = Router(settings.zone, rng, SignalWatch(self.tell_signal))
+        self.router = Router(
+            settings.zone, rng, SignalWatch(self.report_signal)
+        )
         self.access = load_peer_access(settings)
         self.control = ControlGroup(settings.control, self.access)
         identity = LinkIdentity(
@@ -90,7 +92,7 @@
         deployment = self.directory.deployment()
         return deployment.crashes if deployment else Crashes()
 
-    def tell_signal(self, daemon_id: str, reason: str) -> None:
+    def report_signal(self, daemon_id: str, reason: str) -> None:
         """Count and record a load signal that died or came back."""
         if reason:
             self.metrics.count(SIGNAL_DEAD, reason.replace(' ', '-'))
--- a/burdocklead/process/daemon_process.py
+++ b/burdocklead/process/daemon_process.py
@@ -88,7 +88,9 @@
         link = await self.parts.links.start(self.parts.settings.link_listen)
         settings = self.parts.settings
         callers = await start_caller_server(
-            CallerServer(self.parts.callers.take_call, settings.max_body_bytes),
+            CallerServer(
+                self.parts.callers.handle_call, settings.max_body_bytes
+            ),
             settings.listen,
             caller_tls(settings, self.parts.access),
             IDLE_CALLERS_S,
--- a/burdocklead/process/directory.py
+++ b/burdocklead/process/directory.py
@@ -109,7 +109,7 @@
                 await link.open(member.incarnation)
                 link.tell(notice)
 
-    def take_updates(
+    def apply_updates(
         self, updates: Iterable[MemberUpdate], *, whole: bool
     ) -> None:
         """Take over changes of the membership."""
@@ -126,7 +126,7 @@
         if updates or whole:
             self._index()
 
-    def take_file(self, file: AcceptedFile) -> None:
+    def install_file(self, file: AcceptedFile) -> None:
         """Put a newer configuration file in force; never an older one."""
         if file.version <= self.version:
             return
@@ -162,7 +162,7 @@
 
     def _add(self, member: Member) -> None:
         known = self.members.get(member.daemon_id)
-        self.local_link.executor.guard.take(member.crashes)
+        self.local_link.executor.guard.merge(member.crashes)
         self.members[member.daemon_id] = member
         if known is None:
             self.events.record(EventKind.member_joined, peer=member.daemon_id)
--- a/burdocklead/process/prober.py
+++ b/burdocklead/process/prober.py
@@ -61,10 +61,10 @@
             link = self.directory.open_link(member)
             if link is None:
                 continue
-            if not self.budget.take(PROBE_MESSAGES, PROBE_BYTES, now):
+            if not self.budget.try_spend(PROBE_MESSAGES, PROBE_BYTES, now):
                 self.metrics.count(PROBES, 'over-budget')
                 return
-            self.planner.note_probe(member.daemon_id, now)
+            self.planner.record_probe(member.daemon_id, now)
             self.metrics.count(MEASURING_MESSAGES, amount=PROBE_MESSAGES)
             self.metrics.count(MEASURING_BYTES, amount=PROBE_BYTES)
             group.create_task(self._run_probe(link))
--- a/burdocklead/request/admission.py
+++ b/burdocklead/request/admission.py
@@ -95,11 +95,11 @@
     def offer(self, ticket: Ticket, now: float) -> OfferResult:
         """Return whether a new call runs, waits or is refused."""
         cost = self._cost_of(ticket)
-        cost.note_arrival(now, self.table.costs.window)
+        cost.record_arrival(now, self.table.costs.window)
         self.table.costs.refresh(now)
         if not self.table.slots:
             return OfferResult(Refused(RefusalCause.queue_full))
-        if self._is_hopeless(ticket, now):
+        if self._misses_deadline(ticket, now):
             return OfferResult(Refused(RefusalCause.deadline))
         latest_start = ticket.deadline - cost.careful_ms() / MS_PER_S
         waiting = WaitingCall(
@@ -162,7 +162,7 @@
     def _cost_of(self, ticket: Ticket) -> RouteCost:
         return self.table.costs.cost_of(ticket.route, ticket.cost_ms)
 
-    def _is_hopeless(self, ticket: Ticket, now: float) -> bool:
+    def _misses_deadline(self, ticket: Ticket, now: float) -> bool:
         """Return True if a call can't finish in time even if it starts now.
 
         An idle upstream takes any call, so that a learned cost that is far
@@ -248,7 +248,7 @@
         if waiting.order[1] > now:
             return False
         others_wait = bool(self.short or self.long)
-        return others_wait or self._is_hopeless(waiting.payload, now)
+        return others_wait or self._misses_deadline(waiting.payload, now)
 
     def _take_next(self, now: float) -> WaitingCall[Ticket] | None:
         """Remove and return the next call to run, None if none may."""
--- a/burdocklead/request/block_list.py
+++ b/burdocklead/request/block_list.py
@@ -56,7 +56,7 @@
     )
     expired_at_s: float = 0
 
-    def take(self, reports: Iterable[CrashReport]) -> bool:
+    def merge(self, reports: Iterable[CrashReport]) -> bool:
         """Merge reports; return True if anything was new."""
         news = False
         for report in reports:
@@ -75,7 +75,7 @@
             msgspec.structs.replace(report, cleared=True)
             for report in self._standing_reports(fingerprint)
         )
-        self.take(cleared)
+        self.merge(cleared)
         return cleared
 
     def standing(
--- a/burdocklead/request/crash_guard.py
+++ b/burdocklead/request/crash_guard.py
@@ -147,10 +147,10 @@
             self._leave(attempt)
         return result
 
-    def take(self, reports: Sequence[CrashReport]) -> None:
+    def merge(self, reports: Sequence[CrashReport]) -> None:
         """Merge what another daemon reports."""
-        if reports and self.block_list.take(reports):
-            self._tell(reports)
+        if reports and self.block_list.merge(reports):
+            self._broadcast(reports)
 
     def _leave(self, attempt: Attempt) -> None:
         """Let the next suspect run if this attempt was one."""
@@ -181,9 +181,9 @@
             at_s=int(time.time()),
             alone=group.alone,
         )
-        if self.block_list.take((report,)):
+        if self.block_list.merge((report,)):
             self.metrics.count(CRASH_REPORTS)
-            self._tell((report,))
+            self._broadcast((report,))
             await self._spread(attempt.service, (report,))
         return (report,)
 
@@ -214,7 +214,7 @@
         if sends:
             await asyncio.wait(sends, timeout=NOTICE_LIMIT_S)
 
-    def _tell(self, reports: Sequence[CrashReport]) -> None:
+    def _broadcast(self, reports: Sequence[CrashReport]) -> None:
         named = {report.fingerprint for report in reports}
         for fingerprint in named:
             if self.standing(fingerprint) is Standing.blocked:
--- a/burdocklead/request/dispatch.py
+++ b/burdocklead/request/dispatch.py
@@ -132,7 +132,7 @@
             return False
         lost = [one for one in results if isinstance(one, Lost)]
         for one in lost:
-            self.guard.take(one.crashes)
+            self.guard.merge(one.crashes)
         crashes = sum(one.crash_suspected for one in lost)
         return crashes >= self.guard.limits().max_crashes
 
--- a/burdocklead/request/measuring.py
+++ b/burdocklead/request/measuring.py
@@ -46,7 +46,7 @@
     messages: int = 0
     size: int = 0
 
-    def take(self, messages: int, size: int, now: float) -> bool:
+    def try_spend(self, messages: int, size: int, now: float) -> bool:
         """Spend messages and bytes; return False if a limit forbids it."""
         self._forget(now)
         if self.messages + messages > self.limits.messages_per_second:
@@ -98,7 +98,7 @@
                 planned.append(best)
         return planned
 
-    def note_probe(self, daemon_id: str, now: float) -> None:
+    def record_probe(self, daemon_id: str, now: float) -> None:
         """Note that a probe was sent."""
         self.probed_at[daemon_id] = now
 
--- a/burdocklead/request/route_costs.py
+++ b/burdocklead/request/route_costs.py
@@ -56,7 +56,7 @@
 
     Attributes:
         usual: Median service time in ms.
-        quick: Low quantile in ms; a call that has less time is hopeless.
+        quick: Low quantile in ms; a call with less time can't finish.
         high: High quantile in ms.
         baseline: Median in ms that follows a slowdown only slowly.
         last_seen: Monotonic time of the last call in s.
@@ -96,7 +96,7 @@
         if service_ms > self.usual.estimate:
             self.usual.observe(service_ms)
 
-    def note_arrival(self, now: float, window: float) -> None:
+    def record_arrival(self, now: float, window: float) -> None:
         """Count a call into the demand.
 
         Args:
--- a/burdocklead/request/routing.py
+++ b/burdocklead/request/routing.py
@@ -168,7 +168,7 @@
         self, daemon_id: str, load: LoadReport, now: float
     ) -> None:
         """Take note of a load report."""
-        self.view_of(daemon_id).take_load(load, now)
+        self.view_of(daemon_id).record_load(load, now)
         report = (load.busy, load.queued, load.slots)
         self.signals.observe_report(daemon_id, report, now)
 
@@ -192,7 +192,7 @@
         view = self.view_of(daemon_id)
         match result:
             case Answer():
-                self._take_answer(view, route, elapsed * MS_PER_S, now)
+                self._apply_answer(view, route, elapsed * MS_PER_S, now)
                 self.signals.observe_answer(daemon_id, view.sent, now)
             case Refusal(cause=cause) if cause in LEAVING_CAUSES:
                 view.avoid_until = now + LEAVING_S
@@ -209,7 +209,7 @@
         """Take note of an attempt that was cancelled after a time in s."""
         ratio = elapsed * MS_PER_S / self.usual_ms(route)
         if ratio > 1:
-            self.view_of(daemon_id).note_answer(ratio, 0, now)
+            self.view_of(daemon_id).record_answer(ratio, 0, now)
 
     def forget(self, daemon_id: str) -> None:
         """Forget an upstream that has left, unless attempts are open."""
@@ -218,7 +218,7 @@
             self.views.pop(daemon_id)
         self.signals.forget(daemon_id)
 
-    def _take_answer(
+    def _apply_answer(
         self, view: UpstreamView, route: str, elapsed_ms: float, now: float
     ) -> None:
         tracker = self.usual.get(route)
@@ -228,7 +228,7 @@
         ratio = elapsed_ms / tracker.estimate
         tracker.observe(elapsed_ms)
         next_ms = max(map(self.usual_ms, view.in_flight), default=float(0))
-        view.note_answer(ratio, next_ms, now)
+        view.record_answer(ratio, next_ms, now)
 
     def _draw(self, members: Sequence[Member], count: int) -> list[Member]:
         """Return a few members at random; the cost does not grow with all."""
--- a/burdocklead/request/upstream_view.py
+++ b/burdocklead/request/upstream_view.py
@@ -100,7 +100,7 @@
         if not self.sent:
             self.due = math.inf
 
-    def note_answer(self, ratio: float, next_ms: float, now: float) -> None:
+    def record_answer(self, ratio: float, next_ms: float, now: float) -> None:
         """Take note of an answer.
 
         Args:
@@ -119,7 +119,7 @@
         penalty = self.penalty.read(now) + weight
         self.penalty.write(min(penalty, PENALTY_LIMIT), now)
 
-    def take_load(self, load: LoadReport, now: float) -> None:
+    def record_load(self, load: LoadReport, now: float) -> None:
         """Take over a load report."""
         self.load = load
         self.load_at = now
--- a/devtools/fuzz/request_world.py
+++ b/devtools/fuzz/request_world.py
@@ -277,7 +277,7 @@
         """Send a request about a claim."""
         return await self.world.claims.request(message, timeout)
 
-    def take_member(self, member: Member, gone: bool) -> None:
+    def apply_member(self, member: Member, gone: bool) -> None:
         """Hear of a daemon's state."""
         known = self.members.get(member.daemon_id)
         if gone:
@@ -378,7 +378,7 @@
         loop = asyncio.get_running_loop()
         for daemon in getattr(self, 'daemons', ()):
             delay = self.rng.uniform(*VIEW_DELAY_S)
-            loop.call_later(delay, daemon.take_member, member, gone)
+            loop.call_later(delay, daemon.apply_member, member, gone)
 
     def crash_daemon(self, index: int) -> None:
         """End a daemon's process."""
--- a/devtools/local_deployment.py
+++ b/devtools/local_deployment.py
@@ -93,7 +93,7 @@
         for process in self.controls.values():
             process.wait_ready()
 
-    def start_spare_control(self, name: str) -> str:
+    def start_joining_control(self, name: str) -> str:
         """Start a replica that is in no set; return its control address."""
         port = self._reserve()
         self.controls[name] = control_process(
--- a/tests/steps/crash_steps.py
+++ b/tests/steps/crash_steps.py
@@ -48,11 +48,11 @@
 
 
 @when('a block list takes them in order {order}')
-def take_reports(context, order):
+def merge_reports(context, order):
     """Merge the reports one by one."""
     context.block_list = BlockList('u9')
     for index in order.split():
-        context.block_list.take([context.reports[int(index)]])
+        context.block_list.merge([context.reports[int(index)]])
 
 
 @then('the crash suspect\'s standing is "{standing}"')
@@ -75,7 +75,7 @@
     context.block_list = BlockList('u9')
     for number in range(count):
         report = _report(0, f'f{number}', alone=False)
-        context.block_list.take([report])
+        context.block_list.merge([report])
 
 
 @then('all {count:d} crash suspects\' standing is "{standing}"')
@@ -98,7 +98,7 @@
     """
     for place, number in itertools.product(('u1', 'u2'), range(2)):
         other = CrashReport('g', f'{place}.{number}', place, AT_S, True)
-        context.block_list.take([other])
+        context.block_list.merge([other])
     members = [member(number) for number in range(count)]
     places = {
         context.block_list.trial_place('f', order).daemon_id
--- a/tests/steps/measuring_steps.py
+++ b/tests/steps/measuring_steps.py
@@ -55,9 +55,9 @@
         now = turn * TURN_S
         context.router.called_at = dict.fromkeys(services, now)
         for one in context.planner.plan(services, now):
-            if not context.budget.take(PROBE_MESSAGES, PROBE_BYTES, now):
+            if not context.budget.try_spend(PROBE_MESSAGES, PROBE_BYTES, now):
                 break
-            context.planner.note_probe(one.daemon_id, now)
+            context.planner.record_probe(one.daemon_id, now)
             context.spent.append(now)
 
 
--- a/tests/steps/replica_set_steps.py
+++ b/tests/steps/replica_set_steps.py
@@ -240,7 +240,7 @@
 @when('an operator replaces "{leaving}" by "{joining}"')
 def replace(context, leaving, joining):
     """Replace a replica with the operators' function."""
-    address = context.deployment.start_spare_control(joining)
+    address = context.deployment.start_joining_control(joining)
     listed = ','.join(
         f'{name}={process.addresses["admin"]}'
         for name, process in context.deployment.controls.items()
