Run all fuzzers' examples through one module

Cause: two of them repeated the same settings word for word, two others the same run of a state machine; a constant of the clock had no user. Change: devtools/fuzz/examples.py holds both; settings, steps and seeds stay. The whole suite was not run again.

--- a/burdocklead/clock.py
+++ b/burdocklead/clock.py
@@ -8,7 +8,6 @@
 
 import msgspec
 
-NS_PER_MS = 1_000_000
 MAX_COUNT = 2**32 - 1
 MAX_AHEAD_NS = 60_000_000_000
 
--- a/devtools/fuzz/attempt_table.py
+++ b/devtools/fuzz/attempt_table.py
@@ -5,12 +5,12 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
-from hypothesis import HealthCheck, Phase, given, settings, strategies
-from hypothesis import seed as seeded
+from hypothesis import strategies
 
 from burdocklead.connection.frames import Answer, AttemptState
 from burdocklead.request.attempt_table import AttemptTable, LowWaterMarks
 from burdocklead.values import LoadReport
+from devtools.fuzz.examples import run_examples
 
 ENTRIES = ('a.1', 'a.2', 'b.1')
 NUMBERS = 5
@@ -101,13 +101,4 @@
 
 def run_fuzzer(*, seed: int, count: int, shrink: bool = True) -> None:
     """Run a number of examples; a failing one raises AssertionError."""
-    phases = (Phase.generate, Phase.shrink) if shrink else (Phase.generate,)
-    rules = settings(
-        max_examples=count,
-        database=None,
-        deadline=None,
-        phases=phases,
-        suppress_health_check=list(HealthCheck),
-        print_blob=False,
-    )
-    seeded(seed)(rules(given(operations())(check_table)))()
+    run_examples(check_table, operations(), seed, count, shrink=shrink)
--- a/devtools/fuzz/registers.py
+++ b/devtools/fuzz/registers.py
@@ -15,14 +15,11 @@
 from pathlib import Path
 
 import msgspec
-from hypothesis import seed as with_seed
-from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
     precondition,
     rule,
-    run_state_machine_as_test,
 )
 
 from burdocklead.durable.configuration import (
@@ -45,6 +42,7 @@
 from burdocklead.exceptions import StorageError
 from burdocklead.values import Address
 from devtools.faulty_files import FaultyFileLayer
+from devtools.fuzz.examples import run_machine
 
 KEY = 'configuration'
 FOLDER = Path('data')
@@ -258,14 +256,4 @@
 
 def run_fuzzer(*, seed: int, count: int, derandomize: bool = False) -> None:
     """Run a number of examples; a failing one raises AssertionError."""
-    chosen = settings(
-        max_examples=count,
-        stateful_step_count=STEPS,
-        deadline=None,
-        database=None,
-        derandomize=derandomize,
-    )
-    machine = RegisterMachine
-    if not derandomize:
-        machine = with_seed(seed)(RegisterMachine)
-    run_state_machine_as_test(machine, settings=chosen)
+    run_machine(RegisterMachine, seed, count, STEPS, derandomize=derandomize)
--- a/devtools/fuzz/request_path.py
+++ b/devtools/fuzz/request_path.py
@@ -6,9 +6,9 @@
 from dataclasses import dataclass
 from typing import assert_never
 
-from hypothesis import HealthCheck, Phase, given, settings, strategies
-from hypothesis import seed as seeded
+from hypothesis import strategies
 
+from devtools.fuzz.examples import run_examples
 from devtools.fuzz.request_network import FaultRates
 from devtools.fuzz.request_world import World, track_tasks
 from devtools.fuzz.virtual_loop import VirtualLoop, run_virtually
@@ -249,14 +249,4 @@
 
 def run_fuzzer(*, seed: int, count: int, shrink: bool = True) -> None:
     """Run a number of examples; a failing one raises AssertionError."""
-    phases = (Phase.generate, Phase.shrink) if shrink else (Phase.generate,)
-
-    rules = settings(
-        max_examples=count,
-        database=None,
-        deadline=None,
-        phases=phases,
-        suppress_health_check=list(HealthCheck),
-        print_blob=False,
-    )
-    seeded(seed)(rules(given(scripts())(run_script)))()
+    run_examples(run_script, scripts(), seed, count, shrink=shrink)
--- a/devtools/fuzz/store.py
+++ b/devtools/fuzz/store.py
@@ -9,20 +9,18 @@
 import random
 from pathlib import Path
 
-from hypothesis import seed as with_seed
-from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
     invariant,
     rule,
-    run_state_machine_as_test,
 )
 
 from burdocklead.durable.register import Ballot, Register
 from burdocklead.durable.store import RegisterStore
 from burdocklead.exceptions import StorageError
 from devtools.faulty_files import FaultyFileLayer
+from devtools.fuzz.examples import run_machine
 
 FOLDER = Path('data')
 COMPACTION_BYTES = 600
@@ -127,12 +125,4 @@
 
 def run_fuzzer(*, seed: int, count: int, derandomize: bool = False) -> None:
     """Run a number of examples; a failing one raises AssertionError."""
-    chosen = settings(
-        max_examples=count,
-        stateful_step_count=STEPS,
-        deadline=None,
-        database=None,
-        derandomize=derandomize,
-    )
-    machine = StoreMachine if derandomize else with_seed(seed)(StoreMachine)
-    run_state_machine_as_test(machine, settings=chosen)
+    run_machine(StoreMachine, seed, count, STEPS, derandomize=derandomize)
