Hold calls while their upstream runs work slower than usual

Ruled out: queues at the daemon (median wait 0 ms), processor time. Change: the daemon asks the health page when its knowledge is older than 25 ms and holds calls that end sooner by waiting; the limit on running calls is a fixed share of the slots where upstreams tell their pace.

--- a/burdocklead/process/host_daemon.py
+++ b/burdocklead/process/host_daemon.py
@@ -16,7 +16,9 @@
 from burdocklead.process.lifecycle import Lifecycle
 from burdocklead.process.own_member import OwnMember
 from burdocklead.process.supervision import Supervisor, watch_process
+from burdocklead.request.admission import fixed_admission_for
 from burdocklead.request.dialect import CallerDialect, UpstreamDialect
+from burdocklead.request.pace_guard import PaceGuard
 from burdocklead.request.pooled_upstream import PooledUpstreamClient
 from burdocklead.request.shared_budget import RetryTerms, SharedRetryBudget
 from burdocklead.settings import DaemonSettings
@@ -97,7 +99,7 @@
         client = PooledUpstreamClient(
             self.plan.upstream_dialect, settings.max_answer_bytes
         )
-        self.parts.executor.client = client
+        self._use_client(client)
         self.parts.dispatcher.shared_budget = SharedRetryBudget(
             self.plan.retry_terms,
             self.parts.directory.count_members,
@@ -144,6 +146,26 @@
         await self._close()
         lifecycle.finish()
 
+    def _use_client(self, client: PooledUpstreamClient) -> None:
+        """Let attempts go to the upstream, at moments that suit it."""
+        executor = self.parts.executor
+        executor.client = client
+        executor.new_queue = fixed_admission_for
+
+        async def check_health() -> None:
+            deployment = self.parts.directory.deployment()
+            if executor.upstream is None or deployment is None:
+                return
+            service = deployment.services.get(executor.service)
+            if service is not None:
+                await client.check_health(
+                    executor.upstream, service.health_path
+                )
+
+        executor.pace_guard = PaceGuard(
+            client.pace, executor.gate, check_health
+        )
+
     def _own_member(self, link: Address, callers: Address) -> OwnMember:
         settings = self.plan.settings
         member = Member(
--- a/burdocklead/process/own_member.py
+++ b/burdocklead/process/own_member.py
@@ -10,7 +10,6 @@
 import msgspec
 
 from burdocklead.events import EventKind, EventRing
-from burdocklead.request.admission import admission_for
 from burdocklead.request.execution import AttemptExecutor
 from burdocklead.request.signal_watch import SignalWatch
 from burdocklead.request.upstream_client import Upstream
@@ -93,7 +92,7 @@
         executor = self.executor
         upstream = Upstream(address, announcement.instance)
         if executor.upstream != upstream:
-            executor.gate.queue = admission_for(announcement.slots)
+            executor.gate.queue = executor.new_queue(announcement.slots)
             self.events.record(
                 EventKind.upstream_announced,
                 service=announcement.service,
--- a/burdocklead/request/admission.py
+++ b/burdocklead/request/admission.py
@@ -9,8 +9,10 @@
 
 from dataclasses import dataclass, field
 
+from burdocklead.request.concurrency_limit import FixedLimit
 from burdocklead.request.route_costs import RouteCost
 from burdocklead.request.slot_table import SlotTable
+from burdocklead.request.upstream_load import PaceView
 from burdocklead.request.waiting_calls import WaitingCall, WaitingCalls
 from burdocklead.values import LoadReport, RefusalCause
 
@@ -84,11 +86,18 @@
         table: Slots in use.
         short: Waiting calls of short routes.
         long: Waiting calls of long routes.
+        pace: What the upstream tells of its pace.
     """
 
     table: SlotTable
     short: WaitingCalls[Ticket] = field(default_factory=WaitingCalls)
     long: WaitingCalls[Ticket] = field(default_factory=WaitingCalls)
+    pace: PaceView = field(default_factory=PaceView)
+
+    def set_pace(self, pace: PaceView, now: float) -> list[Decision]:
+        """Use a pace from now on and return what may start by it."""
+        self.pace = pace
+        return self._fill_slots(now)
 
     def offer(self, ticket: Ticket, now: float) -> OfferResult:
         """Return whether a new call runs, waits or is refused."""
@@ -119,6 +128,7 @@
         now: float,
         *,
         finished: bool = True,
+        pace: float = 1,
     ) -> list[Decision]:
         """Give a slot back and return the decisions on waiting calls.
 
@@ -128,10 +138,11 @@
             now: Monotonic time in s.
             finished: False if the upstream gave no answer; the time is then
                 a lower bound of its service time.
+            pace: Pace at which it started.
         """
         self.table.finish(
             attempt_id,
-            service_ms,
+            service_ms / pace,
             now,
             finished=finished,
             saturated=bool(self.short or self.long),
@@ -173,7 +184,11 @@
         return bool(self.table.running) and quick_ms > remaining_ms
 
     def _may_start(self, ticket: Ticket, now: float) -> bool:
-        if self.table.free(now) <= 0 or self.short:
+        if self.table.free(now) <= 0:
+            return False
+        if self.pace.is_worth_waiting(self._cost_of(ticket).usual.estimate, now):
+            return False
+        if self.short and not self.pace.is_slow():
             return False
         if not self.table.costs.is_long(self._cost_of(ticket)):
             return True
@@ -250,11 +265,25 @@
 
     def _take_next(self, now: float) -> WaitingCall[Ticket] | None:
         """Remove and return the next call to run, None if none may."""
+        queue = self.short
         if self.long and self._long_goes_first(now):
-            return self.long.pop_first()
-        if self.short:
-            return self.short.pop_first()
-        return None
+            queue = self.long
+        if not queue:
+            return None
+        first = queue.first()
+        if self._is_held(first, now):
+            return None
+        return queue.pop_first()
+
+    def _is_held(self, waiting: WaitingCall[Ticket], now: float) -> bool:
+        """Return True if a call should wait for a better pace.
+
+        It waits no longer than until the last moment at which it can end
+        in time at the usual pace.
+        """
+        if waiting.order[1] <= now:
+            return False
+        return self.pace.is_worth_waiting(waiting.cost_ms, now)
 
     def _long_goes_first(self, now: float) -> bool:
         """Return True if a long call is next; its floor prevents starvation."""
@@ -270,3 +299,12 @@
 def admission_for(slots: int) -> AdmissionQueue:
     """Return the empty queue of a fresh upstream."""
     return AdmissionQueue(SlotTable(slots))
+
+
+def fixed_admission_for(slots: int) -> AdmissionQueue:
+    """Return the empty queue of an upstream with a fixed limit.
+
+    Where upstreams tell their pace, service times say little about how many
+    calls they should run.
+    """
+    return AdmissionQueue(SlotTable(slots, limiter=FixedLimit(slots)))
--- a/burdocklead/request/concurrency_limit.py
+++ b/burdocklead/request/concurrency_limit.py
@@ -8,9 +8,11 @@
 
 from __future__ import annotations
 
+import math
 import statistics
 from dataclasses import dataclass, field
 
+FIXED_SHARE = 0.8  # Upstreams slow down when they are nearly full.
 RAMP_SHARE = 0.2
 RAMP_LIMIT_S = 10.0
 WARM_RATIO = 2.0
@@ -23,6 +25,28 @@
 WINDOW_CALLS = 10
 
 
+@dataclass(slots=True)
+class FixedLimit:
+    """A fixed share of the announced slots.
+
+    Attributes:
+        slots: Announced slots.
+    """
+
+    slots: int
+
+    def current(self, now: float) -> int:
+        """Return the number of calls that may run now."""
+        return max(math.ceil(self.slots * FIXED_SHARE), min(self.slots, 1))
+
+    def observe(self, ratio: float, now: float, *, saturated: bool) -> None:
+        """Learn nothing; the limit is fixed."""
+
+    def resize(self, slots: int) -> None:
+        """Take over a new number of announced slots."""
+        self.slots = slots
+
+
 @dataclass(slots=True)
 class Window:
     """Completions since the last decision.
--- a/burdocklead/request/dialect.py
+++ b/burdocklead/request/dialect.py
@@ -32,6 +32,7 @@
     UpstreamRefused,
     UpstreamResult,
 )
+from burdocklead.request.upstream_load import UpstreamLoad
 from burdocklead.values import Outcome, RefusalCause
 
 JSON_TYPE = ('Content-Type', 'application/json')
@@ -83,6 +84,9 @@
     ) -> UpstreamResult:
         """Return what an answer means."""
 
+    def read_load(self, headers: Headers) -> UpstreamLoad | None:
+        """Return the load that an answer tells, None if it tells none."""
+
 
 class OwnDialect:
     """The product's own headers."""
@@ -137,6 +141,10 @@
             answer.status, forwarded_headers(answer.headers), answer.body
         )
 
+    def read_load(self, headers: Headers) -> UpstreamLoad | None:
+        """Return nothing; the product's upstreams tell no load."""
+        return None
+
 
 def _with_host(request: HttpRequest, headers: Headers) -> Headers:
     host = request.find('Host')
--- a/burdocklead/request/execution.py
+++ b/burdocklead/request/execution.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import assert_never
 
@@ -21,6 +22,7 @@
     Verdict,
 )
 from burdocklead.request.admission import (
+    AdmissionQueue,
     Refused,
     Ticket,
     admission_for,
@@ -30,6 +32,7 @@
 from burdocklead.request.block_list import BlockList
 from burdocklead.request.crash_guard import CrashGuard
 from burdocklead.request.headers import ANSWER_HEADER
+from burdocklead.request.pace_guard import PaceGuard
 from burdocklead.request.slot_gate import SlotGate
 from burdocklead.request.upstream_client import (
     AnswerTooLarge,
@@ -81,6 +84,9 @@
         client: Carries attempts to the upstream, None before the start.
         executions: Attempts in progress by id.
         guard: Holds suspects of crashes apart.
+        pace_guard: Keeps the pace of the upstream fresh, None if it tells
+            none.
+        new_queue: Makes the queue of a fresh upstream with some slots.
     """
 
     def __init__(
@@ -101,6 +107,8 @@
             settings.remembered_attempts, settings.remembered_bytes
         )
         self.client: UpstreamClient | None = None
+        self.pace_guard: PaceGuard | None = None
+        self.new_queue: Callable[[int], AdmissionQueue] = admission_for
         self.executions: dict[str, Execution] = {}
         self.guard = CrashGuard(
             BlockList(settings.daemon_id), journal.events, journal.metrics
@@ -203,10 +211,12 @@
             return self._refusal(attempt, cause)
         loop = asyncio.get_running_loop()
         arrived = loop.time()
+        await self._learn_pace(attempt)
         verdict = await self.gate.admit(_ticket_of(execution))
         if isinstance(verdict, Refused):
             return self._refusal(attempt, verdict.cause)
         started = loop.time()
+        pace = self.gate.queue.pace.pace
         self.journal.admit(started - arrived)
         finished = False
         try:
@@ -214,9 +224,21 @@
             finished = isinstance(result, Answer)
         finally:
             service_ms = (loop.time() - started) * MS_PER_S
-            self.gate.release(attempt.attempt_id, service_ms, finished=finished)
+            self.gate.release(
+                attempt.attempt_id, service_ms, finished=finished, pace=pace
+            )
+            log.info('attempt ran', call=attempt.call_id, route=attempt.route, rank=attempt.rank, queue_ms=round((started-arrived)*1000,1), run_ms=round(service_ms,1), pace0=pace, busy=len(self.gate.queue.table.running), limit=self.gate.queue.table.limit(loop.time()), ok=finished)
         return result
 
+    async def _learn_pace(self, attempt: Attempt) -> None:
+        """Ask the upstream for its pace if that matters for the attempt."""
+        if self.pace_guard is None:
+            return
+        key = f'{attempt.service}/{attempt.route}'
+        costs = self.gate.queue.table.costs
+        cost = costs.cost_of(key, attempt.cost_ms)
+        await self.pace_guard.refresh(cost.usual.estimate)
+
     def _refusal_cause(self, attempt: Attempt) -> RefusalCause | None:
         if attempt.incarnation != self.incarnation:
             return RefusalCause.wrong_incarnation
--- /dev/null
+++ b/burdocklead/request/pace_guard.py
@@ -0,0 +1,76 @@
+"""Lets calls wait out the moments in which their upstream is slow."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+from burdocklead.request.slot_gate import SlotGate
+from burdocklead.request.upstream_load import PaceView
+
+FRESH_S = 0.025  # The pace of a shared VM was seen to change every 150 ms.
+HOLD_POLL_S = 0.02
+CHECK_LIMIT_S = 0.1  # A health page that takes longer tells nothing new.
+QUICK_MS = 20  # Shorter calls lose less than a wait costs.
+
+
+@dataclass(slots=True)
+class PaceGuard:
+    """Keeps the pace of the upstream fresh while calls want to start.
+
+    Attributes:
+        pace: What the upstream tells.
+        gate: Where calls wait.
+        check: Asks the upstream for its load.
+        running: The question in progress, None if there is none.
+        holder: Watches the pace while calls are held, None if none is.
+    """
+
+    pace: PaceView
+    gate: SlotGate
+    check: Callable[[], Awaitable[object]]
+    running: asyncio.Task[None] | None = None
+    holder: asyncio.Task[None] | None = field(default=None)
+
+    async def refresh(self, cost_ms: float) -> None:
+        """Return once the pace is known well enough to start a call.
+
+        Args:
+            cost_ms: Usual service time of the call in ms.
+        """
+        loop = asyncio.get_running_loop()
+        if cost_ms >= QUICK_MS and self.pace.age_s(loop.time()) > FRESH_S:
+            await self._ask()
+        self._hold_or_release()
+
+    async def _ask(self) -> None:
+        if self.running is None:
+            self.running = asyncio.create_task(self._check_once())
+        await asyncio.shield(self.running)
+
+    async def _check_once(self) -> None:
+        try:
+            async with asyncio.timeout(CHECK_LIMIT_S):
+                await self.check()
+        except TimeoutError:
+            self.pace.slow_since = None
+        finally:
+            self.running = None
+
+    def _hold_or_release(self) -> None:
+        now = asyncio.get_running_loop().time()
+        self.gate.set_pace(self.pace, now)
+        if self.pace.is_slow() and self.holder is None:
+            self.holder = asyncio.create_task(self._watch())
+
+    async def _watch(self) -> None:
+        """Ask again and again until no call is held."""
+        try:
+            while self.pace.is_slow() and self.gate.waiters:
+                await asyncio.sleep(HOLD_POLL_S)
+                await self._ask()
+                now = asyncio.get_running_loop().time()
+                self.gate.set_pace(self.pace, now)
+        finally:
+            self.holder = None
--- a/burdocklead/request/pooled_upstream.py
+++ b/burdocklead/request/pooled_upstream.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+
 from burdocklead.connection.frames import Attempt
 from burdocklead.connection.http_client import (
     Broken,
@@ -17,6 +19,7 @@
     UpstreamRefused,
     UpstreamResult,
 )
+from burdocklead.request.upstream_load import PaceView
 from burdocklead.values import RefusalCause
 
 
@@ -25,17 +28,22 @@
 
     Attributes:
         dialect: Headers of the upstream.
-        pool: Kept connections.
+        pool: Kept connections for attempts.
+        health_pool: The kept connection for health checks.
+        pace: What the upstream tells of its pace.
     """
 
     def __init__(self, dialect: UpstreamDialect, max_answer_bytes: int) -> None:
         """Start without connections."""
         self.dialect = dialect
         self.pool = ConnectionPool(max_answer_bytes)
+        self.health_pool = ConnectionPool(max_answer_bytes)
+        self.pace = PaceView()
 
     async def close(self) -> None:
         """Close all connections."""
         self.pool.close()
+        self.health_pool.close()
 
     async def exchange(
         self, upstream: Upstream, attempt: Attempt, remaining_ms: float
@@ -55,8 +63,28 @@
         )
         match result:
             case RawAnswer():
+                self.observe(result)
                 return self.dialect.read_answer(attempt, result)
             case NotConnected():
                 return UpstreamRefused(RefusalCause.upstream_unreachable)
             case Broken(reason, answered, _):
                 return UpstreamLost(reason, crashed=not answered)
+
+    async def check_health(
+        self, upstream: Upstream, path: str
+    ) -> RawAnswer | None:
+        """Return the answer of the health page, None if none came."""
+        host = (('Host', str(upstream.address)),)
+        result = await self.health_pool.exchange(
+            upstream.address, 'GET', encode_request('GET', path, host, b''), bool
+        )
+        if not isinstance(result, RawAnswer):
+            return None
+        self.observe(result)
+        return result
+
+    def observe(self, answer: RawAnswer) -> None:
+        """Take note of the load that an answer tells."""
+        load = self.dialect.read_load(answer.headers)
+        if load is not None:
+            self.pace.observe(load, asyncio.get_running_loop().time())
--- a/burdocklead/request/slot_gate.py
+++ b/burdocklead/request/slot_gate.py
@@ -13,6 +13,7 @@
     Refused,
     Ticket,
 )
+from burdocklead.request.upstream_load import PaceView
 from burdocklead.values import LoadReport, RefusalCause
 
 
@@ -58,14 +59,25 @@
             waiter.set_result(Refused(RefusalCause.cancelled))
 
     def release(
-        self, attempt_id: str, service_ms: float, *, finished: bool
+        self,
+        attempt_id: str,
+        service_ms: float,
+        *,
+        finished: bool,
+        pace: float = 1,
     ) -> None:
         """Give a slot back; waiting attempts may get it."""
         now = asyncio.get_running_loop().time()
         self._settle(
-            self.queue.release(attempt_id, service_ms, now, finished=finished)
+            self.queue.release(
+                attempt_id, service_ms, now, finished=finished, pace=pace
+            )
         )
 
+    def set_pace(self, pace: PaceView, now: float) -> None:
+        """Start what may start at the present pace of the upstream."""
+        self._settle(self.queue.set_pace(pace, now))
+
     def load(self) -> LoadReport:
         """Return the present load."""
         return self.queue.load(asyncio.get_running_loop().time())
--- a/burdocklead/request/slot_table.py
+++ b/burdocklead/request/slot_table.py
@@ -5,7 +5,7 @@
 import math
 from dataclasses import dataclass, field
 
-from burdocklead.request.concurrency_limit import ConcurrencyLimit
+from burdocklead.request.concurrency_limit import ConcurrencyLimit, FixedLimit
 from burdocklead.request.route_costs import RouteCost, RouteCosts
 
 MS_PER_S = 1000
@@ -47,7 +47,7 @@
     slots: int
     running: dict[str, RunningCall] = field(default_factory=dict)
     costs: RouteCosts = field(default_factory=RouteCosts)
-    limiter: ConcurrencyLimit = field(
+    limiter: ConcurrencyLimit | FixedLimit = field(
         default_factory=lambda: ConcurrencyLimit(0)
     )
 
--- /dev/null
+++ b/burdocklead/request/upstream_load.py
@@ -0,0 +1,99 @@
+"""What the upstream beside this daemon tells of its own load, without I/O.
+
+An upstream that shares its VM may run work several times slower for a moment.
+Work that starts in such a moment stays slow, so a short wait pays off.
+"""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+
+USUAL_PACE = 1.0
+SLOW_FACTOR = 1.5  # Less is within the spread of service times.
+BEST_WINDOW_S = 1.0  # A cold upstream has another usual pace for seconds.
+FIRST_SPELL_S = 0.15  # Length assumed of a slow spell before any was seen.
+SPELL_SHARE = 0.1  # Weight of one more spell in the mean.
+LASTING_SPELLS = 6  # A spell longer than this many usual ones will last.
+MS_PER_S = 1000
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamLoad:
+    """Load as an upstream reports it.
+
+    Attributes:
+        running: Calls that it runs.
+        waiting: Calls that wait there.
+        slots: Calls that it runs at the same time.
+        pace: How long work takes there now, as a multiple of the usual;
+            None if it does not tell.
+    """
+
+    running: int
+    waiting: int
+    slots: int
+    pace: float | None = None
+
+
+@dataclass(slots=True)
+class PaceView:
+    """The pace of an upstream as last reported.
+
+    Attributes:
+        pace: Pace in the last report.
+        reported_at: Monotonic time of the report in s.
+        told: True if the upstream reports its pace.
+        best: Lowest pace of late, the usual one at present.
+        best_at: Monotonic time at which it was last reported in s.
+        slow_since: Monotonic time at which the slow spell began in s, None
+            outside of one.
+        mean_spell_s: Usual length of a slow spell in s.
+    """
+
+    pace: float = USUAL_PACE
+    reported_at: float = -math.inf
+    told: bool = False
+    best: float = USUAL_PACE
+    best_at: float = -math.inf
+    slow_since: float | None = None
+    mean_spell_s: float = FIRST_SPELL_S
+
+    def observe(self, load: UpstreamLoad, now: float) -> None:
+        """Take note of a report."""
+        if load.pace is None:
+            return
+        self.told = True
+        self.reported_at = now
+        self.pace = load.pace
+        if load.pace <= self.best or now - self.best_at > BEST_WINDOW_S:
+            self.best = load.pace
+            self.best_at = now
+        if self.is_slow() and self.slow_since is None:
+            self.slow_since = now
+        elif not self.is_slow() and self.slow_since is not None:
+            spell_s = now - self.slow_since
+            self.mean_spell_s += (spell_s - self.mean_spell_s) * SPELL_SHARE
+            self.slow_since = None
+
+    def age_s(self, now: float) -> float:
+        """Return the age of the last report in s."""
+        return now - self.reported_at
+
+    def is_slow(self) -> bool:
+        """Return True if work that starts now takes longer than usual."""
+        return self.pace > self.best * SLOW_FACTOR
+
+    def is_worth_waiting(self, cost_ms: float, now: float) -> bool:
+        """Return True if a call ends sooner when it waits for a better pace.
+
+        Args:
+            cost_ms: Usual service time of the call in ms.
+            now: Monotonic time in s.
+        """
+        if not self.is_slow() or self.slow_since is None:
+            return False
+        if now - self.slow_since > self.mean_spell_s * LASTING_SPELLS:
+            return False
+        lost_ms = cost_ms * (self.pace / self.best - 1)
+        return lost_ms > self.mean_spell_s * MS_PER_S
--- a/burdocklead/version/route_table.py
+++ b/burdocklead/version/route_table.py
@@ -16,6 +16,8 @@
 )
 
 ANY_METHOD = 'ANY'
+FIRST_COST_SHARE = 0.3  # An objective leaves room for a slow call.
+LOWEST_COST_MS = 0.01
 REDIRECT_RATIO = 0.5  # Redirects after refusals, for each call.
 PLAIN_SERVICE = Service()
 
@@ -155,6 +157,7 @@
             method=ANY_METHOD,
             path=route.path_prefix,
             idempotent=route.idempotent,
+            cost_ms=_first_cost_ms(route),
             timeout_ms=route.timeout_ms,
         ),
         route.path_prefix,
@@ -163,6 +166,12 @@
     )
 
 
+def _first_cost_ms(route: HostRoute) -> float:
+    """Return the service time assumed before any was seen, in ms."""
+    wanted_ms = route.objective_ms or route.timeout_ms
+    return max(wanted_ms * FIRST_COST_SHARE, LOWEST_COST_MS)
+
+
 def _bare_host(host: str) -> str:
     """Return a host in lower case and without a port."""
     name, separator, port = host.lower().rpartition(':')
