--- a/burdocklead/request/dispatch.py
+++ b/burdocklead/request/dispatch.py
@@ -23,11 +23,12 @@
     may_repeat,
     reached_upstream,
 )
-from burdocklead.request.routing import Router
+from burdocklead.request.routing import CROSS_ZONE_MS, Router
 from burdocklead.request.shared_budget import SharedRetryBudget
 from burdocklead.values import Member, RefusalCause
 
 MS_PER_S = 1000
+CROSS_ZONE_SHARE = 0.5  # Half of an objective is the usual time of a call.
 MAX_PLACES = 8  # Daemons asked for one call, those that refused included.
 
 
@@ -71,9 +72,21 @@
             return place
         now = asyncio.get_running_loop().time()
         return self.router.choose(
-            candidates.without(tried), call.match.key, now
+            candidates.without(tried),
+            call.match.key,
+            now,
+            self._cross_zone_ms(call),
         )
 
+    def _cross_zone_ms(self, call: Call) -> float:
+        """Return the time that a call must gain to leave the zone, in ms.
+
+        A call with an objective stays in its zone, where the link costs
+        nothing, as long as it is likely to meet the objective there.
+        """
+        wanted_ms = call.match.objective_ms
+        return max(wanted_ms * CROSS_ZONE_SHARE, CROSS_ZONE_MS)
+
     async def run(self, call: Call) -> CallResult:
         """Return the result of a call without a key."""
         if self._is_blocked(call):
--- a/burdocklead/request/routing.py
+++ b/burdocklead/request/routing.py
@@ -113,15 +113,29 @@
         return FIRST_USUAL_MS if tracker is None else tracker.estimate
 
     def choose(
-        self, candidates: Candidates, route: str, now: float
+        self,
+        candidates: Candidates,
+        route: str,
+        now: float,
+        cross_zone_ms: float = CROSS_ZONE_MS,
     ) -> Member | None:
-        """Return the best of a few upstreams drawn at random, if any."""
+        """Return the best of a few upstreams drawn at random, if any.
+
+        Args:
+            candidates: The upstreams.
+            route: Route key, ``service/route``.
+            now: Monotonic time in s.
+            cross_zone_ms: Time that a call must gain to leave the zone.
+        """
         drawn = self.draw(candidates)
         if not drawn:
             return None
         self.called_at[drawn[0].service] = now
         usual_ms = self.usual_ms(route)
-        return min(drawn, key=lambda one: self.score(one, usual_ms, now))
+        return min(
+            drawn,
+            key=lambda one: self.score(one, usual_ms, now, cross_zone_ms),
+        )
 
     def best_drawn(self, candidates: Candidates, now: float) -> Member | None:
         """Return the best of a few upstreams for no call in particular."""
@@ -139,7 +153,13 @@
             *self._draw(candidates.local, 1),
         ]
 
-    def score(self, member: Member, usual_ms: float, now: float) -> float:
+    def score(
+        self,
+        member: Member,
+        usual_ms: float,
+        now: float,
+        cross_zone_ms: float = CROSS_ZONE_MS,
+    ) -> float:
         """Return the expected time to an answer in ms; lower is better."""
         view = self.view_of(member.daemon_id)
         slots = member.slots
@@ -153,7 +173,7 @@
         expected_ms *= 1 + share + crowded + view.penalty.read(now)
         expected_ms += reported_ms + view.silence_ms(now)
         if member.zone != self.zone:
-            expected_ms += CROSS_ZONE_MS
+            expected_ms += cross_zone_ms
         if view.avoid_until > now:
             expected_ms += LAST_RESORT_MS
         return expected_ms
