--- a/burdocklead/request/recording_runner.py
+++ b/burdocklead/request/recording_runner.py
@@ -5,6 +5,8 @@
 import asyncio
 from dataclasses import dataclass
 
+import logbook
+
 from burdocklead.connection.frames import (
     Answer,
     Attempt,
@@ -18,6 +20,11 @@
 from burdocklead.values import Member, RefusalCause
 
 
+MS_PER_S = 1000
+NEVER_MS = 1e6  # Shown for a load that was never reported.
+log = logbook.Logger('attempts')
+
+
 @dataclass(frozen=True, slots=True)
 class RecordingRunner(AttemptRunner):
     """Records each attempt sent, and how it ended unless it was answered.
@@ -36,12 +43,29 @@
         if attempt.number > 1:
             kind = EventKind.attempt_retried
         self._record(kind, member, attempt, f'attempt {attempt.number}')
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        view = self.router.view_of(member.daemon_id)
+        told_age_ms = (started - view.load_at) * MS_PER_S
         try:
             result = await AttemptRunner.run(self, call, member, attempt)
         except asyncio.CancelledError:
             kind = EventKind.attempt_given_up
             self._record(kind, member, attempt, 'cancelled')
             raise
+        log.info(
+            'attempt ended',
+            call=call.call_id,
+            attempt=attempt.attempt_id,
+            peer=member.daemon_id,
+            zone=member.zone,
+            service=attempt.service,
+            load_age_ms=round(min(told_age_ms, NEVER_MS), 1),
+            in_flight=view.sent,
+            elapsed_ms=round((loop.time() - started) * MS_PER_S, 1),
+            outcome=type(result).__name__.lower(),
+            cause=_cause_of(result),
+        )
         match result:
             case Answer():
                 return result
@@ -65,3 +89,13 @@
             peer=member.daemon_id,
             detail=detail,
         )
+
+
+def _cause_of(result: AttemptResult) -> str:
+    match result:
+        case Answer(status=status):
+            return str(status)
+        case Refusal(cause=cause):
+            return cause.value
+        case Lost(reason=reason):
+            return reason
