Learn slowness of upstreams in bounded steps

Cause: one call of the long tail (7 times the usual work) made an upstream look 2.2 times as slow for seconds, and calls left their zone. Ruled out: load (daemons ran 5 of 18 slots). Change: a step is at most a factor of e before its weight of 0.25.

--- a/burdocklead/request/dispatch.py
+++ b/burdocklead/request/dispatch.py
@@ -28,7 +28,7 @@
 from burdocklead.values import Member, RefusalCause
 
 MS_PER_S = 1000
-CROSS_ZONE_SHARE = 0.5  # Half of an objective is the usual time of a call.
+CROSS_ZONE_SHARE = 0.75  # A usual call takes up to half of its objective.
 MAX_PLACES = 8  # Daemons asked for one call, those that refused included.
 
 
--- a/burdocklead/request/upstream_view.py
+++ b/burdocklead/request/upstream_view.py
@@ -11,7 +11,9 @@
 MS_PER_S = 1000
 REPORT_TRUST_S = 0.02
 OTHERS_SHARE = 0.1
-SLOWNESS_SHARE = 0.2
+SLOWNESS_SHARE = 0.25
+SLOWNESS_STEP = 1.0  # One long call says little, its route has a long tail.
+SLOWNESS_FLOOR = 0.05
 SLOWNESS_DECAY_S = 5.0
 SLOWNESS_LIMIT = 20.0
 PENALTY_DECAY_S = 1.0
@@ -109,8 +111,10 @@
             now: Monotonic time in s.
         """
         before = self.slowness.read(now)
-        step = (min(ratio, SLOWNESS_LIMIT) - before) * SLOWNESS_SHARE
-        self.slowness.write(before + step, now)
+        step = math.log(max(ratio, SLOWNESS_FLOOR) / before)
+        step = min(max(step, -SLOWNESS_STEP), SLOWNESS_STEP)
+        slowness = before * math.exp(step * SLOWNESS_SHARE)
+        self.slowness.write(min(slowness, SLOWNESS_LIMIT), now)
         if self.sent:
             self.due = now + _patience(next_ms)
 
