--- a/burdocklead/connection/control_client.py
+++ b/burdocklead/connection/control_client.py
@@ -144,13 +144,19 @@
         """Return the client of the preferred replica."""
         return self.clients[self.preferred]
 
-    def use_replicas(self, replicas: tuple[tuple[str, Address], ...]) -> None:
+    def use_replicas(
+        self, replicas: tuple[tuple[str, Address], ...], preferred: str = ''
+    ) -> None:
         """Use another replica set; clients that stay keep their sockets.
 
         The replicas of the settings come last: they are asked when no
         replica of the set answers.
+
+        Args:
+            replicas: Names and addresses of the set.
+            preferred: Replica to ask first, empty to keep the present one.
         """
-        preferred = self.client
+        first = preferred or self.client.name
         present = {address for _, address in replicas}
         replicas += tuple(
             (name, address)
@@ -164,9 +170,8 @@
         ]
         for client in known.values():
             client.close()
-        self.preferred = 0
-        if preferred in self.clients:
-            self.preferred = self.clients.index(preferred)
+        names = [client.name for client in self.clients]
+        self.preferred = names.index(first) if first in names else 0
 
     def leave_replica(self) -> None:
         """Prefer the next replica from now on."""
--- a/burdocklead/connection/control_messages.py
+++ b/burdocklead/connection/control_messages.py
@@ -38,11 +38,13 @@
         replica_id: Its name.
         identity: Identity of its data folder.
         replica_set: The newest set that it knows.
+        zone: Its availability zone.
     """
 
     replica_id: str
     identity: str
     replica_set: ReplicaSet
+    zone: str = ''
 
 
 class CatchUp(msgspec.Struct, frozen=True, tag=True):
--- a/burdocklead/durable/replica_set.py
+++ b/burdocklead/durable/replica_set.py
@@ -20,11 +20,13 @@
         replica_id: Name of the replica.
         address: Its control address.
         identity: Identity of its data folder, empty while unknown.
+        zone: Its availability zone, empty while unknown.
     """
 
     replica_id: str
     address: Address
     identity: str = ''
+    zone: str = ''
 
 
 class ReplicaSet(msgspec.Struct, frozen=True):
--- a/burdocklead/process/control_agent.py
+++ b/burdocklead/process/control_agent.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import zlib
 
 import logbook
 
@@ -102,10 +103,24 @@
     def _use_set(self, replica_set: ReplicaSet) -> None:
         """Send heartbeats to the replicas of a newer set from now on."""
         self.known_epoch = replica_set.epoch
-        self.control.use_replicas(replica_set.addresses())
+        self.control.use_replicas(
+            replica_set.addresses(),
+            self._preferred(replica_set),
+        )
         names = ', '.join(sorted(replica_set.names))
         log.info('replica set', epoch=replica_set.epoch, replicas=names)
 
+    def _preferred(self, replica_set: ReplicaSet) -> str:
+        """Return the replica to ask first: one of the own zone, if any.
+
+        The choice differs between daemons, so that replicas share the load.
+        """
+        replicas = replica_set.following or replica_set.replicas
+        own = self.own.member
+        near = [one for one in replicas if one.zone == own.zone] or replicas
+        index = zlib.crc32(own.daemon_id.encode()) % len(near)
+        return near[index].replica_id
+
     def _apply_drains(self, drains: DrainList) -> None:
         if drains.revision <= self.drains.revision:
             return
--- a/burdocklead/process/control_replica.py
+++ b/burdocklead/process/control_replica.py
@@ -256,7 +256,9 @@
         greeting = InstallSet(self.registers.replica_set)
         reply = await peer.request(greeting, EXCHANGE_TIMEOUT_S)
         if isinstance(reply, SetReply):
-            replica = Replica(reply.replica_id, peer.address, reply.identity)
+            replica = Replica(
+                reply.replica_id, peer.address, reply.identity, reply.zone
+            )
             self.changer.observe_replica(replica, reply.replica_set)
 
     def _note_candidate(self, message: Exchange) -> None:
--- a/burdocklead/process/register_service.py
+++ b/burdocklead/process/register_service.py
@@ -134,7 +134,10 @@
     def describe(self) -> SetReply:
         """Return the own identity and the newest set known."""
         return SetReply(
-            self.settings.replica_id, self.identity.identity, self.replica_set
+            self.settings.replica_id,
+            self.identity.identity,
+            self.replica_set,
+            self.settings.zone,
         )
 
     async def install(self, replica_set: ReplicaSet) -> None:
@@ -241,6 +244,7 @@
             self.settings.replica_id,
             self.settings.listen,
             self.identity.identity,
+            self.settings.zone,
         )
 
     def _use_set(self, replica_set: ReplicaSet) -> None:
--- a/burdocklead/process/set_changer.py
+++ b/burdocklead/process/set_changer.py
@@ -283,7 +283,9 @@
         elif reply.replica_id != joining.replica_id:
             reason = f'{reply.replica_id} answers at {joining.address}'
         else:
-            return msgspec.structs.replace(joining, identity=reply.identity)
+            return msgspec.structs.replace(
+                joining, identity=reply.identity, zone=reply.zone
+            )
         raise SetChangeError(reason, step=STEP, peer=joining.replica_id)
 
     def _refuse_late(self) -> None:
