--- a/burdocklead/connection/http_server.py
+++ b/burdocklead/connection/http_server.py
@@ -95,6 +95,7 @@
         partial: The request that is being read, None between requests.
         last_activity: Loop time of the last byte in either direction in s.
         stopped: True if no more requests are read.
+        completed: Requests read whole.
     """
 
     def __init__(self, server: HttpServer) -> None:
@@ -108,6 +109,7 @@
         self.last_activity = self.loop.time()
         self.stopped = False
         self.in_headers = True
+        self.completed = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the transport."""
@@ -128,7 +130,7 @@
         self.last_activity = self.loop.time()
         if self.stopped:
             return
-        earlier = self.partial
+        completed = self.completed
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -137,7 +139,7 @@
             if not self.stopped:
                 self.server.count_bad_request(str(error))
                 self._refuse(BAD_REQUEST)
-        if self.partial is not None and self.partial is earlier:
+        if self.completed == completed:
             self._count_unparsed(len(data))
 
     def on_message_begin(self) -> None:
@@ -181,6 +183,7 @@
     def on_message_complete(self) -> None:
         """Run a whole request; its answer waits for those before it."""
         partial, self.partial = self.partial, None
+        self.completed += 1
         if partial is None or self.stopped:
             return
         request = HttpRequest(
--- /dev/null
+++ b/tests/request/pace.feature
@@ -0,0 +1,42 @@
+Feature: Calls wait out the moments in which their upstream is slow
+
+  Load pattern: an upstream that shares its VM runs work 5 times slower in
+  steps of 150 ms; work that starts in such a step stays slow.
+
+  Scenario Outline: A call waits if it ends sooner by waiting
+    Given an upstream whose pace went from 1 to <pace> 0.01 s ago
+    Then waiting is worth while for a call of <cost> ms: <worth>
+
+    Examples:
+      | pace | cost | worth |
+      | 5    | 200  | yes   |
+      | 5    | 10   | no    |
+      | 1.3  | 200  | no    |
+      | 1    | 200  | no    |
+
+  Scenario: An upstream that stays slow is used as it is
+    Given an upstream whose pace went from 1 to 5 3 s ago
+    Then waiting is worth while for a call of 200 ms: no
+
+  Scenario: A cold upstream has another usual pace
+    Given an upstream whose pace went from 2 to 2 2 s ago
+    Then waiting is worth while for a call of 200 ms: no
+
+  Scenario: Short calls pass held ones, and held ones start at the usual pace
+    Given an admission queue of 4 slots at pace 5
+    When a call of 200 ms and a call of 5 ms are offered
+    Then the call of 200 ms waits and the call of 5 ms runs
+    When the pace is 1 again
+    Then the call of 200 ms runs
+
+  Scenario: A held call starts at the last moment at which it can end in time
+    Given an admission queue of 4 slots at pace 5
+    When a call of 200 ms with 250 ms left is offered
+    And 60 ms pass at pace 5
+    Then the call of 200 ms runs
+
+  Scenario: Holding calls keeps most of them within their objective
+    Given 3 upstreams of 14 slots that are 5 times slower in a third of steps of 150 ms
+    When 60 calls a second of 200 ms come for 20 s
+    Then at least 0.95 of them end within 600 ms with holding
+    And at most 0.80 of them end within 600 ms without it
--- /dev/null
+++ b/tests/request/shared_budget.feature
@@ -0,0 +1,22 @@
+Feature: Retries that all daemons together may send
+
+  Each daemon takes its part without a message; the sum keeps to the limit.
+
+  Scenario Outline: The sum over all daemons stays within the limit in every window
+    Given <daemons> daemons that share 0.2 retries a call and 62 in 10 s
+    When calls come at <calls> a second for 40 s and every one wants 2 retries
+    Then no window of 10 s has more retries than 0.2 of its calls and 62
+    And at least <least> retries were sent
+
+    Examples:
+      | daemons | calls | least |
+      | 1       | 10    | 200   |
+      | 14      | 200   | 1000  |
+      | 61      | 100   | 400   |
+      | 14      | 1     | 70    |
+
+  Scenario: Daemons that join late keep the sum within the limit
+    Given 14 daemons that share 0.2 retries a call and 62 in 10 s
+    And 3 more daemons join after 5 s
+    When calls come at 200 a second for 40 s and every one wants 2 retries
+    Then no window of 10 s has more retries than 0.2 of its calls and 62
--- /dev/null
+++ b/tests/steps/host_route_steps.py
@@ -0,0 +1,175 @@
+"""Steps for routes by host and path prefix."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+
+import msgspec
+from behave import given, then, when
+
+from burdocklead.exceptions import ConfigurationError
+from burdocklead.version.configuration_file import (
+    check_deployment,
+    decode_deployment,
+    encode_deployment,
+)
+from burdocklead.version.deployment import (
+    Deployment,
+    HostRoute,
+    Service,
+    Share,
+)
+from burdocklead.version.patch import DeploymentPatch, apply_patch
+from burdocklead.version.route_table import RouteTable
+
+
+def host_route(**changes):
+    """Return a route to the service ``orders``."""
+    fields = {
+        'host': 'sheets.example',
+        'path_prefix': '/',
+        'idempotent': True,
+        'timeout_ms': 1000,
+        'service': 'orders',
+    }
+    return HostRoute(**{**fields, **changes})
+
+
+def deployment_of(routes):
+    """Return a deployment of two services with some host routes."""
+    return Deployment(
+        version=3,
+        services={'orders': Service(), 'sheets': Service()},
+        host_routes=routes,
+    )
+
+
+@given(
+    'host routes "{one}" at "{at_one}", "{two}" at "{at_two}" and "{three}" '
+    'at "{at_three}"'
+)
+def plan_routes(context, one, at_one, two, at_two, three, at_three):
+    """Make a table of three routes."""
+    routes = {}
+    for name, place in ((one, at_one), (two, at_two), (three, at_three)):
+        host, _, path = place.partition('/')
+        routes[name] = host_route(host=host, path_prefix=f'/{path}')
+    context.route_table = RouteTable(deployment_of(routes))
+
+
+@then('a call to "{host}" at "{target}" takes the route "{route}"')
+def check_route(context, host, target, route):
+    """Check which route is found."""
+    rules = context.route_table.find_host_rules(host, target)
+    assert (rules.name if rules else 'none') == route, rules
+
+
+@given('a host route split {one:d} to "{first}" and {two:d} to "{second}"')
+def plan_split(context, one, first, two, second):
+    """Make a table with one split."""
+    split = (
+        Share(service=first, weight=one),
+        Share(service=second, weight=two),
+    )
+    route = host_route(service='', split=split)
+    context.route_table = RouteTable(deployment_of({'main': route}))
+
+
+@then('of {count:d} calls "{service}" gets {low:f} to {high:f}')
+def check_split(context, count, service, low, high):
+    """Check the share of a service."""
+    rng = random.Random(7)
+    rules = context.route_table.find_host_rules('sheets.example', '/7')
+    seen = Counter(
+        rules.match('/7', rng).service_name for _ in range(count)
+    )
+    assert low <= seen[service] / count <= high, seen
+
+
+@given('a valid configuration with host routes')
+def plan_valid(context):
+    """Keep a configuration of one route."""
+    context.routes = {'main': host_route()}
+    check_deployment(deployment_of(context.routes))
+
+
+def _change(context, **changes):
+    route = msgspec.structs.replace(context.routes['main'], **changes)
+    context.routes['main'] = route
+
+
+@when('its route names the service "{service}"')
+def change_service(context, service):
+    """Lead to another service."""
+    _change(context, service=service)
+
+
+@when('a second route has its host and prefix')
+def add_twin(context):
+    """Add a route at the same place."""
+    context.routes['twin'] = context.routes['main']
+
+
+@when('its timeout is {limit:d} ms')
+def change_timeout(context, limit):
+    """Use another timeout."""
+    _change(context, timeout_ms=limit)
+
+
+@when('it may make {count:d} attempts')
+def change_attempts(context, count):
+    """Use another limit on attempts."""
+    _change(context, max_attempts=count)
+
+
+@when('its split has no weight')
+def change_weights(context):
+    """Split by weights of 0."""
+    _change(context, service='', split=(Share(service='orders', weight=0),))
+
+
+@when('it has a service and a split')
+def change_both(context):
+    """Name a service and a split."""
+    _change(context, split=(Share(service='orders', weight=1),))
+
+
+@then('the configuration is refused: "{reason}"')
+def check_refused(context, reason):
+    """Check the reason."""
+    try:
+        check_deployment(deployment_of(context.routes))
+    except ConfigurationError as error:
+        assert reason in str(error), error
+    else:
+        raise AssertionError('the configuration was accepted')
+
+
+@when(
+    'a patch to version {version:d} adds the route "{added}" and removes the '
+    'route "{removed}"'
+)
+def patch_routes(context, version, added, removed):
+    """Apply a patch."""
+    patch = DeploymentPatch(
+        version=version,
+        host_routes={added: host_route(path_prefix='/new/')},
+        removed_host_routes=(removed, 'unknown'),
+    )
+    context.patched = apply_patch(deployment_of(context.routes), patch)
+    check_deployment(context.patched)
+
+
+@then('the configuration has version {version:d} and the routes "{names}"')
+def check_patched(context, version, names):
+    """Check what is in place."""
+    assert context.patched.version == version
+    assert list(context.patched.host_routes) == [names], context.patched
+
+
+@then('decoding its encoding gives the same configuration')
+def check_encoding(context):
+    """Encode and decode."""
+    deployment = deployment_of(context.routes)
+    assert decode_deployment(encode_deployment(deployment)) == deployment
--- /dev/null
+++ b/tests/steps/http_client_steps.py
@@ -0,0 +1,153 @@
+"""Steps for the HTTP edge towards an upstream."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+
+from behave import given, then, when
+
+from burdocklead.connection.http_client import (
+    Broken,
+    ConnectionPool,
+    NotConnected,
+    RawAnswer,
+)
+from burdocklead.connection.http_messages import encode_request, find_header
+from burdocklead.values import Address
+
+RESET = struct.pack('ii', 1, 0)
+
+
+def _answer(number, headers=''):
+    body = f'answer {number}'
+    return (
+        f'HTTP/1.1 200 OK\r\nId: {number}\r\n{headers}'
+        f'Content-Length: {len(body)}\r\n\r\n{body}'
+    )
+
+
+def _unframed(number):
+    return f'HTTP/1.1 200 OK\r\nId: {number}\r\n\r\nanswer {number}'
+
+
+class Scripted:
+    """Answers requests as a script says."""
+
+    def __init__(self, script):
+        """Start without requests."""
+        self.script = script
+        self.requests = 0
+        self.connections = 0
+
+    async def serve(self, reader, writer):
+        """Answer the requests of one connection."""
+        self.connections += 1
+        try:
+            while await reader.readuntil(b'\r\n\r\n'):
+                self.requests += 1
+                if self.reply(self.requests, writer):
+                    break
+                await writer.drain()
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return
+        finally:
+            writer.close()
+
+    def reply(self, number, writer):
+        """Write what the script says; return True to close."""
+        ends = False
+        text = _answer(number)
+        match self.script:
+            case 'whole answers and close':
+                text = _answer(number, 'Connection: close\r\n')
+                ends = True
+            case 'an extra answer behind the first' if number == 1:
+                text += _answer(99)
+            case 'a late answer before the second' if number == 2:
+                text = _answer(1) + text
+            case 'no length and an end':
+                text, ends = _unframed(number), True
+            case 'no length and a reset':
+                text, ends = _unframed(number), True
+                sock = writer.get_extra_info('socket')
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+            case 'half an answer':
+                text, ends = text[:-3], True
+            case 'no HTTP':
+                text = 'garbage\r\n\r\n'
+            case 'an interim answer first':
+                text = f'HTTP/1.1 103 Early Hints\r\n\r\n{text}'
+        writer.write(text.encode())
+        return ends
+
+
+@given('an upstream that answers with {script}')
+def plan_upstream(context, script):
+    """Keep the script."""
+    context.scripted = Scripted(script)
+
+
+@given('an upstream that does not listen')
+def plan_absent(context):
+    """Have no upstream."""
+    context.scripted = None
+
+
+async def _exchange_twice(context):
+    server = None
+    port = 1
+    if context.scripted is not None:
+        server = await asyncio.start_server(
+            context.scripted.serve, '127.0.0.1', 0
+        )
+        port = server.sockets[0].getsockname()[1]
+    pool = ConnectionPool(max_body_bytes=100000)
+    results = []
+    for number in (1, 2):
+        content = encode_request('GET', '/', (('Host', 'a'),), b'')
+
+        def is_ours(headers, wanted=str(number)):
+            return find_header(headers, 'Id') == wanted
+
+        results.append(
+            await pool.exchange(
+                Address('127.0.0.1', port), 'GET', content, is_ours
+            )
+        )
+        await asyncio.sleep(0.02)
+    pool.close()
+    await asyncio.sleep(0.02)
+    if server is not None:
+        server.close()
+    return results
+
+
+@when('two requests are sent to it one after the other')
+def send_two(context):
+    """Exchange twice over one pool."""
+    context.results = asyncio.run(_exchange_twice(context))
+
+
+@then('the results are {first} and {second}')
+def check_results(context, first, second):
+    """Check what came of both."""
+    seen = [_described(result) for result in context.results]
+    assert seen == [first, second], (seen, context.results)
+
+
+@then('{count:d} connections were opened')
+def check_connections(context, count):
+    """Check which connections were kept."""
+    assert context.scripted.connections == count, context.scripted.connections
+
+
+def _described(result):
+    match result:
+        case RawAnswer():
+            return result.body.decode()
+        case NotConnected():
+            return 'not connected'
+        case Broken():
+            return 'broken'
--- /dev/null
+++ b/tests/steps/http_server_steps.py
@@ -0,0 +1,194 @@
+"""Steps for the HTTP edge towards callers."""
+
+from __future__ import annotations
+
+import asyncio
+import re
+
+from behave import given, then, when
+
+from burdocklead.connection.http_messages import HttpResponse
+from burdocklead.connection.http_server import HttpServer, ServerLimits
+from burdocklead.values import Address
+
+READ_LIMIT_S = 3
+MS_PER_S = 1000
+HEAD = 'GET {0} HTTP/1.1\r\nHost: sheets\r\n{1}\r\n'
+ODD_BYTES = {
+    'a header of 5000 bytes': HEAD.format('/1', f'X-Long: {"x" * 5000}\r\n'),
+    'a header without end': f'GET /1 HTTP/1.1\r\nX-Long: {"x" * 5000}',
+    'half a header': 'GET /1 HTTP/1.1\r\nHost: she',
+    'a body of 500 bytes': (
+        'POST /1 HTTP/1.1\r\nHost: sheets\r\nContent-Length: 500\r\n\r\n'
+    ),
+    'no HTTP': 'this is not HTTP\r\n\r\n',
+    'two lengths': (
+        'POST /1 HTTP/1.1\r\nHost: sheets\r\nContent-Length: 2\r\n'
+        'Content-Length: 3\r\n\r\nabc'
+    ),
+}
+
+
+class Recorder:
+    """Handles requests in the time that their path names."""
+
+    def __init__(self):
+        """Start without requests."""
+        self.handled = []
+        self.cancelled = []
+
+    async def handle(self, request):
+        """Answer with the path after its time in ms."""
+        self.handled.append(request.target)
+        try:
+            await asyncio.sleep(int(request.target[1:]) / MS_PER_S)
+        except asyncio.CancelledError:
+            self.cancelled.append(request.target)
+            raise
+        return HttpResponse(200, (), request.target.encode())
+
+
+async def _serve(context, talk):
+    """Let a client talk to a fresh server."""
+    context.recorder = Recorder()
+    server = HttpServer(context.recorder.handle)
+    server.limits = context.limits
+    address = await server.start(Address('127.0.0.1', 0))
+    reader, writer = await asyncio.open_connection(address.host, address.port)
+    try:
+        async with asyncio.timeout(READ_LIMIT_S):
+            return await talk(server, reader, writer)
+    finally:
+        writer.close()
+        await server.close()
+
+
+@given('an HTTP server whose handler takes the ms in the path')
+def plan_server(context):
+    """Use usual limits."""
+    context.limits = ServerLimits()
+
+
+@given(
+    'an HTTP server with {header:d} header bytes, {body:d} body bytes and '
+    '{wait:d} ms for headers'
+)
+def plan_limits(context, header, body, wait):
+    """Use tight limits."""
+    context.limits = ServerLimits(header, body, wait / MS_PER_S, 60)
+
+
+@when('a client pipelines GET requests for "{one}", "{two}" and "{three}"')
+def pipeline(context, one, two, three):
+    """Send three requests at once."""
+
+    async def talk(server, reader, writer):
+        started = asyncio.get_running_loop().time()
+        text = ''.join(HEAD.format(path, '') for path in (one, two, three))
+        writer.write(text.encode())
+        received = b''
+        while received.count(b'HTTP/1.1 200') < 3 or b'40' not in received:
+            received += await reader.read(65536)
+        context.elapsed = asyncio.get_running_loop().time() - started
+        return received.decode()
+
+    context.received = asyncio.run(_serve(context, talk))
+
+
+@then('the answers come in the order "{one}", "{two}", "{three}"')
+def check_order(context, one, two, three):
+    """Check the bodies."""
+    bodies = re.findall(r'\r\n\r\n(/\d+)', context.received)
+    assert bodies == [one, two, three], bodies
+
+
+@then('the requests took less than {limit:d} ms together')
+def check_elapsed(context, limit):
+    """Check that they ran at the same time."""
+    assert context.elapsed * MS_PER_S < limit, context.elapsed
+
+
+@when('a client sends "{path}" and closes its connection')
+def send_and_leave(context, path):
+    """Leave before the answer."""
+
+    async def talk(server, reader, writer):
+        writer.write(HEAD.format(path, '').encode())
+        while not context.recorder.handled:
+            await asyncio.sleep(0.001)
+        writer.close()
+        while not context.recorder.cancelled:
+            await asyncio.sleep(0.001)
+
+    asyncio.run(_serve(context, talk))
+
+
+@then('the handler of "{path}" is cancelled')
+def check_cancelled(context, path):
+    """Check what was cancelled."""
+    assert context.recorder.cancelled == [path], context.recorder.cancelled
+
+
+@when('an odd client sends {bytes_name}')
+def send_odd_bytes(context, bytes_name):
+    """Send something that must be refused."""
+
+    async def talk(server, reader, writer):
+        writer.write(ODD_BYTES[bytes_name].encode())
+        return await reader.read()
+
+    context.received = asyncio.run(_serve(context, talk)).decode()
+
+
+@then('the client is answered {status:d} and the connection is closed')
+def check_refused(context, status):
+    """Check the one answer; reading ended, so the connection is closed."""
+    statuses = re.findall(r'HTTP/1.1 (\d+)', context.received)
+    assert statuses == [str(status)], context.received
+    assert 'Connection: close' in context.received, context.received
+
+
+@then('no handler ran')
+def check_not_handled(context):
+    """Check that nothing was handled."""
+    assert not context.recorder.handled, context.recorder.handled
+
+
+@when('a client sends "{path}" and the server starts to drain meanwhile')
+def send_to_draining(context, path):
+    """Start the drain while the request runs."""
+
+    async def talk(server, reader, writer):
+        writer.write(HEAD.format(path, '').encode())
+        while not context.recorder.handled:
+            await asyncio.sleep(0.001)
+        server.start_draining()
+        return await reader.read()
+
+    context.received = asyncio.run(_serve(context, talk)).decode()
+
+
+@then('the client gets the whole answer with "{header}"')
+def check_closing_answer(context, header):
+    """Check header and body."""
+    assert header in context.received, context.received
+    assert context.received.endswith('/100'), context.received
+
+
+@when('a client pipelines "{one}" with "{header}" and "{two}"')
+def pipeline_behind_close(context, one, header, two):
+    """Send a request behind one that closes."""
+
+    async def talk(server, reader, writer):
+        first = HEAD.format(one, f'{header}\r\n')
+        writer.write(first.encode() + HEAD.format(two, '').encode())
+        return await reader.read()
+
+    context.received = asyncio.run(_serve(context, talk)).decode()
+
+
+@then('only "{path}" was handled')
+def check_handled(context, path):
+    """Check what ran."""
+    assert context.recorder.handled == [path], context.recorder.handled
+    assert context.received.count('HTTP/1.1') == 1, context.received
--- /dev/null
+++ b/tests/steps/pace_steps.py
@@ -0,0 +1,215 @@
+"""Steps for calls that wait out slow moments of their upstream."""
+
+from __future__ import annotations
+
+import heapq
+import random
+
+from behave import given, then, when
+
+from burdocklead.request.admission import (
+    Admitted,
+    Queued,
+    Ticket,
+    fixed_admission_for,
+)
+from burdocklead.request.upstream_load import PaceView, UpstreamLoad
+
+MS_PER_S = 1000
+STEP_S = 0.15
+POLL_S = 0.02
+SLOW_PACE = 5
+
+
+def _report(view, pace, now):
+    view.observe(UpstreamLoad(0, 0, 18, pace), now)
+
+
+@given('an upstream whose pace went from {before:g} to {after:g} {ago:g} s ago')
+def plan_pace(context, before, after, ago):
+    """Report both paces, and the last one until now."""
+    context.pace = PaceView()
+    for step in range(10):
+        _report(context.pace, before, 10 + step * POLL_S)
+    start = 10.2
+    context.now = start + ago
+    steps = int(ago / POLL_S) + 1
+    for step in range(steps):
+        _report(context.pace, after, start + step * POLL_S)
+
+
+@then('waiting is worth while for a call of {cost:d} ms: {worth}')
+def check_worth(context, cost, worth):
+    """Check the decision."""
+    waits = context.pace.is_worth_waiting(cost, context.now)
+    assert waits is (worth == 'yes'), context.pace
+
+
+@given('an admission queue of {slots:d} slots at pace {pace:g}')
+def plan_queue(context, slots, pace):
+    """Make a queue whose upstream was fast until now."""
+    context.queue = fixed_admission_for(slots)
+    context.pace = PaceView()
+    context.now = 10
+    _report(context.pace, 1, context.now - POLL_S)
+    _report(context.pace, pace, context.now)
+    context.queue.set_pace(context.pace, context.now)
+    context.verdicts = {}
+
+
+def _offer(context, cost_ms, left_ms):
+    name = f'{cost_ms} ms'
+    ticket = Ticket(
+        name, name, 1, cost_ms, context.now + left_ms / MS_PER_S, 1000
+    )
+    verdict = context.queue.offer(ticket, context.now).verdict
+    context.verdicts[name] = verdict
+
+
+@when('a call of {one:d} ms and a call of {two:d} ms are offered')
+def offer_two(context, one, two):
+    """Offer both with time to spare."""
+    _offer(context, one, 5000)
+    _offer(context, two, 5000)
+
+
+@when('a call of {cost:d} ms with {left:d} ms left is offered')
+def offer_late(context, cost, left):
+    """Offer a call that must start soon."""
+    _offer(context, cost, left)
+
+
+def _set_pace(context, pace):
+    _report(context.pace, pace, context.now)
+    for decision in context.queue.set_pace(context.pace, context.now):
+        context.verdicts[decision.ticket.attempt_id] = decision.verdict
+
+
+@when('the pace is {pace:g} again')
+def change_pace(context, pace):
+    """Report another pace a moment later."""
+    context.now += POLL_S
+    _set_pace(context, pace)
+
+
+@when('{wait:d} ms pass at pace {pace:g}')
+def pass_time(context, wait, pace):
+    """Report the same pace after some time."""
+    context.now += wait / MS_PER_S
+    _set_pace(context, pace)
+
+
+@then('the call of {one:d} ms waits and the call of {two:d} ms runs')
+def check_both(context, one, two):
+    """Check both verdicts."""
+    assert context.verdicts[f'{one} ms'] == Queued(), context.verdicts
+    assert context.verdicts[f'{two} ms'] == Admitted(), context.verdicts
+
+
+@then('the call of {cost:d} ms runs')
+def check_runs(context, cost):
+    """Check one verdict."""
+    assert context.verdicts[f'{cost} ms'] == Admitted(), context.verdicts
+
+
+class Upstreams:
+    """Upstreams whose pace is drawn anew in steps."""
+
+    def __init__(self, count, slots, share, rng):
+        """Draw the paces of all steps."""
+        self.queues = [fixed_admission_for(slots) for _ in range(count)]
+        self.views = [PaceView() for _ in range(count)]
+        self.phases = [rng.random() * STEP_S for _ in range(count)]
+        self.paces = [
+            [SLOW_PACE if rng.random() < share else 1 for _ in range(2000)]
+            for _ in range(count)
+        ]
+
+    def pace_at(self, index, now):
+        """Return the pace of an upstream."""
+        return self.paces[index][int((now + self.phases[index]) / STEP_S)]
+
+
+@given(
+    '{count:d} upstreams of {slots:d} slots that are 5 times slower in a third '
+    'of steps of 150 ms'
+)
+def plan_upstreams(context, count, slots):
+    """Keep how they are made."""
+    context.make = lambda: Upstreams(count, slots, 1 / 3, random.Random(5))
+
+
+@when('{rate:d} calls a second of {cost:d} ms come for {length:d} s')
+def plan_calls(context, rate, cost, length):
+    """Run the calls with and without holding."""
+    context.ended = {
+        holds: _simulate(context.make(), rate, cost, length, holds)
+        for holds in (True, False)
+    }
+
+
+def _simulate(upstreams, rate, cost_ms, length, holds):
+    """Return the times from arrival to end in ms."""
+    rng = random.Random(9)
+    events = []
+    numbers = iter(range(10**9))
+    for number in range(rate * length):
+        place = rng.randrange(len(upstreams.queues))
+        event = (number / rate, next(numbers), 'arrive', place, number)
+        heapq.heappush(events, event)
+    for place in range(len(upstreams.queues)):
+        heapq.heappush(events, (0, next(numbers), 'poll', place, 0))
+    arrived, times = {}, []
+    while events:
+        now, _, kind, place, number = heapq.heappop(events)
+        queue, view = upstreams.queues[place], upstreams.views[place]
+        started = []
+        match kind:
+            case 'poll' if now < length + 5:
+                if holds:
+                    _report(view, upstreams.pace_at(place, now), now)
+                started = queue.set_pace(view, now)
+                again = (now + POLL_S, next(numbers), 'poll', place, 0)
+                heapq.heappush(events, again)
+            case 'arrive':
+                arrived[f'{number}'] = now
+                ticket = Ticket(
+                    f'{number}', 'view', 1, cost_ms, now + 1.5, 1000
+                )
+                offer = queue.offer(ticket, now)
+                if offer.verdict == Admitted():
+                    _start(upstreams, events, numbers, place, ticket, cost_ms, now)
+                started = list(offer.displaced)
+            case 'end':
+                times.append((now - arrived[f'{number}']) * MS_PER_S)
+                started = queue.release(f'{number}', cost_ms, now)
+        for decision in started:
+            if decision.verdict == Admitted():
+                ticket = decision.ticket
+                _start(upstreams, events, numbers, place, ticket, cost_ms, now)
+    return times, len(arrived)
+
+
+def _start(upstreams, events, numbers, place, ticket, cost_ms, now):
+    run_s = cost_ms * upstreams.pace_at(place, now) / MS_PER_S
+    event = (now + run_s, next(numbers), 'end', place, int(ticket.attempt_id))
+    heapq.heappush(events, event)
+
+
+def _share(context, limit_ms, holds):
+    times, count = context.ended[holds]
+    return sum(one <= limit_ms for one in times) / count
+
+
+@then('at least {share:f} of them end within {limit:d} ms with holding')
+def check_holding(context, share, limit):
+    """Check the share in time."""
+    seen = _share(context, limit, holds=True)
+    assert seen >= share, seen
+
+
+@then('at most {share:f} of them end within {limit:d} ms without it')
+def check_not_holding(context, share, limit):
+    """Check that the pattern is hard without holding."""
+    seen = _share(context, limit, holds=False)
+    assert seen <= share, seen
--- /dev/null
+++ b/tests/steps/shared_budget_steps.py
@@ -0,0 +1,79 @@
+"""Steps for the retry budget that all daemons share."""
+
+from __future__ import annotations
+
+from bisect import bisect_left, bisect_right
+
+from behave import given, then, when
+
+from burdocklead.request.shared_budget import RetryTerms, SharedRetryBudget
+
+SERVICE = 'sheets'
+
+
+@given(
+    '{daemons:d} daemons that share {ratio:f} retries a call and {floor:d} in '
+    '{window:d} s'
+)
+def plan_daemons(context, daemons, ratio, floor, window):
+    """Keep the terms."""
+    context.terms = RetryTerms(ratio, floor, window)
+    context.daemons = daemons
+    context.joining = 0
+    context.now = 0
+
+
+@given('{count:d} more daemons join after {at:d} s')
+def plan_joining(context, count, at):
+    """Let daemons join."""
+    context.joining, context.join_at = count, at
+
+
+def _budget(context):
+    return SharedRetryBudget(
+        context.terms, lambda: context.daemons, lambda: context.now
+    )
+
+
+@when(
+    'calls come at {rate:d} a second for {length:d} s and every one wants '
+    '{wanted:d} retries'
+)
+def run_calls(context, rate, length, wanted):
+    """Spread the calls over the daemons."""
+    budgets = [_budget(context) for _ in range(context.daemons)]
+    context.calls, context.retries = [], []
+    for number in range(rate * length):
+        context.now = number / rate
+        if context.joining and context.now >= context.join_at:
+            budgets.extend(_budget(context) for _ in range(context.joining))
+            context.daemons += context.joining
+            context.joining = 0
+        budget = budgets[number % len(budgets)]
+        budget.earn(SERVICE)
+        context.calls.append(context.now)
+        for _ in range(wanted):
+            if budget.spend(SERVICE):
+                context.retries.append(context.now)
+
+
+@then(
+    'no window of {window:d} s has more retries than {ratio:f} of its calls '
+    'and {floor:d}'
+)
+def check_windows(context, window, ratio, floor):
+    """Check every window that ends with a retry."""
+    for end in context.retries:
+        retries = _count(context.retries, end - window, end)
+        calls = _count(context.calls, end - window, end)
+        assert retries <= ratio * calls + floor, (end, retries, calls)
+
+
+@then('at least {least:d} retries were sent')
+def check_used(context, least):
+    """Check that the budget is used."""
+    assert len(context.retries) >= least, len(context.retries)
+
+
+def _count(times, start, end):
+    return bisect_right(times, end) - bisect_left(times, start)
--- /dev/null
+++ b/tests/version/host_routes.feature
@@ -0,0 +1,41 @@
+Feature: Routes by host and path prefix
+
+  Scenario Outline: The longest prefix of the host's routes decides
+    Given host routes "all" at "sheets.example/", "view" at "sheets.example/view/" and "deep" at "sheets.example/view/old/"
+    Then a call to "<host>" at "<target>" takes the route "<route>"
+
+    Examples:
+      | host                | target            | route |
+      | sheets.example      | /view/7?x=/old/   | view  |
+      | SHEETS.example:8080 | /view/old/7       | deep  |
+      | sheets.example      | /view             | all   |
+      | sheets.example      | /viewer/1         | all   |
+      | other.example       | /view/7           | none  |
+
+  Scenario: Calls are split by weight
+    Given a host route split 90 to "orders" and 10 to "sheets"
+    Then of 2000 calls "orders" gets 0.87 to 0.93
+
+  Scenario Outline: A configuration that can't be served is refused with its reason
+    Given a valid configuration with host routes
+    When <change>
+    Then the configuration is refused: "<reason>"
+
+    Examples:
+      | change                                   | reason                                 |
+      | its route names the service "nowhere"    | nowhere is not a known service         |
+      | a second route has its host and prefix   | has the host and the prefix of         |
+      | its timeout is 0 ms                      | expected `float` > 0.0                 |
+      | its timeout is 600001 ms                 | expected `float` <= 600000.0           |
+      | it may make 0 attempts                   | expected `int` >= 1                    |
+      | its split has no weight                  | needs a weight above 0                 |
+      | it has a service and a split             | needs either service or split          |
+
+  Scenario: A patch puts items in place and takes others out
+    Given a valid configuration with host routes
+    When a patch to version 9 adds the route "new" and removes the route "main"
+    Then the configuration has version 9 and the routes "new"
+
+  Scenario: A configuration survives its own encoding
+    Given a valid configuration with host routes
+    Then decoding its encoding gives the same configuration
