--- a/burdocklead/connection/frames.py
+++ b/burdocklead/connection/frames.py
@@ -76,6 +76,8 @@
         cost_ms: Declared service time in ms.
         number: Number of the attempt, from 1.
         queue_limit: Calls that may wait beside the upstream.
+        objective_ms: Time left until the call is late in ms, negative if it
+            is, None if it has no objective.
     """
 
     attempt_id: str
@@ -93,6 +95,7 @@
     cost_ms: float
     number: int
     queue_limit: int
+    objective_ms: float | None = None
 
 
 class Answer(msgspec.Struct, frozen=True, tag='answer', array_like=True):
--- a/burdocklead/process/control_agent.py
+++ b/burdocklead/process/control_agent.py
@@ -23,6 +23,9 @@
 
 QUORUM_AGE_LIMIT_MS = 2000
 REPLY_TIMEOUT_S = 1.0
+FIRST_TIMEOUT_S = 0.3  # While all restart, the first replicas may be absent.
+CATCH_UP_INTERVAL_S = 0.1
+CATCH_UP_S = 3.0  # Other daemons and their upstreams announce themselves.
 log = logbook.Logger('control-agent')
 
 
@@ -33,6 +36,7 @@
         connected: True if the last heartbeat was answered.
         known_epoch: Epoch of the replica set in use, 0 before the first.
         drains: Newest drains of operators.
+        catching_up_until: Loop time until which heartbeats come often in s.
     """
 
     def __init__(
@@ -53,6 +57,7 @@
         self.connected = False
         self.known_epoch = 0
         self.drains = NO_DRAINS
+        self.catching_up_until = float(0)
 
     async def run_forever(self) -> None:
         """Send heartbeats until cancelled; at once after a change."""
@@ -60,9 +65,22 @@
             await self.beat()
             self.own.changed.clear()
             with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(self.interval):
+                async with asyncio.timeout(self._pause_s()):
                     await self.own.changed.wait()
 
+    def _pause_s(self) -> float:
+        """Return the time until the next heartbeat in s.
+
+        Shortly after a start or an outage there is much to learn.
+        """
+        now = asyncio.get_running_loop().time()
+        if not self.connected or now < self.catching_up_until:
+            return min(self.interval, CATCH_UP_INTERVAL_S)
+        return self.interval
+
+    def _timeout_s(self) -> float:
+        return REPLY_TIMEOUT_S if self.connected else FIRST_TIMEOUT_S
+
     async def beat(self) -> None:
         """Send one heartbeat and take over what comes back."""
         member = self.own.describe(self.directory.version)
@@ -75,7 +93,7 @@
         )
         client = self.control.client
         try:
-            reply = await client.request(message, REPLY_TIMEOUT_S)
+            reply = await client.request(message, self._timeout_s())
         except ControlError as error:
             self._leave_replica(client.name, error.reason)
             return
@@ -98,6 +116,8 @@
         self._apply_drains(reply.drains)
         if not self.connected:
             self.connected = True
+            now = asyncio.get_running_loop().time()
+            self.catching_up_until = now + CATCH_UP_S
             log.info('control reached', replica=reply.cursor.replica_id)
 
     def _use_set(self, replica_set: ReplicaSet) -> None:
--- a/burdocklead/process/control_replica.py
+++ b/burdocklead/process/control_replica.py
@@ -54,6 +54,8 @@
 MS_PER_S = 1000
 HEARD_LATELY_S = 1
 EXCHANGE_TIMEOUT_S = 1.0
+CATCH_UP_INTERVAL_S = 0.1
+CATCH_UP_S = 5.0  # All daemons announce themselves again within this time.
 log = logbook.Logger('control')
 
 
@@ -61,6 +63,7 @@
     """State of one replica and its answers to messages.
 
     Attributes:
+        started: Monotonic time of the start in s.
         file: Newest configuration file known to be accepted.
         peer_heard_at: Monotonic time at which each replica last answered
             in s.
@@ -77,6 +80,7 @@
         self.members = MembershipView(
             settings.replica_id, time.time_ns(), settings.member_lease
         )
+        self.started = time.monotonic()
         self.file = AcceptedFile()
         self.drains = OperatorDrains(self.registers, self.events)
         self.peer_heard_at: dict[str, float] = {}
@@ -195,7 +199,17 @@
                 if name not in running or running[name].done():
                     exchange = self._try_exchange(peer)
                     running[name] = asyncio.create_task(exchange)
-            await asyncio.sleep(self.settings.exchange_interval)
+            await asyncio.sleep(self._exchange_pause_s())
+
+    def _exchange_pause_s(self) -> float:
+        """Return the time until the next exchange in s.
+
+        Shortly after a start there is much to learn.
+        """
+        interval = self.settings.exchange_interval
+        if time.monotonic() < self.started + CATCH_UP_S:
+            return min(interval, CATCH_UP_INTERVAL_S)
+        return interval
 
     async def expire_forever(self) -> None:
         """Mark daemons whose lease ran out, again and again.
--- a/burdocklead/process/host_front.py
+++ b/burdocklead/process/host_front.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 
 import logbook
@@ -24,6 +25,7 @@
 from burdocklead.version.route_table import RouteMatch
 
 MS_PER_S = 1000
+OBJECTIVE_SHARE = 0.95  # The way to the caller takes some of it.
 NO_ROUTE_LABEL = 'none'
 log = logbook.Logger('calls')
 
@@ -37,6 +39,7 @@
         dialect: Headers of the callers.
         metrics: Counts calls by outcome.
         rng: Source of the draws by weight.
+        longest_waits_ms: Longest time that a caller waited by route, in ms.
     """
 
     def __init__(
@@ -53,6 +56,7 @@
         self.dialect = dialect
         self.metrics = metrics
         self.rng = rng
+        self.longest_waits_ms: dict[str, float] = {}
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Return the response to one request."""
@@ -83,8 +87,27 @@
             body=request.body,
             key='',
             deadline=request.arrived + wait_ms / MS_PER_S,
+            objective=self._objective_of(request, match, terms.wait_ms),
         )
 
+    def _objective_of(
+        self, request: HttpRequest, match: RouteMatch, wait_ms: float
+    ) -> float:
+        """Return the time by which a call should be answered, 0 if none.
+
+        A caller that comes back waits for less than callers of the route
+        wait at first; what is missing has passed already.
+        """
+        if not match.objective_ms:
+            return 0
+        longest_ms = self.longest_waits_ms.get(match.route.name, 0)
+        if longest_ms < wait_ms < math.inf:
+            longest_ms = wait_ms
+            self.longest_waits_ms[match.route.name] = wait_ms
+        passed_ms = max(longest_ms - wait_ms, 0)
+        left_ms = match.objective_ms * OBJECTIVE_SHARE - passed_ms
+        return request.arrived + left_ms / MS_PER_S
+
     def _find_rules(self, request: HttpRequest) -> RouteMatch:
         table = self.directory.table
         if table is None:
--- a/burdocklead/request/admission.py
+++ b/burdocklead/request/admission.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from burdocklead.request.concurrency_limit import FixedLimit
 from burdocklead.request.route_costs import RouteCost
@@ -30,6 +30,8 @@
         cost_ms: Declared service time in ms.
         deadline: Monotonic time of the deadline in s.
         queue_limit: Calls that may wait.
+        objective: Monotonic time by which it should end in s; 0 if there is
+            no time but the deadline.
     """
 
     attempt_id: str
@@ -38,6 +40,7 @@
     cost_ms: float
     deadline: float
     queue_limit: int
+    objective: float = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -110,7 +113,8 @@
             return OfferResult(Refused(RefusalCause.deadline))
         latest_start = ticket.deadline - cost.careful_ms() / MS_PER_S
         waiting = WaitingCall(
-            order=(ticket.rank, latest_start),
+            order=_order_of(ticket, cost, latest_start, now),
+            latest_start=latest_start,
             cost_ms=cost.usual.estimate,
             since=now,
             call_id=ticket.attempt_id,
@@ -199,7 +203,7 @@
         queue = self.long if is_long else self.short
         ahead_ms = queue.work_before(waiting.order)
         wait_ms = self.table.wait_ms(ahead_ms, now, long=is_long)
-        if now + wait_ms / MS_PER_S > waiting.order[1]:
+        if now + wait_ms / MS_PER_S > waiting.latest_start:
             return OfferResult(Refused(RefusalCause.deadline))
         displaced = []
         if len(self.short) + len(self.long) >= waiting.payload.queue_limit:
@@ -220,7 +224,7 @@
     ) -> WaitingCall[Ticket] | None:
         """Return the waiting call to shed for a newcomer, if any."""
         lasts = [queue.last() for queue in (self.long, self.short) if queue]
-        lower = [one for one in lasts if one.order[0] > newcomer.order[0]]
+        lower = [one for one in lasts if one.order[:2] > newcomer.order[:2]]
         return max(lower, key=lambda one: one.order, default=None)
 
     def _shed_last(
@@ -233,7 +237,7 @@
             last = queue.last()
             ahead_ms = queue.work_ms - last.cost_ms
             wait_ms = self.table.wait_ms(ahead_ms, now, long=is_long)
-            if now + wait_ms / MS_PER_S <= last.order[1]:
+            if now + wait_ms / MS_PER_S <= last.latest_start:
                 break
             queue.remove(last.call_id)
             removed.append(last)
@@ -257,9 +261,14 @@
     def _starts_too_late(
         self, waiting: WaitingCall[Ticket], now: float
     ) -> bool:
-        """Return True if another call makes better use of the slot."""
-        if waiting.order[1] > now:
+        """Return True if another call makes better use of the slot.
+
+        At a slow pace a call whose last moment has come can't end in time.
+        """
+        if waiting.latest_start > now:
             return False
+        if self.pace.is_worth_waiting(waiting.cost_ms, now):
+            return True
         others_wait = bool(self.short or self.long)
         return others_wait or self._misses_deadline(waiting.payload, now)
 
@@ -270,18 +279,28 @@
             queue = self.long
         if not queue:
             return None
-        first = queue.first()
-        if self._is_held(first, now):
+        self._demote_late(queue, now)
+        if self._is_held(queue.first(), now):
             return None
         return queue.pop_first()
 
+    def _demote_late(self, queue: WaitingCalls[Ticket], now: float) -> None:
+        """Put calls that miss their objective by now behind all others."""
+        while not queue.first().order[0] and queue.first().payload.objective:
+            first = queue.first()
+            if first.order[-1] >= now:
+                return
+            queue.pop_first()
+            order = (True, first.payload.rank, first.latest_start)
+            queue.add(replace(first, order=order))
+
     def _is_held(self, waiting: WaitingCall[Ticket], now: float) -> bool:
         """Return True if a call should wait for a better pace.
 
         It waits no longer than until the last moment at which it can end
-        in time at the usual pace.
+        before its deadline at the usual pace.
         """
-        if waiting.order[1] <= now:
+        if waiting.latest_start <= now:
             return False
         return self.pace.is_worth_waiting(waiting.cost_ms, now)
 
@@ -296,6 +315,22 @@
         return waited_ms >= first.cost_ms and self.table.below_long_floor(now)
 
 
+def _order_of(
+    ticket: Ticket, cost: RouteCost, latest_start: float, now: float
+) -> tuple[bool, int, float]:
+    """Return the place of a call among those that wait.
+
+    Calls that can meet their objective go first: a late answer is worth
+    little, and a slot that it holds makes others late.
+    """
+    if not ticket.objective:
+        return False, ticket.rank, latest_start
+    wanted_start = ticket.objective - cost.usual.estimate / MS_PER_S
+    if wanted_start < now:
+        return True, ticket.rank, latest_start
+    return False, ticket.rank, min(wanted_start, latest_start)
+
+
 def admission_for(slots: int) -> AdmissionQueue:
     """Return the empty queue of a fresh upstream."""
     return AdmissionQueue(SlotTable(slots))
--- a/burdocklead/request/call.py
+++ b/burdocklead/request/call.py
@@ -51,6 +51,8 @@
         body: Whole body.
         key: Idempotency key, empty if none.
         deadline: Monotonic time of the deadline in s.
+        objective: Monotonic time by which it should be answered in s, 0 if
+            there is none.
     """
 
     call_id: str
@@ -60,6 +62,7 @@
     body: bytes
     key: str
     deadline: float
+    objective: float = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/burdocklead/request/concurrency_limit.py
+++ b/burdocklead/request/concurrency_limit.py
@@ -8,7 +8,6 @@
 
 from __future__ import annotations
 
-import math
 import statistics
 from dataclasses import dataclass, field
 
@@ -37,7 +36,7 @@
 
     def current(self, now: float) -> int:
         """Return the number of calls that may run now."""
-        return max(math.ceil(self.slots * FIXED_SHARE), min(self.slots, 1))
+        return max(int(self.slots * FIXED_SHARE), min(self.slots, 1))
 
     def observe(self, ratio: float, now: float, *, saturated: bool) -> None:
         """Learn nothing; the limit is fixed."""
--- a/burdocklead/request/dispatch.py
+++ b/burdocklead/request/dispatch.py
@@ -6,10 +6,10 @@
 import itertools
 import random
 from collections.abc import Coroutine
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any
 
-from burdocklead.connection.frames import Attempt, AttemptResult, Lost
+from burdocklead.connection.frames import Attempt, AttemptResult, Lost, Refusal
 from burdocklead.metrics import HEDGES, RETRIES, MetricSet
 from burdocklead.request.attempt_runner import AttemptRunner, Directory
 from burdocklead.request.block_list import Standing, fingerprint_of
@@ -22,10 +22,11 @@
     may_hedge,
     may_repeat,
     reached_upstream,
+    return_time_s,
 )
-from burdocklead.request.routing import CROSS_ZONE_MS, Router
+from burdocklead.request.routing import BUSY_CAUSES, CROSS_ZONE_MS, Router
 from burdocklead.request.shared_budget import SharedRetryBudget
-from burdocklead.values import Member, RefusalCause
+from burdocklead.values import Member, Outcome, RefusalCause
 
 MS_PER_S = 1000
 CROSS_ZONE_SHARE = 0.75  # A usual call takes up to half of its objective.
@@ -106,9 +107,31 @@
                 return outcome_of(results)
             number += found.hedged
             if not await self._try_again(call, results, number):
-                return outcome_of(results)
+                return self._with_return_time(call, results)
             number += 1
 
+    def _with_return_time(
+        self, call: Call, results: list[AttemptResult]
+    ) -> CallResult:
+        """Return the outcome; a refusal tells when to come back."""
+        result = outcome_of(results)
+        if result.outcome is not Outcome.not_run:
+            return result
+        now = asyncio.get_running_loop().time()
+        waits_ms = [
+            one.load.expected_wait_ms
+            for one in results
+            if isinstance(one, Refusal)
+        ]
+        return replace(
+            result,
+            retry_after_s=return_time_s(
+                min(waits_ms, default=0) / MS_PER_S,
+                call.deadline - now,
+                self.rng,
+            ),
+        )
+
     async def _run_or_hedge(
         self, call: Call, member: Member, tried: set[str], number: int
     ) -> HedgeResult:
@@ -171,11 +194,21 @@
         """
         used = number
         if self.shared_budget is not None:
-            if number >= MAX_PLACES:
+            if number >= MAX_PLACES or self._all_busy(call, results):
                 return False
             used = sum(map(reached_upstream, results))
         return await self.repeat_allowed(call, results[-1], used)
 
+    def _all_busy(self, call: Call, results: list[AttemptResult]) -> bool:
+        """Return True if every upstream refused the call for lack of room."""
+        busy = [
+            one
+            for one in results
+            if isinstance(one, Refusal) and one.cause in BUSY_CAUSES
+        ]
+        members = self.directory.candidates(call.match.service_name).members
+        return len(busy) >= len(members)
+
     def _earn(self, call: Call) -> None:
         self.budget_of(call).earn()
         if self.shared_budget is not None:
@@ -236,9 +269,14 @@
             cost_ms=rules.route.cost_ms,
             number=number,
             queue_limit=rules.service.queue_limit,
+            objective_ms=_left_ms(call.objective, now),
         )
 
 
+def _left_ms(objective: float, now: float) -> float | None:
+    return (objective - now) * MS_PER_S if objective else None
+
+
 def _fingerprint(call: Call) -> str:
     rules = call.match
     return fingerprint_of(
--- a/burdocklead/request/execution.py
+++ b/burdocklead/request/execution.py
@@ -58,6 +58,7 @@
     Attributes:
         attempt: The attempt.
         deadline: Loop time of its deadline in s.
+        arrived: Loop time of its arrival in s.
         sent: True once the upstream may have seen it.
         withdrawn: True if it must not be sent any more.
         task: Carries the attempt to its result.
@@ -65,6 +66,7 @@
 
     attempt: Attempt
     deadline: float
+    arrived: float = 0
     sent: bool = False
     withdrawn: bool = False
     task: asyncio.Task[AttemptResult] | None = None
@@ -130,8 +132,9 @@
             return await self._repeated(attempt, known)
         self.journal.start(attempt)
         loop = asyncio.get_running_loop()
-        deadline = loop.time() + attempt.remaining_ms / MS_PER_S
-        execution = Execution(attempt, deadline)
+        arrived = loop.time()
+        deadline = arrived + attempt.remaining_ms / MS_PER_S
+        execution = Execution(attempt, deadline, arrived)
         self.executions[attempt.attempt_id] = execution
         execution.task = loop.create_task(self._execute(execution))
         return await asyncio.shield(execution.task)
@@ -306,9 +309,17 @@
         cost_ms=attempt.cost_ms,
         deadline=execution.deadline,
         queue_limit=attempt.queue_limit,
+        objective=_objective_of(execution),
     )
 
 
+def _objective_of(execution: Execution) -> float:
+    left_ms = execution.attempt.objective_ms
+    if left_ms is None:
+        return 0
+    return execution.arrived + left_ms / MS_PER_S
+
+
 def _too_large(attempt: Attempt, status: int, load: LoadReport) -> Answer:
     content = {
         'outcome': 'answered',
--- a/burdocklead/request/retries.py
+++ b/burdocklead/request/retries.py
@@ -14,6 +14,8 @@
 BACKOFF_LIMIT_S = 0.1
 REPEATED_STATUSES = frozenset((500, 502, 503))
 REACHED_CAUSES = frozenset((RefusalCause.upstream_refused,))
+SHORTEST_RETURN_S = 0.05  # A queue changes little within less.
+RETURN_SHARE = 1 / 3  # Callers wait no longer than this part of their time.
 FINAL_CAUSES = frozenset((RefusalCause.crash_suspect,))
 
 
@@ -86,3 +88,17 @@
     """
     ceiling = min(BACKOFF_BASE_S * 2 ** (number - 1), BACKOFF_LIMIT_S)
     return rng.uniform(0, ceiling)
+
+
+def return_time_s(wait_s: float, left_s: float, rng: random.Random) -> float:
+    """Return when a refused caller should come back, in s.
+
+    Returns are spread over twice the wait, so that they do not meet.
+
+    Args:
+        wait_s: Expected wait of a new call in s.
+        left_s: Time that the caller has left in s.
+        rng: Source of the spread.
+    """
+    wanted_s = max(wait_s, SHORTEST_RETURN_S) * rng.uniform(1, 2)
+    return max(min(wanted_s, left_s * RETURN_SHARE), 0)
--- a/burdocklead/request/waiting_calls.py
+++ b/burdocklead/request/waiting_calls.py
@@ -7,7 +7,7 @@
 from typing import Generic, TypeVar
 
 Payload = TypeVar('Payload')
-Order = tuple[int, float]
+Order = tuple[bool, int, float]
 
 
 @dataclass(frozen=True, slots=True)
@@ -15,7 +15,9 @@
     """One call that waits for a slot.
 
     Attributes:
-        order: Rank of its priority, 0 first, and latest start in s.
+        order: True if it misses its objective, its rank, 0 first, and the
+            latest start in s that meets its objective, or else its deadline.
+        latest_start: Latest start in s that meets its deadline.
         cost_ms: Usual service time in ms when it arrived.
         since: Monotonic time of its arrival in s.
         call_id: Name to remove it by.
@@ -23,6 +25,7 @@
     """
 
     order: Order
+    latest_start: float
     cost_ms: float
     since: float
     call_id: str
--- a/tests/steps/pace_steps.py
+++ b/tests/steps/pace_steps.py
@@ -10,10 +10,12 @@
 from burdocklead.request.admission import (
     Admitted,
     Queued,
+    Refused,
     Ticket,
     fixed_admission_for,
 )
 from burdocklead.request.upstream_load import PaceView, UpstreamLoad
+from burdocklead.values import RefusalCause
 
 MS_PER_S = 1000
 STEP_S = 0.15
@@ -112,6 +114,13 @@
     assert context.verdicts[f'{cost} ms'] == Admitted(), context.verdicts
 
 
+@then('the call of {cost:d} ms is refused')
+def check_refused(context, cost):
+    """Check that it does not wait for its deadline."""
+    verdict = context.verdicts[f'{cost} ms']
+    assert verdict == Refused(RefusalCause.deadline), context.verdicts
+
+
 class Upstreams:
     """Upstreams whose pace is drawn anew in steps."""
 
