--- a/Makefile
+++ b/Makefile
@@ -33,7 +33,7 @@
 
 types: $(STAMP)
 	$(VENV)/bin/mypy
-	cd platform && ../$(VENV)/bin/mypy --config-file ../pyproject.toml *.py
+	cd platform && MYPYPATH=.. ../$(VENV)/bin/mypy --config-file ../pyproject.toml *.py
 
 bench: $(STAMP)
 	$(PYTHON) -m devtools.bench --scenario $(SCENARIO) --seed $(SEED) --seconds $(SECONDS)
--- a/devtools/reference_pages.py
+++ b/devtools/reference_pages.py
@@ -18,6 +18,7 @@
 from burdocklead.exceptions import BurdockleadError
 from burdocklead.metrics import DECLARED
 from burdocklead.options import (
+    Addresses,
     Choice,
     FilePath,
     NamedAddresses,
@@ -53,6 +54,9 @@
     'max_attempts': 'attempts',
     'retry_ratio': 'share',
     'max_crashes': 'crashes',
+    'max_connections': 'connections',
+    'rank': 'rank',
+    'weight': 'weight',
 }
 TYPE_NAMES = {str: 'text', bool: 'true or false', int: 'whole', float: 'number'}
 HEAD = 'This page is made by `python -m devtools.reference_pages`.\n'
@@ -238,6 +242,10 @@
 def _bounds_of(meta: msgspec.Meta) -> str:
     if meta.ge is not None:
         return f'{meta.ge} to {meta.le}'
+    if meta.gt is not None:
+        return f'above {meta.gt}, to {meta.le}'
+    if meta.max_length is not None:
+        return f'up to {meta.max_length} characters'
     return f'`{meta.pattern}`' if meta.pattern else ''
 
 
@@ -269,6 +277,8 @@
             return 'IP:PORT'
         case NamedAddresses():
             return 'NAME=IP:PORT,...'
+        case Addresses():
+            return 'IP:PORT,...'
         case FilePath():
             return 'path'
         case _:
--- /dev/null
+++ b/tests/platform/stand_in.py
@@ -0,0 +1,274 @@
+"""A small platform on loopback: VMs with addresses of their own, upstreams
+that send heartbeats, an operator and clients, with real processes between.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import subprocess
+import sys
+import threading
+import time
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import requests
+
+from burdocklead.connection.http_messages import HttpResponse
+from burdocklead.connection.http_server import HttpServer
+from burdocklead.values import Address
+
+ROOT = Path(__file__).resolve().parents[2]
+PORTS = {'outbound': 8304, 'readyAddr': 8302, 'control': 8306}
+PEER_PORTS = [7620, 7635]
+APP_PORT = 8301
+BEAT_S = 0.3
+WAIT_S = 20
+HTTP_S = 3
+CONTROL_COUNT = 3
+SUBNET = 40 + os.getpid() % 200
+
+
+def wait_until(condition, what, limit_s=WAIT_S):
+    """Wait until a condition holds, else raise TimeoutError."""
+    limit = time.monotonic() + limit_s
+    while not condition():
+        if time.monotonic() > limit:
+            raise TimeoutError(what)
+        time.sleep(0.02)
+
+
+class StandInUpstream:
+    """Answers with the id that it was sent, and records what it ran."""
+
+    def __init__(self, ip, service, instance):
+        """Start without requests."""
+        self.ip = ip
+        self.service = service
+        self.instance = instance
+        self.state = 'ready'
+        self.number = 0
+        self.ran = []
+        self.last_at = 0
+        self.server = None
+        self.beats = []
+
+    async def start(self):
+        """Listen."""
+        self.server = HttpServer(self.handle)
+        await self.server.start(Address(self.ip, APP_PORT))
+
+    async def handle(self, request):
+        """Answer a request or a health check."""
+        load = ('X-Server-Load', '0,0,4,100')
+        if request.target == '/health':
+            status = 200 if self.state == 'ready' else 503
+            headers = (('X-Instance-Id', self.instance), load)
+            return HttpResponse(status, headers)
+        wanted = request.find('X-Expected-Instance')
+        if wanted not in {None, self.instance}:
+            return HttpResponse(421, (('X-Instance-Id', self.instance),))
+        self.ran.append(request)
+        self.last_at = time.monotonic()
+        headers = (
+            ('X-Attempt-Id', request.find('X-Attempt-Id')),
+            ('X-Response-Signature', f'signed-{self.instance}'),
+            load,
+        )
+        return HttpResponse(200, headers, self.service.encode())
+
+    def beat(self, **changes):
+        """Send a heartbeat; return its status."""
+        self.number += 1
+        body = {
+            'service': self.service,
+            'address': f'{self.ip}:{APP_PORT}',
+            'zone': 'vancouver',
+            'version': 'v1',
+            'slots': 4,
+            'state': self.state,
+            'coldRemainingMs': 0,
+            'seq': self.number,
+            'born': 1000,
+            **changes,
+        }
+        return self.call('instances.heartbeat', json.dumps(body))
+
+    def call(self, name, body=''):
+        """Call the daemon beside this upstream; return the status."""
+        url = f'http://{self.ip}:{PORTS["control"]}/-/rpc'
+        answer = requests.post(
+            url,
+            params={'call': name, 'of': self.instance},
+            data=body,
+            timeout=HTTP_S,
+        )
+        return answer.status_code
+
+
+@dataclass
+class StandInPlatform:
+    """Processes and upstreams of one deployment."""
+
+    folder: Path
+    processes: dict[str, subprocess.Popen] = field(default_factory=dict)
+    upstreams: dict[str, StandInUpstream] = field(default_factory=dict)
+    stopping: threading.Event = field(default_factory=threading.Event)
+    loop: asyncio.AbstractEventLoop | None = None
+
+    def ip(self, number):
+        """Return the address of a VM."""
+        return f'127.0.{SUBNET}.{number}'
+
+    def start(self, services):
+        """Start control replicas, and a daemon and an upstream a service."""
+        for number in range(CONTROL_COUNT):
+            self.start_control(number)
+        for number, service in enumerate(services, start=20):
+            self.start_daemon(number, service)
+        self.loop = asyncio.new_event_loop()
+        threading.Thread(target=self.loop.run_forever, daemon=True).start()
+        for number, service in enumerate(services, start=20):
+            upstream = StandInUpstream(self.ip(number), service, f'i-{number}')
+            self.upstreams[f'daemon-{number}'] = upstream
+            asyncio.run_coroutine_threadsafe(
+                upstream.start(), self.loop
+            ).result(WAIT_S)
+        threading.Thread(target=self._beat_forever, daemon=True).start()
+
+    def start_control(self, number, *, bootstrap=True):
+        """Start a control replica."""
+        data = self.folder / f'data-{number}'
+        data.mkdir(exist_ok=True)
+        self._start(
+            f'control-{number}',
+            'control_role.py',
+            self.ip(number + 1),
+            {'bootstrap': bootstrap, 'dataDir': str(data)},
+            ('control',),
+        )
+
+    def start_daemon(self, number, service):
+        """Start a daemon."""
+        ip = self.ip(number)
+        own = {'service': service, 'appAddr': f'{ip}:{APP_PORT}'}
+        self._start(f'daemon-{number}', 'daemon_role.py', ip, own, PORTS)
+
+    def seeds(self):
+        """Return the operators' addresses of the replicas."""
+        return [
+            f'{self.ip(number + 1)}:{PORTS["control"]}'
+            for number in range(CONTROL_COUNT)
+        ]
+
+    def operate(self, call, body=None, base=None, control=0):
+        """Send an operator's call to a replica; return the answer."""
+        headers = {} if base is None else {'If-Match': str(base)}
+        text = body if isinstance(body, str) else json.dumps(body)
+        return requests.post(
+            f'http://{self.seeds()[control]}/-/rpc',
+            params={'call': call},
+            data=text if body is not None else None,
+            headers=headers,
+            timeout=HTTP_S,
+        )
+
+    def apply(self, body, base):
+        """Send a whole configuration until it is accepted."""
+
+        def accepted():
+            try:
+                answer = self.operate('config.replace', body, base)
+            except requests.RequestException:
+                return False
+            return answer.status_code == 200
+
+        wait_until(accepted, 'the configuration is accepted')
+
+    def request(self, daemon, host, path, number):
+        """Send a client's request to a daemon; return the answer."""
+        return requests.get(
+            f'http://{self.ip(daemon)}:{PORTS["outbound"]}{path}',
+            headers={
+                'Host': host,
+                'X-Attempt-Id': f'call-{number}',
+                'X-Timeout-Remaining': '1000',
+                'X-Caller-Service': 'forged',
+            },
+            timeout=HTTP_S,
+        )
+
+    def ready_status(self, daemon):
+        """Return the status of a daemon's page for readiness."""
+        url = f'http://{self.ip(daemon)}:{PORTS["readyAddr"]}/-/ready'
+        try:
+            return requests.get(url, timeout=HTTP_S).status_code
+        except requests.RequestException:
+            return 0
+
+    def kill(self, name):
+        """Kill a process that this platform started."""
+        process = self.processes.pop(name)
+        process.send_signal(signal.SIGKILL)
+        process.wait()
+
+    def close(self):
+        """End everything."""
+        self.stopping.set()
+        for name in tuple(self.processes):
+            self.kill(name)
+        if self.loop is None:
+            return
+        for upstream in self.upstreams.values():
+            asyncio.run_coroutine_threadsafe(
+                upstream.server.close(), self.loop
+            ).result(WAIT_S)
+        self.loop.call_soon_threadsafe(self.loop.stop)
+
+    def log_text(self, name):
+        """Return what a process wrote."""
+        return (self.folder / f'{name}.log').read_text()
+
+    def _start(self, name, program, ip, own, listeners):
+        settings = {
+            'nodeName': name,
+            'ip': ip,
+            'zone': 'vancouver',
+            'peerPortRange': PEER_PORTS,
+            'seeds': self.seeds(),
+            'heartbeatIntervalMs': 1500,
+            'a_field_of_tomorrow': 1,
+            'bounds': ['drainMs=2000', 'graceS=6', 'budgetMinRetries=62'],
+            **own,
+        }
+        lines = [f'{key} = {json.dumps(one)}' for key, one in settings.items()]
+        lines.append('[listenAddrs]')
+        lines.extend(f'{key} = "{ip}:{PORTS[key]}"' for key in listeners)
+        lines.append('[faultTolerance]')
+        lines.append('machines = 1')
+        path = self.folder / f'{name}.toml'
+        path.write_text('\n'.join(lines))
+        log = (self.folder / f'{name}.log').open('a')
+        self.processes[name] = subprocess.Popen(
+            [sys.executable, str(ROOT / 'platform' / program)],
+            env={
+                **os.environ,
+                'BURDOCKLEAD_CONFIG': str(path),
+                'PYTHONPATH': str(ROOT),
+            },
+            cwd=self.folder,
+            stdout=log,
+            stderr=log,
+        )
+
+    def _beat_forever(self):
+        while not self.stopping.wait(BEAT_S):
+            for upstream in self.upstreams.values():
+                if upstream.state == 'ready':
+                    try:
+                        upstream.beat()
+                    except requests.RequestException:
+                        continue
--- /dev/null
+++ b/tests/steps/platform_steps.py
@@ -0,0 +1,357 @@
+"""Steps for the programs on the stand-in platform."""
+
+from __future__ import annotations
+
+import json
+import os
+import subprocess
+import sys
+import time
+
+import requests
+from behave import given, then, when
+
+from tests.platform.stand_in import (
+    ROOT,
+    StandInPlatform,
+    wait_until,
+)
+
+HOST = 'records.example'
+FIRST_DAEMON = 20
+EXIT_LIMIT_S = 20
+
+
+def route_of(service, path):
+    """Return a route as the platform writes it."""
+    return {
+        'entryType': 'routes',
+        'metadata': {'name': 'r-main'},
+        'spec': {
+            'host': HOST,
+            'pathPrefix': path,
+            'routeType': 'safe',
+            'timeoutMs': 1000,
+            'sloMs': 400,
+            'priority': 0,
+            'service': service,
+            'maxAttempts': 2,
+        },
+    }
+
+
+def configuration_of(version, service, path, services):
+    """Return a whole configuration as the platform writes it."""
+    items = [route_of(service, path)]
+    items.extend(
+        {
+            'entryType': 'services',
+            'metadata': {'name': name},
+            'spec': {
+                'healthPath': '/health',
+                'maxConnections': 260,
+                'protocol': 'h1',
+                'tls': False,
+            },
+        }
+        for name in services
+    )
+    items.append(
+        {
+            'entryType': 'limits',
+            'metadata': {},
+            'spec': {
+                'maxHeaderBytes': 16384,
+                'maxBodyBytes': 67108864,
+                'headerTimeoutMs': 3000,
+                'idleTimeoutMs': 15000,
+            },
+        }
+    )
+    return {'version': version, 'resources': items}
+
+
+@given('a platform with the services "{one}", "{two}"')
+def start_platform(context, one, two):
+    """Start all processes."""
+    context.services = sorted({one, two})
+    context.platform = StandInPlatform(context.folder)
+    context.add_cleanup(context.platform.close)
+    context.platform.start([one, two])
+
+
+@when('version {version:d} routes "{path}" to "{service}"')
+def apply_version(context, version, path, service):
+    """Apply the first configuration and wait for all daemons."""
+    context.sent = configuration_of(version, service, path, context.services)
+    context.platform.apply(context.sent, 0)
+    for daemon in (FIRST_DAEMON, FIRST_DAEMON + 1):
+        wait_until(
+            lambda: context.platform.ready_status(daemon) == 200, 'ready'
+        )
+        wait_until(
+            lambda: _status(context, daemon, f'{path}1') == 200, 'served'
+        )
+
+
+@when('a patch to version {version:d} routes "{path}" to "{service}"')
+def patch_version(context, version, path, service):
+    """Change the route."""
+    patch = {
+        'version': version,
+        'upsert': {'resources': [route_of(service, path)]},
+        'remove': {'routes': ['r-unknown']},
+    }
+    answer = context.platform.operate('config.patch', patch, 3, 1)
+    assert answer.status_code == 200, answer.text
+
+
+def _request(context, daemon, path):
+    context.number = getattr(context, 'number', 0) + 1
+    return context.platform.request(daemon, HOST, path, context.number)
+
+
+def _status(context, daemon, path):
+    try:
+        return _request(context, daemon, path).status_code
+    except requests.RequestException:
+        return 0
+
+
+@then('every daemon is ready')
+def check_ready(context):
+    """Check the readiness pages."""
+    for daemon in (FIRST_DAEMON, FIRST_DAEMON + 1):
+        assert context.platform.ready_status(daemon) == 200, daemon
+
+
+@then(
+    'after {wait:d} s a request to "{path}" at daemon {daemon:d} is answered by "{service}"'
+)
+def check_answer_later(context, wait, path, daemon, service):
+    """Wait for the time that a change may take."""
+    time.sleep(wait)
+    check_answer(context, path, daemon, service)
+
+
+@then('a request to "{path}" at daemon {daemon:d} is answered by "{service}"')
+def check_answer(context, path, daemon, service):
+    """Check the answer with its signature and id."""
+    wait_until(lambda: _status(context, daemon, path) == 200, 'served', 3)
+    answer = _request(context, daemon, path)
+    assert answer.status_code == 200, answer.text
+    assert answer.text == service, answer.text
+    assert answer.headers['X-Response-Signature'].startswith('signed-')
+    assert answer.headers['X-Attempt-Id'] == f'call-{context.number}'
+
+
+@then('the upstream saw the entry\'s service "{service}" and its own instance')
+def check_headers(context, service):
+    """Check what the last request told the upstream."""
+    upstream = context.platform.upstreams[f'daemon-{FIRST_DAEMON}']
+    request = upstream.ran[-1]
+    assert request.find('X-Caller-Service') == service, request.headers
+    assert request.find('X-Expected-Instance') == upstream.instance
+    assert 0 < int(request.find('X-Timeout-Remaining')) <= 1000
+    assert request.find('Host') == HOST
+
+
+@then('a request to "{path}" at daemon {daemon:d} is answered {status:d}')
+def check_status(context, path, daemon, status):
+    """Check a status."""
+    assert _status(context, daemon, path) == status
+
+
+@then('the same order sent to another replica is answered {status:d}')
+def check_same(context, status):
+    """Send the order again."""
+    answer = context.platform.operate('config.replace', context.sent, 0, 2)
+    assert answer.status_code == status, answer.text
+
+
+@then('another change on the same base is answered {status:d}')
+def check_race(context, status):
+    """Send a change that lost its race."""
+    changed = {**context.sent, 'version': 9}
+    answer = context.platform.operate('config.replace', changed, 0, 1)
+    assert answer.status_code == status, answer.text
+
+
+@then('a change of the same version is answered {status:d}')
+def check_same_version(context, status):
+    """Send a version that is not above the one in force."""
+    answer = context.platform.operate(
+        'config.patch', {'version': 3, 'remove': {'routes': ['x']}}, 3
+    )
+    assert answer.status_code == status, answer.text
+
+
+@then('a change that names an unknown service is answered {status:d}')
+def check_unknown(context, status):
+    """Send a configuration that is not valid."""
+    changed = configuration_of(9, 'nowhere', '/view/', context.services)
+    answer = context.platform.operate('config.replace', changed, 3)
+    assert answer.status_code == status, answer.text
+
+
+@then('a change that is cut short is answered {status:d}')
+def check_cut(context, status):
+    """Send half a body."""
+    text = json.dumps({**context.sent, 'version': 9})[:-40]
+    answer = context.platform.operate('config.replace', text, 3)
+    assert answer.status_code == status, answer.text
+
+
+@then('reading the configuration returns what was sent')
+def check_read(context):
+    """Read at every replica."""
+    for control in range(3):
+        answer = context.platform.operate('config.get', control=control)
+        assert answer.status_code == 200, answer.text
+        assert answer.json() == context.sent, answer.text
+
+
+@when(
+    'upstream {number:d} tells that it is draining while requests go on for {wait:d} s'
+)
+def drain_upstream(context, number, wait):
+    """Send requests while the upstream drains."""
+    upstream = context.platform.upstreams[f'daemon-{number}']
+    upstream.state = 'draining'
+    assert upstream.beat() == 200
+    context.drained_at = time.monotonic()
+    context.statuses = []
+    while time.monotonic() < context.drained_at + wait:
+        context.statuses.append(_status(context, number, '/view/7'))
+
+
+@then('all requests were answered {status:d}')
+def check_statuses(context, status):
+    """Check what the clients got."""
+    assert set(context.statuses) == {status}, context.statuses
+
+
+@then(
+    'upstream {number:d} ran nothing later than {wait:d} s after its heartbeat'
+)
+def check_drained(context, number, wait):
+    """Check the last request that it ran."""
+    upstream = context.platform.upstreams[f'daemon-{number}']
+    assert upstream.last_at < context.drained_at + wait
+    assert len(upstream.ran) < len(context.statuses)
+
+
+@then('a heartbeat with a field missing is answered {status:d}')
+def check_partial_beat(context, status):
+    """Send a heartbeat without slots."""
+    upstream = context.platform.upstreams[f'daemon-{FIRST_DAEMON}']
+    body = json.dumps({'service': 'sheets', 'state': 'ready', 'seq': 1})
+    assert upstream.call('instances.heartbeat', body) == status
+
+
+@then('a heartbeat of another service is answered {status:d}')
+def check_foreign_beat(context, status):
+    """Send a heartbeat of a service that is not beside the daemon."""
+    upstream = context.platform.upstreams[f'daemon-{FIRST_DAEMON}']
+    assert upstream.beat(service='orders') == status
+
+
+@then('a heartbeat that is no JSON is answered {status:d}')
+def check_garbled_beat(context, status):
+    """Send bytes."""
+    upstream = context.platform.upstreams[f'daemon-{FIRST_DAEMON}']
+    assert upstream.call('instances.heartbeat', 'garbled') == status
+
+
+@when(
+    'upstream {number:d} stops its heartbeats and daemon {same:d} is killed and restarted'
+)
+def restart_daemon(context, number, same):
+    """Restart a daemon whose upstream is silent."""
+    upstream = context.platform.upstreams[f'daemon-{number}']
+    upstream.state = 'silent'
+    context.platform.kill(f'daemon-{same}')
+    upstream.state = 'ready'
+    upstream.beat = lambda **changes: 0
+    context.platform.start_daemon(same, upstream.service)
+
+
+@when('replica {number:d} loses its disk and restarts')
+def wipe_replica(context, number):
+    """Start a replica with an empty folder."""
+    platform = context.platform
+    platform.kill(f'control-{number}')
+    folder = platform.folder / f'data-{number}'
+    for path in folder.iterdir():
+        path.unlink()
+    platform.start_control(number, bootstrap=False)
+
+
+@then('replica {number:d} is in the set under a new name within {wait:d} s')
+def check_joined(context, number, wait):
+    """Let the time pass in which a replica counts as lost, then read."""
+    time.sleep(wait)
+    answer = context.platform.operate('config.get', control=number)
+    assert answer.status_code == 200, answer.text
+
+
+@when('replica {number:d} is killed')
+def kill_replica(context, number):
+    """Lose a second replica."""
+    context.platform.kill(f'control-{number}')
+
+
+@then('version {version:d} is read at replica {number:d}')
+def check_version(context, version, number):
+    """Read the configuration."""
+    answer = context.platform.operate('config.get', control=number)
+    assert answer.json()['version'] == version, answer.text
+
+
+@then('a program in the folder imports the standard module "{name}"')
+def check_standard_module(context, name):
+    """Import from a program that lies in the folder."""
+    script = f'import {name}; print({name}.__file__, {name}.system())'
+    code = (
+        'import sys; sys.path.insert(0, "platform"); '
+        f'sys.path.append("."); {script}'
+    )
+    shown = subprocess.run(
+        [sys.executable, '-c', code],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        check=True,
+    ).stdout
+    assert str(ROOT) not in shown, shown
+
+
+@given('a settings file that {problem}')
+def plan_settings(context, problem):
+    """Write a settings file that can't be used."""
+    context.path = context.folder / 'boot.toml'
+    match problem:
+        case 'is no TOML':
+            context.path.write_text('nodeName = ')
+        case "lacks the VM's name":
+            context.path.write_text('ip = "127.0.0.1"\nzone = "a"\n')
+
+
+@then('the daemon ends and tells "{reason}"')
+def check_ended(context, reason):
+    """Run the program to its end."""
+    ended = subprocess.run(
+        [sys.executable, str(ROOT / 'platform' / 'daemon_role.py')],
+        env={
+            **os.environ,
+            'BURDOCKLEAD_CONFIG': str(context.path),
+            'PYTHONPATH': str(ROOT),
+        },
+        capture_output=True,
+        text=True,
+        timeout=EXIT_LIMIT_S,
+        check=False,
+    )
+    assert ended.returncode == 1, ended
+    assert reason in ended.stderr, ended.stderr
+    assert 'Traceback' not in ended.stderr, ended.stderr
