--- a/tests/platform/stand_in.py
+++ b/tests/platform/stand_in.py
@@ -5,6 +5,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import os
 import signal
@@ -97,6 +98,12 @@
         }
         return self.call('instances.heartbeat', json.dumps(body))
 
+    def beat_if_ready(self):
+        """Send a heartbeat; one that is lost is followed by others."""
+        if self.state == 'ready':
+            with contextlib.suppress(requests.RequestException):
+                self.beat()
+
     def call(self, name, body=''):
         """Call the daemon beside this upstream; return the status."""
         url = f'http://{self.ip}:{PORTS["control"]}/-/rpc'
@@ -167,11 +174,13 @@
     def operate(self, call, body=None, base=None, control=0):
         """Send an operator's call to a replica; return the answer."""
         headers = {} if base is None else {'If-Match': str(base)}
-        text = body if isinstance(body, str) else json.dumps(body)
+        text = body
+        if isinstance(body, dict):
+            text = json.dumps(body)
         return requests.post(
             f'http://{self.seeds()[control]}/-/rpc',
             params={'call': call},
-            data=text if body is not None else None,
+            data=text,
             headers=headers,
             timeout=HTTP_S,
         )
@@ -267,8 +276,4 @@
     def _beat_forever(self):
         while not self.stopping.wait(BEAT_S):
             for upstream in self.upstreams.values():
-                if upstream.state == 'ready':
-                    try:
-                        upstream.beat()
-                    except requests.RequestException:
-                        continue
+                upstream.beat_if_ready()
--- a/tests/steps/platform_steps.py
+++ b/tests/steps/platform_steps.py
@@ -7,6 +7,7 @@
 import subprocess
 import sys
 import time
+from functools import partial
 
 import requests
 from behave import given, then, when
@@ -86,12 +87,7 @@
     context.sent = configuration_of(version, service, path, context.services)
     context.platform.apply(context.sent, 0)
     for daemon in (FIRST_DAEMON, FIRST_DAEMON + 1):
-        wait_until(
-            lambda: context.platform.ready_status(daemon) == 200, 'ready'
-        )
-        wait_until(
-            lambda: _status(context, daemon, f'{path}1') == 200, 'served'
-        )
+        wait_until(partial(_serves, context, daemon, f'{path}1'), 'served')
 
 
 @when('a patch to version {version:d} routes "{path}" to "{service}"')
@@ -106,6 +102,11 @@
     assert answer.status_code == 200, answer.text
 
 
+def _serves(context, daemon, path):
+    ready = context.platform.ready_status(daemon) == 200
+    return ready and _status(context, daemon, path) == 200
+
+
 def _request(context, daemon, path):
     context.number = getattr(context, 'number', 0) + 1
     return context.platform.request(daemon, HOST, path, context.number)
