--- a/devtools/reference_pages.py
+++ b/devtools/reference_pages.py
@@ -59,6 +59,13 @@
     'weight': 'weight',
 }
 TYPE_NAMES = {str: 'text', bool: 'true or false', int: 'whole', float: 'number'}
+PLAIN_VALUES = {
+    SocketAddress: 'IP:PORT',
+    OptionalAddress: 'IP:PORT',
+    NamedAddresses: 'NAME=IP:PORT,...',
+    Addresses: 'IP:PORT,...',
+    FilePath: 'path',
+}
 HEAD = 'This page is made by `python -m devtools.reference_pages`.\n'
 
 
@@ -273,16 +280,10 @@
             return ', '.join(f'`{word}`' for word in words)
         case Number(low, high, whole):
             return f'{"whole" if whole else "number"}, {low} to {high}'
-        case SocketAddress() | OptionalAddress():
-            return 'IP:PORT'
-        case NamedAddresses():
-            return 'NAME=IP:PORT,...'
-        case Addresses():
-            return 'IP:PORT,...'
-        case FilePath():
-            return 'path'
-        case _:
-            raise ValueError(f'{kind}: not known to this tool')
+    plain = PLAIN_VALUES.get(type(kind))
+    if plain is None:
+        raise ValueError(f'{kind}: not known to this tool')
+    return plain
 
 
 if __name__ == '__main__':
--- a/tests/steps/platform_steps.py
+++ b/tests/steps/platform_steps.py
@@ -127,7 +127,8 @@
 
 
 @then(
-    'after {wait:d} s a request to "{path}" at daemon {daemon:d} is answered by "{service}"'
+    'after {wait:d} s a request to "{path}" at daemon {daemon:d} is answered '
+    'by "{service}"'
 )
 def check_answer_later(context, wait, path, daemon, service):
     """Wait for the time that a change may take."""
@@ -213,7 +214,8 @@
 
 
 @when(
-    'upstream {number:d} tells that it is draining while requests go on for {wait:d} s'
+    'upstream {number:d} tells that it is draining while requests go on for '
+    '{wait:d} s'
 )
 def drain_upstream(context, number, wait):
     """Send requests while the upstream drains."""
@@ -265,7 +267,8 @@
 
 
 @when(
-    'upstream {number:d} stops its heartbeats and daemon {same:d} is killed and restarted'
+    'upstream {number:d} stops its heartbeats and daemon {same:d} is killed '
+    'and restarted'
 )
 def restart_daemon(context, number, same):
     """Restart a daemon whose upstream is silent."""
