--- a/burdocklead/connection/http_server.py
+++ b/burdocklead/connection/http_server.py
@@ -234,8 +234,14 @@
         """Close each connection once its requests are answered."""
         self.draining = True
 
-    def close_idle(self) -> None:
-        """Close the connections on which nothing is asked."""
+    def drain(self) -> None:
+        """Take no more connections, and let those that are open end.
+
+        A client whose connection was not accepted yet is refused at once and
+        can ask another daemon; it would wait for seconds in a shorter queue.
+        """
+        self.start_draining()
+        self.stop_listening()
         for connection in tuple(self.connections):
             connection.close_when_idle()
 
--- a/burdocklead/process/host_daemon.py
+++ b/burdocklead/process/host_daemon.py
@@ -219,7 +219,7 @@
         limit = loop.time() + self.plan.stop_times.limit_s
         await asyncio.sleep(self.plan.stop_times.unready_s)
         if self.callers is not None:
-            self.callers.start_draining()
+            self.callers.drain()
         quiet_since = loop.time()
         while loop.time() < limit:
             if self._is_working():
@@ -236,8 +236,6 @@
 
     async def _close(self) -> None:
         if self.callers is not None:
-            self.callers.stop_listening()
-            self.callers.close_idle()
             await self.callers.close()
         await self.parts.links.close()
         self.parts.directory.close()
--- a/tests/connection/http_server.feature
+++ b/tests/connection/http_server.feature
@@ -31,6 +31,11 @@
     When a client sends "/100" and the server starts to drain meanwhile
     Then the client gets the whole answer with "Connection: close"
 
+  Scenario: A server that drains takes no connection and closes idle ones
+    Given an HTTP server whose handler takes the ms in the path
+    When a server with an idle connection drains
+    Then the idle connection is closed and a new one is refused
+
   Scenario: A request behind an answer that closes the connection is not run
     Given an HTTP server whose handler takes the ms in the path
     When a client pipelines "/50" with "Connection: close" and "/1"
--- a/tests/steps/http_server_steps.py
+++ b/tests/steps/http_server_steps.py
@@ -193,3 +193,28 @@
     """Check what ran."""
     assert context.recorder.handled == [path], context.recorder.handled
     assert context.received.count('HTTP/1.1') == 1, context.received
+
+
+@when('a server with an idle connection drains')
+def drain_server(context):
+    """Drain, then try to connect again."""
+
+    async def talk(server, reader, writer):
+        await asyncio.sleep(0.05)
+        address = writer.get_extra_info('peername')
+        server.drain()
+        context.rest = await reader.read()
+        try:
+            await asyncio.open_connection(*address)
+        except ConnectionRefusedError:
+            context.refused = True
+
+    context.refused = False
+    asyncio.run(_serve(context, talk))
+
+
+@then('the idle connection is closed and a new one is refused')
+def check_drained(context):
+    """Check both connections."""
+    assert context.rest == b'', context.rest
+    assert context.refused
