--- a/burdocklead/request/upstream_load.py
+++ b/burdocklead/request/upstream_load.py
@@ -14,6 +14,7 @@
 BEST_WINDOW_S = 1.0  # A cold upstream has another usual pace for seconds.
 FIRST_SPELL_S = 0.15  # Length assumed of a slow spell before any was seen.
 SPELL_SHARE = 0.1  # Weight of one more spell in the mean.
+REMAINING_SHARE = 0.6  # Of a spell of equal steps, seen at a random moment.
 LASTING_SPELLS = 6  # A spell longer than this many usual ones will last.
 MS_PER_S = 1000
 
@@ -96,4 +97,4 @@
         if now - self.slow_since > self.mean_spell_s * LASTING_SPELLS:
             return False
         lost_ms = cost_ms * (self.pace / self.best - 1)
-        return lost_ms > self.mean_spell_s * MS_PER_S
+        return lost_ms > self.mean_spell_s * REMAINING_SHARE * MS_PER_S
