Let a refused call ask one more upstream on average

Cause: the new scenario of a full service found that host routes earn half a redirect a call, so calls were refused without having asked free upstreams.

--- a/burdocklead/version/route_table.py
+++ b/burdocklead/version/route_table.py
@@ -18,7 +18,7 @@
 ANY_METHOD = 'ANY'
 FIRST_COST_SHARE = 0.3  # An objective leaves room for a slow call.
 LOWEST_COST_MS = 0.01
-REDIRECT_RATIO = 0.5  # Redirects after refusals, for each call.
+REDIRECT_RATIO = 1.0  # Redirects for each call; a full service costs few more.
 PLAIN_SERVICE = Service()
 
 
--- a/tests/request/retries.feature
+++ b/tests/request/retries.feature
@@ -56,3 +56,27 @@
     Then the wait before retry 1 spreads from 0 to 5 ms
     And the wait before retry 3 spreads from 0 to 20 ms
     And the wait before retry 9 spreads from 0 to 100 ms
+
+  Scenario: A full service is asked once at each upstream, and tells when to return
+    Given retried calls that are idempotent with a hedge after 0 ms
+    And the daemons share 0.2 retries a call and 62 in 10 s
+    And refused calls may ask one more upstream each
+    And every retried attempt is refused
+    When 8 retried calls are sent
+    Then the retried calls are not run
+    And 24 attempts were made, 3 of each call at different upstreams
+    And the times to return spread over at least 0.03 s and end within 3.4 s
+
+  Scenario: Refusals of daemons cost none of the retries that all daemons share
+    Given retried calls that are not idempotent with a hedge after 0 ms
+    And the daemons share 0.0 retries a call and 0 in 10 s
+    And retried attempt 1 is refused
+    When 1 retried call is sent
+    Then the retried calls are answered
+
+  Scenario: A lost idempotent call is not repeated beyond the shared retries
+    Given retried calls that are idempotent with a hedge after 0 ms
+    And the daemons share 0.0 retries a call and 0 in 10 s
+    And retried attempt 1 is lost after 1 ms
+    When 1 retried call is sent
+    Then the retried calls are unknown
--- a/tests/steps/retry_steps.py
+++ b/tests/steps/retry_steps.py
@@ -4,7 +4,10 @@
 
 import asyncio
 import random
+import time
+from dataclasses import replace
 
+import msgspec
 from behave import given, then, when
 
 from burdocklead.connection.frames import Answer, Lost, Refusal
@@ -14,9 +17,10 @@
 from burdocklead.request.dispatch import Dispatcher
 from burdocklead.request.retries import BUDGET_LIMIT, backoff_s
 from burdocklead.request.routing import Router
+from burdocklead.request.shared_budget import RetryTerms, SharedRetryBudget
 from burdocklead.values import RefusalCause
 from burdocklead.version.deployment import Route, Service
-from burdocklead.version.route_table import RouteMatch
+from burdocklead.version.route_table import REDIRECT_RATIO, RouteMatch
 from tests.steps.routing_simulation import candidates_for, member
 
 MS = 0.001
@@ -163,3 +167,45 @@
     waits = [backoff_s(number, rng) / MS for _ in range(1000)]
     assert low <= min(waits) < high * 0.05, min(waits)
     assert high * 0.95 < max(waits) <= high, max(waits)
+
+
+@given(
+    'the daemons share {ratio:f} retries a call and {floor:d} in {window:d} s'
+)
+def plan_shared_budget(context, ratio, floor, window):
+    """Let the dispatcher use a budget that all daemons share."""
+    context.dispatcher.shared_budget = SharedRetryBudget(
+        RetryTerms(ratio, floor, window), lambda: 1, time.monotonic
+    )
+
+
+@given('refused calls may ask one more upstream each')
+def plan_redirects(context):
+    """Let a call earn a redirect, as host routes do."""
+    match = context.match
+    service = msgspec.structs.replace(match.service, retry_ratio=REDIRECT_RATIO)
+    context.match = replace(match, service=service)
+
+
+@then(
+    '{count:d} attempts were made, {each:d} of each call at different upstreams'
+)
+def check_places(context, count, each):
+    """Check that no upstream was asked twice for one call."""
+    attempts = context.upstreams.attempts
+    assert len(attempts) == count, len(attempts)
+    for start in range(0, count, each):
+        places = {name for _, name in attempts[start : start + each]}
+        assert len(places) == each, attempts[start : start + each]
+
+
+@then(
+    'the times to return spread over at least {spread:f} s and end within '
+    '{limit:f} s'
+)
+def check_return_times(context, spread, limit):
+    """Check that refused callers do not meet again."""
+    times = [one.retry_after_s for one in context.results]
+    assert min(times) > 0, times
+    assert max(times) - min(times) >= spread, times
+    assert max(times) <= limit, times
