Serve connections that wait when a stopping daemon closes its socket

Ruled out: a call cut by the stop (it was never read); the platform's programs, which do not use this listener. Change: what waits is accepted in the same moment in which the socket closes.

--- a/burdocklead/process/caller_server.py
+++ b/burdocklead/process/caller_server.py
@@ -106,14 +106,18 @@
     """The listening socket of the callers' interface.
 
     Attributes:
-        runner: Serves the connections.
+        server: Makes the connections.
+        runner: Serves them.
         listening: The socket.
         address: Address in use.
+        tls: TLS of the connections, None for plain HTTP.
     """
 
+    server: CallerServer
     runner: web.ServerRunner
     listening: socket.socket
     address: Address
+    tls: SSLContext | None = None
 
     async def stop_accepting(self) -> None:
         """Take the connections that wait, then refuse new ones.
@@ -122,8 +126,33 @@
         """
         self.listening.listen(0)
         await asyncio.sleep(LAST_ACCEPTS_S)
+        await self.close_listening()
+
+    async def close_listening(self) -> None:
+        """Take what waits in this moment and close the socket at once.
+
+        On a busy VM a connection may wait although the loop has just run.
+        """
+        waiting = _accept_waiting(self.listening)
         for site in tuple(self.runner.sites):
             await site.stop()
+        loop = asyncio.get_running_loop()
+        for connection in waiting:
+            await loop.connect_accepted_socket(
+                self.server, connection, ssl=self.tls
+            )
+
+
+def _accept_waiting(listening: socket.socket) -> list[socket.socket]:
+    """Return the connections that wait to be accepted."""
+    accepted: list[socket.socket] = []
+    while True:
+        try:
+            connection, _ = listening.accept()
+        except BlockingIOError:
+            return accepted
+        connection.setblocking(False)
+        accepted.append(connection)
 
 
 async def start_caller_server(
@@ -139,4 +168,6 @@
     listening.setblocking(False)
     await web.SockSite(runner, listening, ssl_context=tls).start()
     port = listening.getsockname()[1]
-    return CallerListener(runner, listening, Address(address.host, port))
+    return CallerListener(
+        server, runner, listening, Address(address.host, port), tls
+    )
--- /dev/null
+++ b/tests/steps/last_accept_steps.py
@@ -0,0 +1,75 @@
+"""Steps for connections that wait when the callers' socket is closed."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+
+import uvloop
+from aiohttp import web
+from behave import given, then, when
+
+from burdocklead.process.caller_server import CallerServer, start_caller_server
+from burdocklead.values import Address
+
+REQUEST = b'GET /a HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n'
+READ_LIMIT_S = 3
+
+
+@given("a callers' socket on a loop that does not run for a moment")
+def plan_socket(context):
+    """The step that connects does so without letting the loop run."""
+    context.answers = []
+
+
+async def _answer(request):
+    return web.Response(text='whole')
+
+
+async def _read(connection):
+    received = b''
+    loop = asyncio.get_running_loop()
+    try:
+        async with asyncio.timeout(READ_LIMIT_S):
+            while chunk := await loop.sock_recv(connection, 65536):
+                received += chunk
+    except OSError as error:
+        return str(error)
+    finally:
+        connection.close()
+    return received.decode()
+
+
+async def _connect_and_close(count):
+    server = CallerServer(_answer, 1000)
+    listener = await start_caller_server(
+        server, Address('127.0.0.1', 0), None, 1
+    )
+    connections = []
+    for _ in range(count):
+        address = (listener.address.host, listener.address.port)
+        connection = socket.create_connection(address)
+        connection.sendall(REQUEST)
+        connection.setblocking(False)
+        connections.append(connection)
+    await listener.close_listening()
+    answers = [await _read(connection) for connection in connections]
+    await listener.runner.cleanup()
+    return answers
+
+
+@when(
+    '{count:d} callers connect and send a call, and the socket is closed at '
+    'once'
+)
+def connect_and_close(context, count):
+    """Connect in one turn of the loop."""
+    context.answers = uvloop.run(_connect_and_close(count))
+
+
+@then('all {count:d} callers are answered')
+def check_answers(context, count):
+    """Check every answer."""
+    assert len(context.answers) == count
+    for answer in context.answers:
+        assert answer.endswith('whole'), context.answers
