Check a built configuration through the conversion of a parsed one

Cause: check_deployment repeated the checks of convert_deployment, word for word but for where the tables come from. Change: it converts its own tables; the same problems in the same order. Conclusion: kept; no behaviour.

--- a/burdocklead/version/configuration_file.py
+++ b/burdocklead/version/configuration_file.py
@@ -60,11 +60,7 @@
     Raises:
         ConfigurationError: With every problem found.
     """
-    tables = msgspec.to_builtins(deployment)
-    problems = tuple(_type_problems(tables, Deployment, ''))
-    problems = problems or find_problems(deployment)
-    if problems:
-        raise ConfigurationError(problems, step=STEP, peer=peer)
+    convert_deployment(msgspec.to_builtins(deployment), peer)
 
 
 def encode_deployment(deployment: Deployment) -> bytes:
