Lay a crash on a call only where it is to blame, and count no refusal as an attempt

Cause: the crash scenario told 1 to 3 healthy calls unknown. Traced with the results of each call written at its end, four copies of the scenario side by side: a healthy call was lost at the first crash, attempted again, and lost at the second crash, in which the crashing call was the trial. The entry counted every attempt lost at a crash, also those that the daemon beside the upstream had laid on another call, and gave the call up at two.

Ruled out: the retry budget (5 to 9 tokens left in every traced call) and attempts used up (all given up calls had made two of three).

Change: a call is given up once the crashes that are laid on it block it. Found on the way: refusals by daemons counted as attempts without a shared budget, so a lost call that met two leaving daemons was given up.

Both causes have a scenario that failed first (retries.feature).

--- a/burdocklead/request/dispatch.py
+++ b/burdocklead/request/dispatch.py
@@ -104,7 +104,7 @@
             tried.add(member.daemon_id)
             found = await self._run_or_hedge(call, member, tried, number)
             results.extend(found.results)
-            if self._crashed_enough(results):
+            if self._crashed_enough(call, results):
                 return outcome_of(results)
             number += found.hedged
             if not await self._try_again(call, results, number):
@@ -147,15 +147,24 @@
         service = call.match.service_name
         return self.guard.trial_place(service, _fingerprint(call))
 
-    def _crashed_enough(self, results: list[AttemptResult]) -> bool:
-        """Return True if attempts of one call crashed enough upstreams."""
+    def _crashed_enough(
+        self, call: Call, results: list[AttemptResult]
+    ) -> bool:
+        """Return True if enough crashes of upstreams are laid on a call.
+
+        An attempt beside the one that crashed its upstream is lost as well,
+        but is not to blame.
+        """
         if self.guard is None:
             return False
-        lost = [one for one in results if isinstance(one, Lost)]
-        for one in lost:
-            self.guard.merge(one.crashes)
-        crashes = sum(one.crash_suspected for one in lost)
-        return crashes >= self.guard.limits().max_crashes
+        crashed = [
+            one
+            for one in results
+            if isinstance(one, Lost) and one.crash_suspected
+        ]
+        for lost in crashed:
+            self.guard.merge(lost.crashes)
+        return bool(crashed) and self._is_blocked(call)
 
     async def _attempt(
         self, call: Call, member: Member, number: int
@@ -168,15 +177,13 @@
     ) -> bool:
         """Return True after the backoff if the call may be attempted again.
 
-        With a shared budget only attempts that may have arrived at an
-        upstream count as attempts; daemons that refused are not counted.
+        Only attempts that may have arrived at an upstream count as attempts;
+        daemons that refused are not counted.
         """
-        used = number
-        if self.shared_budget is not None:
-            members = self.directory.candidates(call.match.service_name).members
-            if number >= MAX_PLACES or count_busy(results) >= len(members):
-                return False
-            used = sum(map(reached_upstream, results))
+        members = self.directory.candidates(call.match.service_name).members
+        if number >= MAX_PLACES or count_busy(results) >= len(members):
+            return False
+        used = sum(map(reached_upstream, results))
         return await self.repeat_allowed(call, results[-1], used)
 
     def _earn(self, call: Call) -> None:
--- a/tests/request/retries.feature
+++ b/tests/request/retries.feature
@@ -80,3 +80,29 @@
     And retried attempt 1 is lost after 1 ms
     When 1 retried call is sent
     Then the retried calls are unknown
+
+  Scenario: A call that is to blame for one crash of two is attempted again
+    Given retried calls that are idempotent with a hedge after 0 ms
+    And the dispatcher contains requests that crash upstreams
+    And retried attempt 1 crashed its upstream
+    And retried attempt 2 was-beside-a-crash of another call
+    When 1 retried call is sent
+    Then the retried calls are answered
+    And 3 retried attempts went to different upstreams
+
+  Scenario: A call that is to blame for two crashes is not attempted again
+    Given retried calls that are idempotent with a hedge after 0 ms
+    And the dispatcher contains requests that crash upstreams
+    And retried attempt 1 crashed its upstream
+    And retried attempt 2 crashed its upstream
+    When 1 retried call is sent
+    Then the retried calls are unknown
+    And 2 retried attempts went to different upstreams
+
+  Scenario: Refusals of daemons use up none of the attempts of a lost call
+    Given retried calls that are idempotent with a hedge after 0 ms
+    And retried attempt 1 is lost after 1 ms
+    And retried attempt 2 is leaving
+    And retried attempt 3 is leaving
+    When 1 retried call is sent
+    Then the retried calls are answered
