Apply patches and files with a base from the operators' program

Cause: changes that name the version they replace were taken by the platform's page for operators only; the product's own files, command line and admin page knew whole files.

Change: a file with the key 'base' is a patch; check, diff and apply take it. One function makes the proposal out of a file for the command and for control's page.

Tests: stand-in replicas that decide with the same code as control, and real processes (whole_path.feature).

--- a/burdocklead/commands/apply.py
+++ b/burdocklead/commands/apply.py
@@ -1,4 +1,4 @@
-"""Apply a configuration file as a whole."""
+"""Apply a configuration file, a whole one or a patch."""
 
 from __future__ import annotations
 
@@ -14,15 +14,16 @@
     view_replicas,
 )
 from burdocklead.commands.http_client import HttpAnswer, Request
-from burdocklead.durable.configuration import ApplyResult
+from burdocklead.durable.configuration import ApplyResult, proposal_of
 from burdocklead.exceptions import (
     BadAnswerError,
     ConfigurationError,
     LostAnswerError,
 )
-from burdocklead.version.configuration_file import decode_deployment, digest_of
+from burdocklead.version.configuration_file import digest_of
 
 STEP = 'apply'
+BASE_HEADER = 'If-Match'
 BAD_REQUEST = 400
 DECIDED = frozenset((200, 409))
 POLL_S = 0.2
@@ -48,12 +49,19 @@
 
 
 async def apply_file(
-    context: CommandContext, path: Path, *, wait: bool
+    context: CommandContext, path: Path, *, base: int | None, wait: bool
 ) -> ExitCode:
-    """Send a checked file to control and return the exit code."""
+    """Send a checked file to control and return the exit code.
+
+    Args:
+        context: What the command works with.
+        path: A whole configuration or a patch.
+        base: Version that the file must replace, None for any.
+        wait: True to wait until it is in force everywhere.
+    """
     text = read_file(path, STEP)
-    decode_deployment(text, str(path))
-    result = await send_file(context, text, str(path))
+    proposal = proposal_of(text, base, str(path))
+    result = await send_file(context, text, str(path), proposal.base)
     missing: tuple[str, ...] | None = None
     if wait and result.accepted:
         missing = await wait_in_force(context, result.version)
@@ -64,7 +72,7 @@
 
 
 async def send_file(
-    context: CommandContext, text: bytes, name: str
+    context: CommandContext, text: bytes, name: str, base: int | None = None
 ) -> ApplyResult:
     """Return control's decision on a file.
 
@@ -73,7 +81,8 @@
         UnreachableError: If the file reached no replica.
         LostAnswerError: If it is not known whether the file was accepted.
     """
-    request = Request(STEP, 'PUT', '/v1/configuration', text)
+    headers = {} if base is None else {BASE_HEADER: str(base)}
+    request = Request(STEP, 'PUT', '/v1/configuration', text, headers)
     try:
         result = _decision_of(await ask_in_turn(context, request), name)
     except (LostAnswerError, BadAnswerError) as error:
--- a/burdocklead/commands/check.py
+++ b/burdocklead/commands/check.py
@@ -1,4 +1,4 @@
-"""Check a configuration file without any process."""
+"""Check a configuration file or a patch without any process."""
 
 from __future__ import annotations
 
@@ -7,17 +7,28 @@
 import msgspec
 
 from burdocklead.commands.context import CommandContext, ExitCode, read_file
-from burdocklead.version.configuration_file import decode_deployment, digest_of
+from burdocklead.version.configuration_file import decode_change, digest_of
+from burdocklead.version.patch import PatchFile
 
 SHOWN_DIGITS = 12
 
 
 class CheckReport(msgspec.Struct, frozen=True):
-    """What ``check`` reports of a valid file."""
+    """What ``check`` reports of a valid file.
+
+    Attributes:
+        version: Version after it is applied.
+        services: Services in it.
+        digest: Digest of the file.
+        base: Version that a patch changes, None for a whole file.
+        host_routes: Host routes in it.
+    """
 
     version: int
     services: tuple[str, ...]
     digest: str
+    base: int | None = None
+    host_routes: tuple[str, ...] = ()
 
 
 async def check_file(context: CommandContext, path: Path) -> ExitCode:
@@ -28,14 +39,23 @@
         ConfigurationError: With every problem found.
     """
     text = read_file(path, 'check')
-    deployment = decode_deployment(text, str(path))
+    change = decode_change(text, str(path))
     digest = digest_of(text)
-    report = CheckReport(deployment.version, tuple(deployment.services), digest)
+    report = CheckReport(
+        change.version,
+        tuple(change.services),
+        digest,
+        change.base if isinstance(change, PatchFile) else None,
+        tuple(change.host_routes),
+    )
     if context.as_json:
         context.write_json(report)
         return ExitCode.done
+    head = f'valid: version {report.version}'
+    if report.base is not None:
+        head = f'valid patch of version {report.base}: version {report.version}'
     context.write(
-        f'valid: version {report.version}, '
-        f'{len(report.services)} services, digest {digest[:SHOWN_DIGITS]}'
+        f'{head}, {len(report.services)} services, '
+        f'digest {digest[:SHOWN_DIGITS]}'
     )
     return ExitCode.done
--- a/burdocklead/commands/control_pages.py
+++ b/burdocklead/commands/control_pages.py
@@ -185,7 +185,7 @@
         SettingsError: If the token file is not usable.
     """
     access = load_access(context.settings.operator_token_file)
-    return replace(request, headers=access.header())
+    return replace(request, headers={**request.headers, **access.header()})
 
 
 def _decides(answer: HttpAnswer, failures: Sequence[BurdockleadError]) -> bool:
--- a/burdocklead/commands/diff.py
+++ b/burdocklead/commands/diff.py
@@ -1,4 +1,4 @@
-"""Compare a configuration file with what is in force."""
+"""Compare what a file or a patch would put in force with what is."""
 
 from __future__ import annotations
 
@@ -10,7 +10,11 @@
 from burdocklead.commands.differences import Difference, find_differences
 from burdocklead.commands.show import fetch_file
 from burdocklead.commands.tables import Table
-from burdocklead.durable.configuration import decide_apply
+from burdocklead.durable.configuration import (
+    decide_change,
+    proposal_of,
+    text_after,
+)
 from burdocklead.version.configuration_file import decode_deployment
 
 STEP = 'diff'
@@ -35,10 +39,11 @@
 async def diff_file(context: CommandContext, path: Path) -> ExitCode:
     """Write the keys that a file would change and return the exit code."""
     text = read_file(path, STEP)
-    new = decode_deployment(text, str(path))
+    proposal = proposal_of(text, peer=str(path))
     current = await fetch_file(context, STEP)
     old = decode_deployment(current.text) if current.version else None
-    _, result = decide_apply(current, new.version, text)
+    _, result = decide_change(current, proposal)
+    new = decode_deployment(text_after(current, proposal.content))
     report = DiffReport(
         new.version, current.version, result.reason, find_differences(old, new)
     )
--- a/burdocklead/commands/subcommands.py
+++ b/burdocklead/commands/subcommands.py
@@ -69,7 +69,9 @@
     return Argument(name, help_text, {'default': '', 'metavar': 'TEXT'})
 
 
-FILE = Argument('file', 'configuration file in TOML', {'type': Path})
+FILE = Argument(
+    'file', 'configuration file or patch, TOML or JSON', {'type': Path}
+)
 TIMELINE_ARGUMENTS = (
     _text('--since', 'only events since a time: ISO 8601, or 5m for 5 min ago'),
     _text('--until', 'only events until a time'),
@@ -98,21 +100,31 @@
 SUBCOMMANDS = (
     Subcommand(
         'check',
-        'check a configuration file offline',
+        'check a configuration file or a patch offline',
         lambda flags, context: check_file(context, flags.file),
         (FILE,),
     ),
     Subcommand(
         'diff',
-        'show what a file would change',
+        'show what a file or a patch would change',
         lambda flags, context: diff_file(context, flags.file),
         (FILE,),
     ),
     Subcommand(
         'apply',
-        'apply a configuration file as a whole',
-        lambda flags, context: apply_file(context, flags.file, wait=flags.wait),
-        (FILE, _switch('--wait', 'wait until it is in force everywhere')),
+        'apply a configuration file as a whole, or a patch',
+        lambda flags, context: apply_file(
+            context, flags.file, base=flags.base, wait=flags.wait
+        ),
+        (
+            FILE,
+            Argument(
+                '--base',
+                'version that the file must replace; a patch names its own',
+                {'type': int, 'metavar': 'VERSION'},
+            ),
+            _switch('--wait', 'wait until it is in force everywhere'),
+        ),
     ),
     Subcommand(
         'show',
--- a/burdocklead/durable/configuration.py
+++ b/burdocklead/durable/configuration.py
@@ -10,11 +10,13 @@
 from burdocklead.exceptions import ConfigurationError
 from burdocklead.version.configuration_file import (
     check_deployment,
+    decode_change,
     decode_deployment,
     digest_of,
     encode_deployment,
 )
-from burdocklead.version.patch import DeploymentPatch, apply_patch
+from burdocklead.version.deployment import Deployment
+from burdocklead.version.patch import DeploymentPatch, PatchFile, apply_patch
 
 STEP = 'apply'
 CONFIGURATION_KEY = 'configuration'
@@ -97,6 +99,34 @@
     return msgspec.msgpack.decode(value, type=AcceptedFile)
 
 
+def proposal_of(
+    text: bytes, base: int | None = None, peer: str = ''
+) -> Proposal:
+    """Return the change that a file asks for.
+
+    Args:
+        text: A whole configuration or a patch.
+        base: Version that a whole configuration replaces, None for any.
+        peer: Name of the file for errors.
+
+    Raises:
+        ConfigurationError: If the file is not valid, or if it is a patch
+            and another base is given.
+    """
+    change = decode_change(text, peer)
+    match change:
+        case PatchFile():
+            if base not in {None, change.base}:
+                problem = f'base: the patch names version {change.base}'
+                raise ConfigurationError((problem,), step=STEP, peer=peer)
+            return Proposal(
+                change.version, digest_of(text), change, change.base
+            )
+        case Deployment():
+            return Proposal(change.version, digest_of(text), text, base)
+    assert_never(change)
+
+
 def decide_apply(
     current: AcceptedFile, version: int, text: bytes
 ) -> tuple[AcceptedFile, ApplyResult]:
@@ -129,7 +159,7 @@
         if version == current.version:
             reason = f'version {version} is in force with another content'
         return current, _refused(current, reason, Refusal.old_version)
-    text = _text_after(current, proposal.content)
+    text = text_after(current, proposal.content)
     accepted = AcceptedFile(version, digest, text, _history_after(current))
     return accepted, ApplyResult(True, version, digest)
 
@@ -140,9 +170,15 @@
     return ApplyResult(False, current.version, current.digest, reason, refusal)
 
 
-def _text_after(
+def text_after(
     current: AcceptedFile, content: bytes | DeploymentPatch
 ) -> bytes:
+    """Return the text in force after a change.
+
+    Raises:
+        ConfigurationError: If there is nothing to patch, or a patch gives
+            a configuration that is not valid.
+    """
     match content:
         case bytes():
             return content
--- a/burdocklead/process/control_http.py
+++ b/burdocklead/process/control_http.py
@@ -8,6 +8,7 @@
 
 from aiohttp import web
 
+from burdocklead.durable.configuration import proposal_of
 from burdocklead.exceptions import ConfigurationError, QuorumError, RefusedError
 from burdocklead.process.admin_http import (
     BAD_REQUEST,
@@ -26,6 +27,7 @@
 from burdocklead.version.deployment import Crashes
 
 CONFLICT = 409
+BASE_HEADER = 'If-Match'
 MAX_FILE_BYTES = 1048576
 QUORUM_AGE_LIMIT_S = 2
 
@@ -73,10 +75,11 @@
         return '' if self.is_ready() else 'no quorum'
 
     async def apply(self, request: web.Request) -> web.Response:
-        """Decide on a configuration file."""
+        """Decide on a whole configuration or a patch."""
         text = await request.read()
         try:
-            result = await self.replica.apply(text)
+            proposal = proposal_of(text, _base_of(request))
+            result = await self.replica.propose(proposal)
         except ConfigurationError as error:
             content = {'problems': error.problems, 'step': error.step}
             return json_response(content, BAD_REQUEST)
@@ -135,3 +138,15 @@
         text = self.replica.file.text
         limits = decode_deployment(text).crashes if text else Crashes()
         return block_list.blocked(limits, time.time())
+
+
+def _base_of(request: web.Request) -> int | None:
+    """Return the version that a whole configuration replaces, if named."""
+    text = request.headers.get(BASE_HEADER)
+    if text is None:
+        return None
+    try:
+        return int(text.strip('" '))
+    except ValueError:
+        problem = f'{BASE_HEADER}: must be a version'
+        raise ConfigurationError((problem,), step='apply') from None
--- a/burdocklead/process/control_replica.py
+++ b/burdocklead/process/control_replica.py
@@ -46,7 +46,6 @@
 from burdocklead.process.register_service import RegisterService
 from burdocklead.process.set_changer import SetChanger
 from burdocklead.settings import ControlSettings
-from burdocklead.version.configuration_file import decode_deployment, digest_of
 
 MS_PER_S = 1000
 HEARD_LATELY_S = 1
@@ -101,16 +100,6 @@
             case ClaimStart() | ClaimFinish():
                 return await self._change_claim(message)
 
-    async def apply(self, text: bytes) -> ApplyResult:
-        """Decide on a configuration file and return the decision.
-
-        Raises:
-            ConfigurationError: If the file is not valid.
-            QuorumError: If no quorum answered; the file may be accepted.
-        """
-        version = decode_deployment(text).version
-        return await self.propose(Proposal(version, digest_of(text), text))
-
     async def propose(self, proposal: Proposal) -> ApplyResult:
         """Decide on a change of the configuration.
 
--- a/burdocklead/request/dispatch.py
+++ b/burdocklead/request/dispatch.py
@@ -147,9 +147,7 @@
         service = call.match.service_name
         return self.guard.trial_place(service, _fingerprint(call))
 
-    def _crashed_enough(
-        self, call: Call, results: list[AttemptResult]
-    ) -> bool:
+    def _crashed_enough(self, call: Call, results: list[AttemptResult]) -> bool:
         """Return True if enough crashes of upstreams are laid on a call.
 
         An attempt beside the one that crashed its upstream is lost as well,
--- a/burdocklead/version/configuration_file.py
+++ b/burdocklead/version/configuration_file.py
@@ -5,17 +5,22 @@
 import hashlib
 import tomllib
 from collections.abc import Iterator
-from typing import Annotated, Any, get_args, get_origin
+from typing import Annotated, Any, TypeVar, get_args, get_origin
 
 import msgspec
 
 from burdocklead.exceptions import ConfigurationError
 from burdocklead.version.deployment import Deployment, HostRoute, Route, Service
+from burdocklead.version.patch import PatchFile
 
 STEP = 'check'
+PATCH_KEY = 'base'  # Only a patch names the version that it changes.
 JSON_START = b'{'
 
 
+TableT = TypeVar('TableT', bound=msgspec.Struct)
+
+
 def digest_of(text: bytes) -> str:
     """Return the SHA-256 digest of a file in hexadecimal digits."""
     return hashlib.sha256(text).hexdigest()
@@ -44,16 +49,27 @@
     Raises:
         ConfigurationError: With every problem found.
     """
-    problems = tuple(_type_problems(tables, Deployment, ''))
-    if problems:
-        raise ConfigurationError(problems, step=STEP, peer=peer)
-    deployment = msgspec.convert(tables, Deployment)
+    deployment = _convert_tables(tables, Deployment, peer)
     problems = find_problems(deployment)
     if problems:
         raise ConfigurationError(problems, step=STEP, peer=peer)
     return deployment
 
 
+def decode_change(text: bytes, peer: str = '') -> Deployment | PatchFile:
+    """Return the whole deployment or the patch that a file describes.
+
+    Whether a patch gives a valid deployment shows only with its base.
+
+    Raises:
+        ConfigurationError: With every problem found.
+    """
+    tables = _parse(text, peer)
+    if PATCH_KEY in tables:
+        return _convert_tables(tables, PatchFile, peer)
+    return convert_deployment(tables, peer)
+
+
 def check_deployment(deployment: Deployment, peer: str = '') -> None:
     """Check bounds, and what types and bounds alone do not show.
 
@@ -68,6 +84,15 @@
     return msgspec.json.encode(deployment)
 
 
+def _convert_tables(
+    tables: dict[str, Any], table: type[TableT], peer: str
+) -> TableT:
+    problems = tuple(_type_problems(tables, table, ''))
+    if problems:
+        raise ConfigurationError(problems, step=STEP, peer=peer)
+    return msgspec.convert(tables, table)
+
+
 def _parse(text: bytes, peer: str) -> dict[str, Any]:
     try:
         if text.startswith(JSON_START):
--- a/burdocklead/version/patch.py
+++ b/burdocklead/version/patch.py
@@ -32,6 +32,16 @@
     removed_host_routes: tuple[str, ...] = ()
 
 
+class PatchFile(DeploymentPatch, frozen=True, kw_only=True):
+    """A patch as operators write it.
+
+    Attributes:
+        base: Version that the patch changes.
+    """
+
+    base: int
+
+
 def apply_patch(current: Deployment, patch: DeploymentPatch) -> Deployment:
     """Return the configuration after a patch; it is not checked yet."""
     services = {**current.services, **patch.services}
--- a/tests/commands/operator_program.feature
+++ b/tests/commands/operator_program.feature
@@ -12,6 +12,34 @@
     When the operator types "check one.toml --json"
     Then the program ends with 0 and prints JSON where "version" is 1
 
+  Scenario: A patch is checked offline, compared, and applied with its base
+    Given an operator patch "patch.toml" of version 1 to version 3 that routes "a.example" to "archive"
+    When the operator types "check patch.toml"
+    Then the program ends with 0 and prints "valid patch of version 1: version 3, 0 services"
+    Given a stand-in replica "a" that answers "GET /v1/configuration" with the file "one.toml"
+    And the stand-in replica "a" shows version 1 with a quorum and the daemons "d1 at 1"
+    When the operator types "diff patch.toml"
+    Then the program ends with 0 and prints "host_routes.lookup"
+    And the program prints no refusal
+    Given a stand-in replica "a" that decides as control does on top of the file "one.toml"
+    When the operator types "apply patch.toml"
+    Then the program ends with 0 and prints "accepted: version 3"
+    When the operator types "apply patch.toml"
+    Then the program ends with 0 and prints "accepted: version 3"
+
+  Scenario: A file with a base is refused once another version is in force
+    Given a stand-in replica "a" that decides as control does on top of the file "one.toml"
+    When the operator types "apply two.toml --base 0"
+    Then the program ends with 1 and prints "refused: version 1 is in force"
+    When the operator types "apply two.toml --base 1"
+    Then the program ends with 0 and prints "accepted: version 2"
+
+  Scenario: A patch that leads to an unknown service is refused by control
+    Given an operator patch "patch.toml" of version 1 to version 3 that routes "a.example" to "nowhere"
+    And a stand-in replica "a" that decides as control does on top of the file "one.toml"
+    When the operator types "apply patch.toml"
+    Then the program ends with 1 and complains "nowhere is not a known service"
+
   Scenario Outline: A wrong command line or file ends with one sentence
     When the operator types "<command>"
     Then the program ends with <code> and complains "<complaint>"
@@ -31,6 +59,7 @@
       | replicas remove a b                  | 2    | replicas: remove needs other names                  |
       | replicas add c4                      | 2    | replicas: c4: must be NAME=IP:PORT                  |
       | replicas sack c4                     | 2    | invalid choice: 'sack'                              |
+      | apply two.toml --base x              | 2    | argument --base: invalid int value                  |
       | check binary.toml                    | 1    | check: binary.toml: 'utf-8' codec                   |
       | check empty.toml                     | 1    | check: empty.toml: version: is missing              |
       | status --control-admin a=127.0.0.1:1 | 3    | status: control: no replica answers                 |
--- a/tests/process/whole_path.feature
+++ b/tests/process/whole_path.feature
@@ -30,7 +30,15 @@
 
   Scenario: A file is decided once
     Given a deployment with 1 job-sheets
+    When the operator runs "apply --base 7 examples/cedarline.toml"
+    Then the operator sees exit code 1 and "refused: version 0 is in force"
     When the operator runs "apply examples/cedarline.toml"
     Then the operator sees exit code 0 and "accepted: version 1"
     When the operator runs "apply examples/cedarline.toml"
     Then the operator sees exit code 0 and "accepted: version 1"
+    When the operator runs "apply --wait examples/cedarline-patch.toml"
+    Then the operator sees exit code 0 and "in force everywhere"
+    When the operator runs "show"
+    Then the operator sees exit code 0 and "lookups.example"
+    When the operator runs "apply examples/cedarline.toml"
+    Then the operator sees exit code 0 and "accepted: version 1"
--- a/tests/steps/operator_steps.py
+++ b/tests/steps/operator_steps.py
@@ -16,6 +16,12 @@
 
 from burdocklead.commands.differences import find_differences
 from burdocklead.commands.runner import Streams, run_operator
+from burdocklead.durable.configuration import (
+    NO_FILE,
+    decide_change,
+    proposal_of,
+)
+from burdocklead.exceptions import ConfigurationError
 from burdocklead.version.configuration_file import decode_deployment, digest_of
 from devtools.local_deployment import wait_until
 
@@ -29,6 +35,15 @@
 path = "/records"
 idempotent = true
 """
+PATCH_TEXT = """base = {base}
+version = {version}
+[host_routes.lookup]
+host = "{host}"
+path_prefix = "/"
+idempotent = true
+timeout_ms = 1000
+service = "{service}"
+"""
 
 
 class StandInReplica(ThreadingHTTPServer):
@@ -39,6 +54,7 @@
     def __init__(self):
         super().__init__(('127.0.0.1', 0), StandInHandler)
         self.answers = {}
+        self.file = None
         self.stuck = False
         self.released = threading.Event()
         self.bodies = []
@@ -50,9 +66,12 @@
 
     def handle_request(self):
         length = int(self.headers.get('Content-Length', 0))
-        self.server.bodies.append(self.rfile.read(length))
+        body = self.rfile.read(length)
+        self.server.bodies.append(body)
         path = self.path.partition('?')[0]
         answer = self.server.answers.get(f'{self.command} {path}')
+        if self.server.file is not None and self.command == 'PUT':
+            answer = self.decide(body)
         if self.server.stuck:
             self.server.released.wait(STUCK_LIMIT_S)
         if answer is None:
@@ -65,6 +84,19 @@
         self.end_headers()
         self.wfile.write(body)
 
+    def decide(self, body):
+        """Return the answer of control to a change."""
+        text = self.headers.get('If-Match')
+        try:
+            proposal = proposal_of(body, text and int(text))
+            following, result = decide_change(self.server.file, proposal)
+        except ConfigurationError as error:
+            content = msgspec.json.encode({'problems': error.problems})
+            return 400, 'application/json', content
+        self.server.file = following
+        status = 200 if result.accepted else 409
+        return status, 'application/json', msgspec.json.encode(result)
+
     do_GET = handle_request
     do_PUT = handle_request
     do_POST = handle_request
@@ -112,6 +144,28 @@
     (context.folder / 'empty.toml').write_bytes(b'')
 
 
+@given(
+    'an operator patch "{name}" of version {base:d} to version {version:d} '
+    'that routes "{host}" to "{service}"'
+)
+def write_patch(context, name, base, version, host, service):
+    """Write a patch that adds one host route."""
+    text = PATCH_TEXT.format(
+        base=base, version=version, host=host, service=service
+    )
+    (context.folder / name).write_text(text)
+
+
+@given(
+    'a stand-in replica "{name}" that decides as control does on top of the '
+    'file "{file}"'
+)
+def decide_as_control(context, name, file):
+    """Let a replica hold a file and decide on changes of it."""
+    text = (context.folder / file).read_bytes()
+    stand_in(context, name).file = decide_change(NO_FILE, proposal_of(text))[0]
+
+
 @given('a stand-in replica "{name}" that loses every answer')
 def start_silent(context, name):
     """Start a replica that hangs up on each request."""
@@ -295,6 +349,12 @@
     assert text in context.complaints, context.complaints
 
 
+@then('the program prints no refusal')
+def check_no_refusal(context):
+    """Check that the change would be taken."""
+    assert 'would refuse' not in context.printed, context.printed
+
+
 @then('the program prints nothing')
 def check_silence(context):
     """Check that standard output is empty."""
--- a/tests/steps/retry_steps.py
+++ b/tests/steps/retry_steps.py
@@ -80,8 +80,9 @@
         except asyncio.CancelledError:
             self.cancelled += 1
             raise
-        if fate in REFUSALS:
-            return Refusal(attempt.attempt_id, REFUSALS[fate], NO_LOAD)
+        cause = REFUSALS.get(fate)
+        if cause is not None:
+            return Refusal(attempt.attempt_id, cause, NO_LOAD)
         if fate == 'lost':
             return Lost(attempt.attempt_id, 'silent', False, NO_LOAD)
         if fate in CRASH_FATES:
