Serve metrics on the platform

Cause: the metrics page was part of pages that need the HTTP library which the platform's programs do not load, so counters and histograms were kept and served to nobody there.

Change: the page's content is made apart from its HTTP edge; host daemons and replicas serve it on the project's own edge, at the port that the deploy file names. A process whose port is taken logs so and serves calls. The figures of a replica stand in a module of their own, so that a daemon does not import the replica's code.

Tests: whole_path.feature of the platform, with the port free and taken.

--- a/burdocklead/process/admin_http.py
+++ b/burdocklead/process/admin_http.py
@@ -3,17 +3,15 @@
 from __future__ import annotations
 
 import ssl
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 from aiohttp import web
 
-from burdocklead.events import EventRing
 from burdocklead.exceptions import BurdockleadError
-from burdocklead.metrics import READY, MetricSet
 from burdocklead.process.error_pages import report_errors
 from burdocklead.process.json_pages import error_response, json_response
-from burdocklead.process.measurements import measure_events
+from burdocklead.process.metrics_page import MetricsSource
 from burdocklead.timeline.selection import parse_selection, select_events
 from burdocklead.values import Address
 
@@ -23,20 +21,8 @@
 
 
 @dataclass(frozen=True, slots=True)
-class CommonParts:
-    """What the pages that every process has are made of.
-
-    Attributes:
-        events: Events of the process.
-        metrics: Metrics of the process.
-        not_ready: Returns why no work is taken, empty if it is.
-        measure: Sets the metrics that are read on demand.
-    """
-
-    events: EventRing
-    metrics: MetricSet
-    not_ready: Callable[[], str]
-    measure: Callable[[], None]
+class CommonParts(MetricsSource):
+    """What the pages that every process has are made of."""
 
     async def show_health(self, request: web.Request) -> web.Response:
         """Tell that the loop runs."""
@@ -61,11 +47,8 @@
 
     async def show_metrics(self, request: web.Request) -> web.Response:
         """Show the metrics as they are now."""
-        self.measure()
-        measure_events(self.metrics, self.events)
-        self.metrics.set(READY, int(not self.not_ready()))
         accepted = request.headers.getall('Accept', [])
-        content, headers = self.metrics.render(accepted)
+        content, headers = self.render(accepted)
         return web.Response(body=content, headers=headers)
 
 
--- a/burdocklead/process/control_http.py
+++ b/burdocklead/process/control_http.py
@@ -18,9 +18,9 @@
 )
 from burdocklead.process.control_replica import ControlReplica
 from burdocklead.process.json_pages import error_response, json_response
-from burdocklead.process.measurements import measure_replica
 from burdocklead.process.operator_access import load_access, require_token
 from burdocklead.process.replica_http import ReplicaPages
+from burdocklead.process.replica_measurements import measure_replica
 from burdocklead.request.block_list import BlockList
 from burdocklead.values import Member
 from burdocklead.version.configuration_file import decode_deployment
@@ -29,7 +29,6 @@
 CONFLICT = 409
 BASE_HEADER = 'If-Match'
 MAX_FILE_BYTES = 1048576
-QUORUM_AGE_LIMIT_S = 2
 
 
 class ControlPages:
@@ -50,7 +49,7 @@
             CommonParts(
                 self.replica.events,
                 self.replica.metrics,
-                self.not_ready,
+                self.replica.not_ready,
                 partial(measure_replica, self.replica.metrics, self.replica),
             ),
         )
@@ -66,14 +65,6 @@
         application.add_routes(ReplicaPages(self.replica).routes())
         return application
 
-    def is_ready(self) -> bool:
-        """Return True while a quorum is heard of."""
-        return self.replica.quorum_age() < QUORUM_AGE_LIMIT_S
-
-    def not_ready(self) -> str:
-        """Return why changes are not taken, empty if they are."""
-        return '' if self.is_ready() else 'no quorum'
-
     async def apply(self, request: web.Request) -> web.Response:
         """Decide on a whole configuration or a patch."""
         text = await request.read()
@@ -118,7 +109,7 @@
         content = {
             'replica': self.replica.settings.replica_id,
             'version': self.replica.file.version,
-            'quorum': self.is_ready(),
+            'quorum': not self.replica.not_ready(),
             'members': members,
             'blocked': self._blocked(members),
             'drains': self.replica.drains.known.daemons,
--- a/burdocklead/process/control_replica.py
+++ b/burdocklead/process/control_replica.py
@@ -49,6 +49,7 @@
 
 MS_PER_S = 1000
 HEARD_LATELY_S = 1
+QUORUM_AGE_LIMIT_S = 2  # Four exchanges at the usual interval.
 log = logbook.Logger('control')
 
 
@@ -152,6 +153,10 @@
         ages[self.settings.replica_id] = 0
         return self.registers.replica_set.quorum_age(ages)
 
+    def not_ready(self) -> str:
+        """Return why changes are not taken, empty if they are."""
+        return '' if self.quorum_age() < QUORUM_AGE_LIMIT_S else 'no quorum'
+
     def hears_all(self) -> bool:
         """Return True if every other replica answered lately."""
         limit = time.monotonic() - HEARD_LATELY_S
--- a/burdocklead/process/daemon_admin_http.py
+++ b/burdocklead/process/daemon_admin_http.py
@@ -16,11 +16,7 @@
 )
 from burdocklead.process.daemon_parts import DaemonParts
 from burdocklead.process.json_pages import error_response, json_response
-from burdocklead.process.measurements import (
-    measure_control_traffic,
-    measure_entry,
-    measure_upstream,
-)
+from burdocklead.process.measurements import measure_daemon
 from burdocklead.process.own_member import Announcement, OwnMember
 from burdocklead.values import Address
 
@@ -61,9 +57,7 @@
 
     def measure(self) -> None:
         """Set the metrics that are read on demand."""
-        measure_entry(self.metrics, self.directory, self.parts.dispatcher)
-        measure_control_traffic(self.metrics, self.parts.control.clients)
-        measure_upstream(self.metrics, self.own)
+        measure_daemon(self.parts, self.own)
 
     async def announce(self, request: web.Request) -> web.Response:
         """Take over an announcement or a renewal."""
--- a/burdocklead/process/host_daemon.py
+++ b/burdocklead/process/host_daemon.py
@@ -6,6 +6,7 @@
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 
 import logbook
 
@@ -14,15 +15,16 @@
 from burdocklead.process.control_agent import ControlAgent
 from burdocklead.process.daemon_parts import DaemonParts
 from burdocklead.process.host_front import HostFront
+from burdocklead.process.host_plan import HostDaemonPlan
 from burdocklead.process.lifecycle import Lifecycle
+from burdocklead.process.measurements import measure_daemon
+from burdocklead.process.metrics_page import MetricsSource, start_metrics
 from burdocklead.process.own_member import OwnMember
 from burdocklead.process.supervision import Supervisor, watch_process
 from burdocklead.request.admission import paced_admission_for
-from burdocklead.request.dialect import CallerDialect, UpstreamDialect
 from burdocklead.request.pace_guard import PaceGuard
 from burdocklead.request.pooled_upstream import PooledUpstreamClient
-from burdocklead.request.shared_budget import RetryTerms, SharedRetryBudget
-from burdocklead.settings import DaemonSettings
+from burdocklead.request.shared_budget import SharedRetryBudget
 from burdocklead.values import Address, Member
 from burdocklead.version.deployment import CallerLimits
 
@@ -34,39 +36,6 @@
 log = logbook.Logger('daemon')
 
 
-@dataclass(frozen=True, slots=True)
-class StopTimes:
-    """Times of a graceful stop, from the signal on.
-
-    Attributes:
-        unready_s: Time in which callers learn that this daemon is not
-            ready; connections are kept until then.
-        limit_s: Time after which work in progress is given up.
-    """
-
-    unready_s: float
-    limit_s: float
-
-
-@dataclass(frozen=True, slots=True)
-class HostDaemonPlan:
-    """What a deployment brings to its daemons.
-
-    Attributes:
-        settings: Settings of the daemon.
-        caller_dialect: Headers of the callers.
-        upstream_dialect: Headers of the upstream.
-        retry_terms: Retries that all daemons together may send.
-        stop_times: Times of a graceful stop.
-    """
-
-    settings: DaemonSettings
-    caller_dialect: CallerDialect
-    upstream_dialect: UpstreamDialect
-    retry_terms: RetryTerms
-    stop_times: StopTimes
-
-
 @dataclass(slots=True)
 class HostDaemon:
     """Runs one daemon.
@@ -126,6 +95,7 @@
         )
         for server, address in self.pages:
             await server.start(address)
+        await self._serve_metrics(self.own)
 
     async def run(self, on_hangup: Callable[[], None]) -> None:
         """Serve until a signal asks to stop, then drain.
@@ -167,6 +137,20 @@
             client.pace, executor.gate, check_health
         )
 
+    async def _serve_metrics(self, own: OwnMember) -> None:
+        address = self.plan.metrics_listen
+        if address is None:
+            return
+        source = MetricsSource(
+            self.parts.events,
+            self.parts.metrics,
+            self.not_ready,
+            partial(measure_daemon, self.parts, own),
+        )
+        server = await start_metrics(source, address)
+        if server is not None:
+            self.pages.append((server, address))
+
     def _own_member(self, link: Address, callers: Address) -> OwnMember:
         settings = self.plan.settings
         member = Member(
--- a/burdocklead/process/measurements.py
+++ b/burdocklead/process/measurements.py
@@ -12,24 +12,19 @@
     CONTROL_MESSAGES,
     EVENTS_OVERWRITTEN,
     MEMBERS,
-    QUORUM_AGE,
     RETRY_BUDGET,
-    STORE_BYTES,
-    STORE_SYNCS,
     UPSTREAM_CALLS,
     UPSTREAM_LIMIT,
     UPSTREAM_SLOTS,
     VERSION,
     MetricSet,
 )
-from burdocklead.process.control_replica import ControlReplica
+from burdocklead.process.daemon_parts import DaemonParts
 from burdocklead.process.directory import DaemonDirectory
 from burdocklead.process.own_member import OwnMember
 from burdocklead.request.dispatch import Dispatcher
 from burdocklead.values import Member
 
-NEVER_S = 1e9
-
 
 def measure_events(metrics: MetricSet, events: EventRing) -> None:
     """Set the figures of the event ring and its clock."""
@@ -76,11 +71,8 @@
         metrics.set(RETRY_BUDGET, budget.tokens, service)
 
 
-def measure_replica(metrics: MetricSet, replica: ControlReplica) -> None:
-    """Set the figures of a control replica."""
-    metrics.set(VERSION, replica.file.version)
-    metrics.set(QUORUM_AGE, min(replica.quorum_age(), NEVER_S))
-    measure_members(metrics, replica.members.present())
-    measure_control_traffic(metrics, replica.registers.clients.values())
-    metrics.set(STORE_SYNCS, replica.registers.store.syncs)
-    metrics.set(STORE_BYTES, replica.registers.store.bytes_written)
+def measure_daemon(parts: DaemonParts, own: OwnMember) -> None:
+    """Set the figures of a daemon."""
+    measure_entry(parts.metrics, parts.directory, parts.dispatcher)
+    measure_control_traffic(parts.metrics, parts.control.clients)
+    measure_upstream(parts.metrics, own)
--- /dev/null
+++ b/burdocklead/process/metrics_page.py
@@ -0,0 +1,78 @@
+"""The metrics page of a process, on any HTTP edge."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import logbook
+
+from burdocklead.connection.http_messages import HttpRequest, HttpResponse
+from burdocklead.connection.http_server import HttpServer
+from burdocklead.events import EventRing
+from burdocklead.metrics import READY, MetricSet
+from burdocklead.process.measurements import measure_events
+from burdocklead.values import Address
+
+METRICS_PATH = '/metrics'
+NOT_FOUND = HttpResponse(404)
+log = logbook.Logger('metrics')
+
+
+@dataclass(frozen=True, slots=True)
+class MetricsSource:
+    """What the metrics of a process are made of.
+
+    Attributes:
+        events: Events of the process.
+        metrics: Metrics of the process.
+        not_ready: Returns why no work is taken, empty if it is.
+        measure: Sets the metrics that are read on demand.
+    """
+
+    events: EventRing
+    metrics: MetricSet
+    not_ready: Callable[[], str]
+    measure: Callable[[], None]
+
+    def render(self, accepted: list[str]) -> tuple[bytes, dict[str, str]]:
+        """Return the metrics as they are now, and the headers of the page.
+
+        Args:
+            accepted: Content types that the reader accepts.
+        """
+        self.measure()
+        measure_events(self.metrics, self.events)
+        self.metrics.set(READY, int(not self.not_ready()))
+        return self.metrics.render(accepted)
+
+
+@dataclass(frozen=True, slots=True)
+class MetricsPage:
+    """Serves the metrics of a process."""
+
+    source: MetricsSource
+
+    async def handle(self, request: HttpRequest) -> HttpResponse:
+        """Return the page, or 404 for any other."""
+        if request.target.partition('?')[0] != METRICS_PATH:
+            return NOT_FOUND
+        accepted = request.find('Accept')
+        content, headers = self.source.render([accepted] if accepted else [])
+        return HttpResponse(200, tuple(headers.items()), content)
+
+
+async def start_metrics(
+    source: MetricsSource, address: Address
+) -> HttpServer | None:
+    """Serve the metrics and return the server, None if the port is taken.
+
+    A process without metrics still serves calls.
+    """
+    server = HttpServer(MetricsPage(source).handle)
+    try:
+        await server.start(address)
+    except OSError as error:
+        log.warning('metrics not served', address=address, cause=str(error))
+        return None
+    return server
--- /dev/null
+++ b/burdocklead/process/replica_measurements.py
@@ -0,0 +1,28 @@
+"""Figures of a control replica, read when the metrics page is asked for."""
+
+from __future__ import annotations
+
+from burdocklead.metrics import (
+    QUORUM_AGE,
+    STORE_BYTES,
+    STORE_SYNCS,
+    VERSION,
+    MetricSet,
+)
+from burdocklead.process.control_replica import ControlReplica
+from burdocklead.process.measurements import (
+    measure_control_traffic,
+    measure_members,
+)
+
+NEVER_S = 1e9
+
+
+def measure_replica(metrics: MetricSet, replica: ControlReplica) -> None:
+    """Set the figures of a control replica."""
+    metrics.set(VERSION, replica.file.version)
+    metrics.set(QUORUM_AGE, min(replica.quorum_age(), NEVER_S))
+    measure_members(metrics, replica.members.present())
+    measure_control_traffic(metrics, replica.registers.clients.values())
+    metrics.set(STORE_SYNCS, replica.registers.store.syncs)
+    metrics.set(STORE_BYTES, replica.registers.store.bytes_written)
--- a/tests/platform/stand_in.py
+++ b/tests/platform/stand_in.py
@@ -25,6 +25,7 @@
 ROOT = Path(__file__).resolve().parents[2]
 PORTS = {'outbound': 8304, 'readyAddr': 8302, 'control': 8306}
 PEER_PORTS = [7620, 7635]
+METRICS_PORT = 29464
 APP_PORT = 8301
 BEAT_S = 0.3
 WAIT_S = 20
@@ -266,6 +267,7 @@
             env={
                 **os.environ,
                 'BURDOCKLEAD_CONFIG': str(path),
+                'BURDOCKLEAD_METRICS_PORT': str(METRICS_PORT),
                 'PYTHONPATH': str(ROOT),
             },
             cwd=self.folder,
--- a/tests/platform/whole_path.feature
+++ b/tests/platform/whole_path.feature
@@ -55,6 +55,20 @@
     When replica 2 is killed
     Then version 3 is read at replica 1
 
+  Scenario: Metrics are served at the port that the deploy file names
+    Given a platform with the services "sheets", "orders"
+    When version 3 routes "/view/" to "sheets"
+    Then a request to "/view/7" at daemon 20 is answered by "sheets"
+    And the metrics of VM 20 hold "burdocklead_calls_total{outcome="answered",service="sheets"}"
+    And the metrics of VM 20 hold "burdocklead_call_seconds_bucket"
+    And the metrics of VM 1 hold "burdocklead_version_in_force 3"
+
+  Scenario: A process whose metrics port is taken serves all the same
+    Given a platform with the services "sheets", "orders"
+    When version 3 routes "/view/" to "sheets"
+    And the metrics port of VM 20 is taken while its daemon restarts
+    Then a request to "/view/7" at daemon 21 is answered by "sheets"
+
   Scenario: The folder hides no standard module
     Then a program in the folder imports the standard module "platform"
 
--- a/tests/steps/platform_steps.py
+++ b/tests/steps/platform_steps.py
@@ -4,6 +4,7 @@
 
 import json
 import os
+import socket
 import subprocess
 import sys
 import time
@@ -13,6 +14,7 @@
 from behave import given, then, when
 
 from tests.platform.stand_in import (
+    METRICS_PORT,
     ROOT,
     StandInPlatform,
     wait_until,
@@ -280,6 +282,26 @@
     context.platform.start_daemon(same, upstream.service)
 
 
+@then('the metrics of VM {number:d} hold "{text}"')
+def check_metrics(context, number, text):
+    """Look for a part of the metrics page, which follows within a second."""
+    url = f'http://{context.platform.ip(number)}:{METRICS_PORT}/metrics'
+    wait_until(lambda: text in requests.get(url, timeout=1).text, text)
+
+
+@when('the metrics port of VM {number:d} is taken while its daemon restarts')
+def take_metrics_port(context, number):
+    """Listen at the port of the metrics before the daemon does."""
+    platform = context.platform
+    service = platform.upstreams[f'daemon-{number}'].service
+    platform.kill(f'daemon-{number}')
+    taken = socket.create_server((platform.ip(number), METRICS_PORT))
+    context.add_cleanup(taken.close)
+    platform.start_daemon(number, service)
+    wait_until(partial(_serves, context, number, '/view/1'), 'served')
+    assert 'metrics not served' in platform.log_text(f'daemon-{number}')
+
+
 @when('replica {number:d} loses its disk and restarts')
 def wipe_replica(context, number):
     """Start a replica with an empty folder."""
