--- /dev/null
+++ b/burdocklead/commands/explain.py
@@ -0,0 +1,85 @@
+"""Explain a call, or all failed calls, from the logs of processes."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from burdocklead.commands.context import CommandContext, ExitCode
+from burdocklead.commands.tables import Table
+from burdocklead.timeline.call_story import (
+    CallStory,
+    FailureGroup,
+    StoryLine,
+    group_failures,
+    tell_story,
+)
+from burdocklead.timeline.log_lines import LogBook, read_logs
+
+COLUMNS = ('time', 'process', 'step')
+
+
+async def explain_call(
+    context: CommandContext, call: str, files: Sequence[str]
+) -> ExitCode:
+    """Write the way of a call and return the exit code.
+
+    Raises:
+        FileError: If a file can't be read.
+    """
+    book = _read(context, files)
+    story = tell_story(book, call)
+    if context.as_json:
+        context.write_json(story)
+    else:
+        _write_story(context, story)
+    return ExitCode.done if story.steps else ExitCode.not_known
+
+
+async def explain_failures(
+    context: CommandContext, files: Sequence[str]
+) -> ExitCode:
+    """Write the calls that were not answered by cause.
+
+    Raises:
+        FileError: If a file can't be read.
+    """
+    groups = group_failures(_read(context, files))
+    if context.as_json:
+        context.write_json(groups)
+    elif groups:
+        context.write_table(_table_of(groups))
+    else:
+        context.write('every call in these logs was answered')
+    return ExitCode.done
+
+
+def _read(context: CommandContext, files: Sequence[str]) -> LogBook:
+    book = read_logs(files)
+    if book.unread:
+        context.warn(f'explain: {book.unread} lines are no log lines in JSON')
+    return book
+
+
+def _write_story(context: CommandContext, story: CallStory) -> None:
+    entered = story.entry or 'not known'
+    context.write(f'call {story.call}, entered at {entered}')
+    if story.steps:
+        context.write_table(_steps('', story.steps))
+    context.write(f'result: {story.result or "not known"}')
+    for problem in story.missing:
+        context.write(f'missing: {problem}')
+    if story.around:
+        context.write_table(_steps('What its peers told', story.around))
+
+
+def _steps(title: str, lines: Sequence[StoryLine]) -> Table:
+    rows = tuple((one.time, one.process, one.text) for one in lines)
+    return Table(title, COLUMNS, rows)
+
+
+def _table_of(groups: Sequence[FailureGroup]) -> Table:
+    rows = tuple(
+        (str(one.count), one.service, one.outcome, one.cause, one.example)
+        for one in groups
+    )
+    return Table('', ('calls', 'service', 'outcome', 'cause', 'example'), rows)
--- a/burdocklead/commands/subcommands.py
+++ b/burdocklead/commands/subcommands.py
@@ -15,6 +15,7 @@
 from burdocklead.commands.context import CommandContext, ExitCode
 from burdocklead.commands.diff import diff_file
 from burdocklead.commands.drain import drain_daemon
+from burdocklead.commands.explain import explain_call, explain_failures
 from burdocklead.commands.replicas import ACTIONS, run_replicas
 from burdocklead.commands.show import show_file
 from burdocklead.commands.status import show_status
@@ -97,6 +98,14 @@
     return ExitCode.done
 
 
+async def _explain(
+    flags: argparse.Namespace, context: CommandContext
+) -> ExitCode:
+    if flags.call:
+        return await explain_call(context, flags.call, flags.files)
+    return await explain_failures(context, flags.files)
+
+
 SUBCOMMANDS = (
     Subcommand(
         'check',
@@ -164,6 +173,23 @@
             _switch('--undo', 'let it take work again'),
         ),
     ),
+    Subcommand(
+        'explain',
+        'explain a call from the logs of processes, or all failed calls',
+        _explain,
+        (
+            Argument(
+                '--call',
+                'id of the call; without it failed calls are listed by cause',
+                {'default': '', 'metavar': 'ID'},
+            ),
+            Argument(
+                'files',
+                'logs in JSON, plain or .gz; - is standard input',
+                {'nargs': '+', 'metavar': 'FILE'},
+            ),
+        ),
+    ),
     Subcommand(
         'timeline',
         'show the events of all processes in causal order',
--- a/burdocklead/connection/http_server.py
+++ b/burdocklead/connection/http_server.py
@@ -12,14 +12,13 @@
 from dataclasses import dataclass
 from typing import cast
 
-import logbook
-
 from burdocklead.connection.http_messages import (
     HttpRequest,
     HttpResponse,
     encode_response,
 )
 from burdocklead.connection.request_reader import RequestReader, ServerLimits
+from burdocklead.log_events import REQUEST_FAILED, REQUEST_REFUSED
 from burdocklead.values import Address
 
 SWEEP_INTERVAL_S = 0.25
@@ -28,7 +27,6 @@
 LISTEN_BACKLOG = 1024  # A full accept queue delays a client by seconds.
 INTERNAL_ERROR = HttpResponse(500)
 CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
-log = logbook.Logger('http-server')
 
 RequestHandler = Callable[[HttpRequest], Awaitable[HttpResponse]]
 
@@ -145,7 +143,7 @@
         except asyncio.CancelledError:
             raise
         except Exception:
-            log.exception('request failed', target=request.target)
+            REQUEST_FAILED.write(target=request.target, exc_info=True)
             response = INTERNAL_ERROR
         exchange.response = response
         self._write_ready()
@@ -265,7 +263,7 @@
     def count_refused(self, status: int, reason: str) -> None:
         """Count a request that could not be read."""
         self.bad_requests += 1
-        log.debug('request refused', status=status, reason=reason)
+        REQUEST_REFUSED.write(status=status, cause=reason)
 
     async def _sweep_forever(self) -> None:
         loop = asyncio.get_running_loop()
--- a/burdocklead/connection/link_server.py
+++ b/burdocklead/connection/link_server.py
@@ -7,8 +7,6 @@
 from dataclasses import dataclass
 from typing import Any, Protocol
 
-import logbook
-
 from burdocklead.connection.frame_protocol import FrameProtocol, LinkEnd
 from burdocklead.connection.frames import (
     Attempt,
@@ -28,6 +26,7 @@
 from burdocklead.connection.handshake import LinkIdentity
 from burdocklead.events import EventKind, EventRing
 from burdocklead.exceptions import LinkError
+from burdocklead.log_events import RESULT_NOT_SENT
 from burdocklead.metrics import LINK_ENDS, LINKS_OPEN, MetricSet
 from burdocklead.settings import DaemonSettings
 from burdocklead.values import Address, CrashReport, LoadReport
@@ -37,7 +36,6 @@
 IDLE_FACTOR = 2
 FLUSH_LIMIT_S = 2.0
 FLUSH_POLL_S = 0.01
-log = logbook.Logger('link')
 
 
 class CrashTaker(Protocol):
@@ -266,7 +264,7 @@
         try:
             protocol.send(frame)
         except LinkError:
-            log.debug('result not sent', attempt=frame.attempt_id)
+            RESULT_NOT_SENT.write(attempt=frame.attempt_id)
 
     async def _sweep_forever(self) -> None:
         """Close links whose other end has been silent for very long."""
--- a/burdocklead/connection/load_questions.py
+++ b/burdocklead/connection/load_questions.py
@@ -11,16 +11,19 @@
 import itertools
 from typing import Protocol, cast
 
-import logbook
 import msgspec
 
 from burdocklead.connection.cluster_key import ClusterKey
+from burdocklead.log_events import (
+    LOAD_NOT_ASKED,
+    LOAD_NOT_READ,
+    LOAD_QUESTION_FAILED,
+)
 from burdocklead.metrics import CONTROL_BAD, CONTROL_UNPROVED, MetricSet
 from burdocklead.values import Address, Estimate, LoadReport
 
 PURPOSE = b'load'
 SHORT_PROOF_BYTES = 16  # An HMAC may be cut to half of its length.
-log = logbook.Logger('load')
 
 
 class LoadQuestion(msgspec.Struct, frozen=True, tag=0, array_like=True):
@@ -102,9 +105,7 @@
                 lambda: self, (address.host, address.port)
             )
         except OSError as error:
-            log.warning(
-                'load not asked for', address=str(address), cause=str(error)
-            )
+            LOAD_NOT_ASKED.write(address=str(address), cause=str(error))
 
     def close(self) -> None:
         """Close the socket."""
@@ -138,7 +139,7 @@
 
     def error_received(self, error: Exception) -> None:
         """Pass over an unreachable peer; its reply does not come."""
-        log.debug('load question failed', cause=str(error))
+        LOAD_QUESTION_FAILED.write(cause=str(error))
 
     def datagram_received(self, content: bytes, peer: tuple[str, int]) -> None:
         """Answer a question, or hand a reply to who waits for it."""
@@ -151,7 +152,7 @@
             message = _decoder.decode(payload)
         except msgspec.DecodeError as error:
             self.metrics.count(CONTROL_BAD)
-            log.info('load datagram not read', peer=peer[0], cause=str(error))
+            LOAD_NOT_READ.write(peer=peer[0], cause=str(error))
             return
         match message:
             case LoadQuestion():
--- a/burdocklead/connection/peer_link.py
+++ b/burdocklead/connection/peer_link.py
@@ -29,6 +29,7 @@
 from burdocklead.connection.tls import PEER_NAME
 from burdocklead.connection.waiters import Waiters
 from burdocklead.exceptions import LinkError
+from burdocklead.log_events import LINK_ENDED
 from burdocklead.metrics import LATE_RESULTS, LINK_ENDS, MetricSet
 from burdocklead.settings import DaemonSettings
 from burdocklead.values import Address, LoadReport
@@ -259,6 +260,7 @@
 
     def _closed(self, protocol: FrameProtocol, end: LinkEnd) -> None:
         self.metrics.count(LINK_ENDS, end.value)
+        LINK_ENDED.write(peer=self.daemon_id, cause=end.value)
         error = LinkError(end.value, step='await', peer=self.daemon_id)
         if protocol is not self.protocol:
             if self.greeting is not None:
--- /dev/null
+++ b/burdocklead/log_events.py
@@ -0,0 +1,413 @@
+"""Declared log events: every line that a process writes is one of these."""
+
+from __future__ import annotations
+
+import enum
+from dataclasses import dataclass
+
+import logbook
+
+
+class Level(enum.IntEnum):
+    """Levels of log lines, as the library numbers them."""
+
+    debug = logbook.DEBUG
+    info = logbook.INFO
+    warning = logbook.WARNING
+    error = logbook.ERROR
+
+
+# What the fields of all events hold, with their units.
+FIELDS = {
+    'accepted': 'true if the change was taken',
+    'address': 'address concerned, as IP:PORT',
+    'attempt': 'id of the attempt',
+    'base': 'configuration version that a change replaces',
+    'call': 'id of the call, of the caller where it gave one',
+    'cause': 'why, in a few words',
+    'daemons': 'names of daemons',
+    'elapsed_ms': 'time from the start to the end in ms',
+    'epoch': 'epoch of the replica set',
+    'in_flight': 'attempts of this entry at the upstream, this one included',
+    'in_force': 'configuration version in force after a decision',
+    'incarnation': 'start time of the process in ns',
+    'instance': 'name of the incarnation of an upstream',
+    'joining': 'replica that joins, empty for none',
+    'leaving': 'replica that leaves, empty for none',
+    'limit_s': 'time limit in s',
+    'load_age_ms': 'age of the last load report of the upstream in ms',
+    'number': 'number of a heartbeat',
+    'operation': 'what an operator asked for',
+    'outcome': 'answered, not-run, unknown; of attempts answer, refusal, lost',
+    'pace': 'how long work takes at the upstream, as a multiple of the usual',
+    'path': 'path of a page',
+    'peer': 'the other process: a daemon, a replica or an address',
+    'process': 'name of the process',
+    'rank': 'rank of the call, 0 is shed last',
+    'replicas': 'names or number of replicas',
+    'route': 'name of the route',
+    'running': 'calls that the upstream runs',
+    'seeds': 'addresses of replicas in the settings',
+    'service': 'service of the call or of the upstream',
+    'slots': 'calls that may run at the same time',
+    'started_ms': 'wall time of the start of an upstream in ms',
+    'state': 'state of the process from now on',
+    'status': 'HTTP status',
+    'step': 'where an error arose',
+    'target': 'path and query of the request',
+    'told_ms': 'time that the daemon beside the upstream expected in ms',
+    'version': 'configuration version',
+    'waited_ms': 'time in the queue in ms',
+    'waiting': 'calls that wait beside the upstream',
+    'zone': 'availability zone',
+}
+LOGGERS: dict[str, logbook.Logger] = {}
+DECLARED: list[LogEvent] = []
+
+
+@dataclass(frozen=True, slots=True)
+class LogEvent:
+    """One kind of log line.
+
+    Attributes:
+        message: What happened; the name of the event.
+        channel: Part of the program that writes it.
+        level: Its level.
+        when: When it is written.
+        fields: Names of its fields, see ``FIELDS``.
+    """
+
+    message: str
+    channel: str
+    level: Level
+    when: str
+    fields: tuple[str, ...] = ()
+
+    def write(self, **fields: object) -> None:
+        """Write a line with its fields.
+
+        Args:
+            fields: The declared fields; ``exc_info`` adds a traceback.
+        """
+        LOGGERS[self.channel].log(self.level, self.message, **fields)
+
+
+def _declare(
+    message: str, channel: str, level: Level, when: str, fields: str = ''
+) -> LogEvent:
+    event = LogEvent(message, channel, level, when, tuple(fields.split()))
+    DECLARED.append(event)
+    if channel not in LOGGERS:
+        LOGGERS[channel] = logbook.Logger(channel)
+    return event
+
+
+STATE_CHANGED = _declare(
+    'state changed',
+    'lifecycle',
+    Level.info,
+    'a process starts, serves, drains or stops',
+    'process zone incarnation state',
+)
+CALL_NOT_ANSWERED = _declare(
+    'call not answered',
+    'calls',
+    Level.info,
+    'an entry gives a call its final result without an answer of an upstream',
+    'call target service version outcome cause status elapsed_ms',
+)
+CALL_FAILED = _declare(
+    'call failed',
+    'calls',
+    Level.error,
+    'an error that no code expected ends a call',
+    'call',
+)
+ATTEMPT_ENDED = _declare(
+    'attempt ended',
+    'attempts',
+    Level.info,
+    'an entry has the result of an attempt',
+    'call attempt peer zone service told_ms load_age_ms in_flight elapsed_ms '
+    'outcome cause',
+)
+ATTEMPT_ADMITTED = _declare(
+    'attempt admitted',
+    'gate',
+    Level.info,
+    'an attempt gets a slot of the upstream',
+    'call attempt service route rank waited_ms pace',
+)
+ATTEMPT_NOT_ANSWERED = _declare(
+    'attempt not answered',
+    'gate',
+    Level.info,
+    'the daemon beside an upstream refuses an attempt or has no answer to it',
+    'call attempt service route outcome cause running waiting slots',
+)
+ATTEMPT_FAILED = _declare(
+    'attempt failed',
+    'gate',
+    Level.error,
+    'an error that no code expected ends an attempt',
+    'attempt',
+)
+RESULT_NOT_SENT = _declare(
+    'result not sent',
+    'link',
+    Level.debug,
+    'the link ended before the result of an attempt could be sent',
+    'attempt',
+)
+LINK_ENDED = _declare(
+    'link ended',
+    'link',
+    Level.info,
+    'the link of an entry to a daemon ended',
+    'peer cause',
+)
+LOAD_NOT_ASKED = _declare(
+    'load not asked for',
+    'load',
+    Level.warning,
+    'the port for load questions is taken; calls go by what is known',
+    'address cause',
+)
+LOAD_QUESTION_FAILED = _declare(
+    'load question failed',
+    'load',
+    Level.debug,
+    'a question could not be sent',
+    'cause',
+)
+LOAD_NOT_READ = _declare(
+    'load datagram not read',
+    'load',
+    Level.info,
+    'a datagram with the right key could not be decoded',
+    'peer cause',
+)
+UPSTREAM_FOUND = _declare(
+    'upstream found',
+    'upstream',
+    Level.info,
+    'a daemon learns of the upstream beside it',
+    'instance service slots',
+)
+UPSTREAM_LEFT = _declare(
+    'upstream left',
+    'upstream',
+    Level.info,
+    'the upstream tells that it leaves, or drains',
+    'instance service cause',
+)
+UPSTREAM_LOST = _declare(
+    'upstream lost',
+    'upstream',
+    Level.warning,
+    'the lease of the upstream ended without a heartbeat',
+    'instance service',
+)
+HEARTBEAT_REFUSED = _declare(
+    'heartbeat refused',
+    'upstream',
+    Level.info,
+    'a heartbeat can not be read, or is of another upstream',
+    'instance cause',
+)
+HEARTBEAT_OLD = _declare(
+    'heartbeat is older than one taken',
+    'upstream',
+    Level.info,
+    'a heartbeat came late and changes nothing',
+    'instance number started_ms',
+)
+MEMBER_JOINED = _declare(
+    'member joined',
+    'directory',
+    Level.info,
+    'a daemon learns of another one, or of its restart',
+    'peer zone service incarnation',
+)
+MEMBER_DRAINING = _declare(
+    'member draining',
+    'directory',
+    Level.info,
+    'a daemon learns that another one takes no new work',
+    'peer service',
+)
+MEMBER_LEFT = _declare(
+    'member left',
+    'directory',
+    Level.info,
+    'a daemon learns that another one is gone',
+    'peer service',
+)
+VERSION_IN_FORCE = _declare(
+    'configuration in force',
+    'directory',
+    Level.info,
+    'a daemon serves by a newer configuration',
+    'version',
+)
+VERSION_ACCEPTED = _declare(
+    'configuration accepted',
+    'control',
+    Level.info,
+    'a replica learns of a newer configuration',
+    'version',
+)
+CHANGE_DECIDED = _declare(
+    'change decided',
+    'control',
+    Level.info,
+    'a quorum decided on a change of the configuration',
+    'operation version base accepted in_force cause',
+)
+CHANGE_REFUSED = _declare(
+    'change refused',
+    'control',
+    Level.info,
+    'a change of the configuration is not valid',
+    'operation cause',
+)
+CHANGE_NOT_DECIDED = _declare(
+    'change not decided',
+    'control',
+    Level.warning,
+    'no quorum answered; the change may yet be in force',
+    'operation cause',
+)
+LEASE_RAN_OUT = _declare(
+    'lease ran out',
+    'control',
+    Level.info,
+    'a replica gives a silent daemon up',
+    'peer',
+)
+DRAINS_CHANGED = _declare(
+    'drains changed',
+    'control',
+    Level.info,
+    'a replica learns which daemons operators drain',
+    'daemons',
+)
+CONTROL_REACHED = _declare(
+    'control reached',
+    'control-agent',
+    Level.info,
+    'a daemon has a control replica that answers and hears a quorum',
+    'peer',
+)
+CONTROL_LEFT = _declare(
+    'control replica left',
+    'control-agent',
+    Level.warning,
+    'a control replica does not answer or is cut off from its quorum',
+    'peer cause',
+)
+REPLICA_SET = _declare(
+    'replica set',
+    'registers',
+    Level.info,
+    'a process learns of another replica set',
+    'epoch replicas',
+)
+SET_CHANGE_PROPOSED = _declare(
+    'replica set change proposed',
+    'registers',
+    Level.info,
+    'a replica proposes to exchange or to add one',
+    'epoch leaving joining',
+)
+SET_CHANGE_TAKEN_BACK = _declare(
+    'replica set change taken back',
+    'registers',
+    Level.info,
+    'a joining replica is silent or was replaced',
+    'epoch cause',
+)
+SET_CHANGE_WAITS = _declare(
+    'set change waits',
+    'registers',
+    Level.debug,
+    'a change of the set can not go on now',
+    'cause',
+)
+CAUGHT_UP = _declare(
+    'caught up',
+    'registers',
+    Level.info,
+    'a joining replica has read the registers of a quorum',
+    'epoch replicas',
+)
+CATCH_UP_FAILED = _declare(
+    'catch-up failed',
+    'registers',
+    Level.debug,
+    'a replica gave no page of its registers',
+    'peer cause',
+)
+EXCHANGE_FAILED = _declare(
+    'exchange failed',
+    'registers',
+    Level.debug,
+    'another replica did not answer',
+    'peer cause',
+)
+REQUEST_FAILED = _declare(
+    'request failed',
+    'http-server',
+    Level.error,
+    'an error that no code expected ends a request',
+    'target',
+)
+REQUEST_REFUSED = _declare(
+    'request refused',
+    'http-server',
+    Level.debug,
+    'a request could not be read',
+    'status cause',
+)
+PAGE_FAILED = _declare(
+    'page failed',
+    'admin',
+    Level.error,
+    'an error that no code expected ends a page for operators',
+    'path',
+)
+METRICS_NOT_SERVED = _declare(
+    'metrics not served',
+    'metrics',
+    Level.warning,
+    'the port of the metrics page is taken',
+    'address cause',
+)
+SETTINGS_RELOADED = _declare(
+    'settings reloaded',
+    'settings',
+    Level.info,
+    'the settings file was read again',
+    'seeds',
+)
+SETTINGS_NOT_RELOADED = _declare(
+    'settings not reloaded',
+    'settings',
+    Level.warning,
+    'the settings file can not be used; the earlier settings stay',
+    'cause',
+)
+STOPPED_AT_WORK = _declare(
+    'stopped with work in progress',
+    'lifecycle',
+    Level.warning,
+    'a graceful stop reached its time limit',
+    'limit_s',
+)
+UNEXPECTED_ERROR = _declare(
+    'unexpected error',
+    'supervision',
+    Level.error,
+    'an error that no code expected reached the loop or ended a task',
+    'step',
+)
--- a/burdocklead/process/caller_http.py
+++ b/burdocklead/process/caller_http.py
@@ -4,10 +4,10 @@
 
 import asyncio
 
-import logbook
 from aiohttp import web
 
 from burdocklead.events import EventKind, EventRing
+from burdocklead.log_events import CALL_FAILED
 from burdocklead.metrics import (
     CALL_SECONDS,
     CALLS,
@@ -38,7 +38,6 @@
     Outcome.not_run: EventKind.call_refused,
     Outcome.unknown: EventKind.call_unknown,
 }
-log = logbook.Logger('callers')
 
 
 class CallerPages:
@@ -122,7 +121,7 @@
             return not_run(error.cause, error.reason)
         except Exception:
             self.metrics.count(INTERNAL_ERRORS)
-            log.exception('call failed', call=call_id)
+            CALL_FAILED.write(call=call_id, exc_info=True)
         if call is None:
             return not_run(RefusalCause.internal_error)
         return unknown(RefusalCause.internal_error.value)
--- a/burdocklead/process/control_agent.py
+++ b/burdocklead/process/control_agent.py
@@ -6,8 +6,6 @@
 import contextlib
 import zlib
 
-import logbook
-
 from burdocklead.clock import HybridClock
 from burdocklead.connection.control_client import ControlGroup
 from burdocklead.connection.control_messages import (
@@ -18,6 +16,7 @@
 from burdocklead.durable.drains import NO_DRAINS, DrainList
 from burdocklead.durable.replica_set import ReplicaSet
 from burdocklead.exceptions import ControlError
+from burdocklead.log_events import CONTROL_LEFT, CONTROL_REACHED, REPLICA_SET
 from burdocklead.process.directory import DaemonDirectory
 from burdocklead.process.own_member import OwnMember
 
@@ -26,7 +25,6 @@
 FIRST_TIMEOUT_S = 0.3  # While all restart, the first replicas may be absent.
 CATCH_UP_INTERVAL_S = 0.1
 CATCH_UP_S = 3.0  # Other daemons and their upstreams announce themselves.
-log = logbook.Logger('control-agent')
 
 
 class ControlAgent:
@@ -118,7 +116,7 @@
             self.connected = True
             now = asyncio.get_running_loop().time()
             self.catching_up_until = now + CATCH_UP_S
-            log.info('control reached', replica=reply.cursor.replica_id)
+            CONTROL_REACHED.write(peer=reply.cursor.replica_id)
 
     def _use_set(self, replica_set: ReplicaSet) -> None:
         """Send heartbeats to the replicas of a newer set from now on."""
@@ -128,7 +126,7 @@
             self._preferred(replica_set),
         )
         names = ', '.join(sorted(replica_set.names))
-        log.info('replica set', epoch=replica_set.epoch, replicas=names)
+        REPLICA_SET.write(epoch=replica_set.epoch, replicas=names)
 
     def _preferred(self, replica_set: ReplicaSet) -> str:
         """Return the replica to ask first: one of the own zone, if any.
@@ -152,4 +150,4 @@
         self.control.leave_replica()
         if self.connected:
             self.connected = False
-            log.warning('control replica left', replica=name, reason=reason)
+            CONTROL_LEFT.write(peer=name, cause=reason)
--- a/burdocklead/process/control_process.py
+++ b/burdocklead/process/control_process.py
@@ -17,7 +17,9 @@
 async def run_control(settings: ControlSettings) -> None:
     """Serve until a signal asks to stop."""
     replica = ControlReplica(settings)
-    lifecycle = Lifecycle(replica.events)
+    lifecycle = Lifecycle(
+        replica.events, replica.settings.zone, replica.members.incarnation
+    )
     lifecycle.watch_signals()
     supervisor = watch_process(replica.metrics, lifecycle)
     server = ControlServer(replica.handle, replica.access, replica.metrics)
--- a/burdocklead/process/control_replica.py
+++ b/burdocklead/process/control_replica.py
@@ -5,7 +5,6 @@
 import asyncio
 import time
 
-import logbook
 import msgspec
 
 from burdocklead.clock import HybridClock
@@ -40,6 +39,7 @@
 from burdocklead.durable.replica_set import NEVER_S
 from burdocklead.events import EventKind, EventRing
 from burdocklead.exceptions import ControlError
+from burdocklead.log_events import LEASE_RAN_OUT, VERSION_ACCEPTED
 from burdocklead.metrics import MetricSet
 from burdocklead.process.membership import MembershipView
 from burdocklead.process.operator_drains import OperatorDrains
@@ -50,7 +50,6 @@
 MS_PER_S = 1000
 HEARD_LATELY_S = 1
 QUORUM_AGE_LIMIT_S = 2  # Four exchanges at the usual interval.
-log = logbook.Logger('control')
 
 
 class ControlReplica:
@@ -140,7 +139,7 @@
         self.events.record(
             EventKind.version_accepted, detail=f'version {file.version}'
         )
-        log.info('configuration accepted', version=file.version)
+        VERSION_ACCEPTED.write(version=file.version)
 
     def quorum_age(self) -> float:
         """Return the time since a quorum was last heard of in s."""
@@ -198,7 +197,7 @@
     def _expire(self, now: float) -> None:
         for member in self.members.expire(now):
             self.events.record(EventKind.member_left, peer=member.daemon_id)
-            log.info('lease ran out', daemon=member.daemon_id)
+            LEASE_RAN_OUT.write(peer=member.daemon_id)
 
     def _note_newer_file(self, message: Exchange) -> None:
         """Learn of a file that another replica knows to be accepted.
--- a/burdocklead/process/daemon_process.py
+++ b/burdocklead/process/daemon_process.py
@@ -5,11 +5,11 @@
 import asyncio
 from dataclasses import dataclass
 
-import logbook
 import msgspec
 from aiohttp import web
 
 from burdocklead.connection.peer_access import caller_tls
+from burdocklead.log_events import STOPPED_AT_WORK
 from burdocklead.process.admin_http import start_site
 from burdocklead.process.caller_http import CallerPages
 from burdocklead.process.caller_server import (
@@ -34,7 +34,6 @@
 DRAIN_QUIET_S = 1.0
 IDLE_CALLERS_S = 1.0
 LEASE_CHECK_S = 0.2
-log = logbook.Logger('daemon')
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,7 +65,11 @@
 
     async def run(self) -> None:
         """Serve until a signal asks to stop, then drain."""
-        lifecycle = Lifecycle(self.parts.events)
+        lifecycle = Lifecycle(
+            self.parts.events,
+            self.parts.settings.zone,
+            self.parts.incarnation,
+        )
         keyed_calls = KeyedCalls(
             self.parts.dispatcher,
             self.parts.control.request,
@@ -173,7 +176,7 @@
                 await callers.stop_accepting()
                 await self._wait_quiet(pages)
         except TimeoutError:
-            log.warning('drain limit reached', limit=settings.drain_limit)
+            STOPPED_AT_WORK.write(limit_s=settings.drain_limit)
         await callers.runner.cleanup()
 
     async def _wait_quiet(self, pages: CallerPages) -> None:
--- a/burdocklead/process/directory.py
+++ b/burdocklead/process/directory.py
@@ -6,8 +6,6 @@
 import contextlib
 from collections.abc import Iterable
 
-import logbook
-
 from burdocklead.connection.control_messages import MemberUpdate
 from burdocklead.connection.frame_protocol import LinkEnd
 from burdocklead.connection.frames import CrashNotice
@@ -16,6 +14,12 @@
 from burdocklead.durable.configuration import AcceptedFile
 from burdocklead.events import EventKind, EventRing
 from burdocklead.exceptions import LinkError
+from burdocklead.log_events import (
+    MEMBER_DRAINING,
+    MEMBER_JOINED,
+    MEMBER_LEFT,
+    VERSION_IN_FORCE,
+)
 from burdocklead.metrics import MetricSet
 from burdocklead.request.attempt_runner import Link
 from burdocklead.request.local_link import LocalLink
@@ -27,7 +31,6 @@
 from burdocklead.version.route_table import RouteTable
 
 NO_CANDIDATES = Candidates()
-log = logbook.Logger('directory')
 
 
 class DaemonDirectory:
@@ -138,7 +141,7 @@
         self.events.record(
             EventKind.version_in_force, detail=f'version {file.version}'
         )
-        log.info('configuration in force', version=file.version)
+        VERSION_IN_FORCE.write(version=file.version)
 
     def close(self) -> None:
         """Close all links."""
@@ -170,14 +173,29 @@
         self.members[member.daemon_id] = member
         if known is None:
             self.events.record(EventKind.member_joined, peer=member.daemon_id)
+            _log_joined(member)
         elif member.draining and not known.draining:
             self.events.record(EventKind.member_draining, peer=member.daemon_id)
+            MEMBER_DRAINING.write(peer=member.daemon_id, service=member.service)
+        elif member.incarnation != known.incarnation:
+            _log_joined(member)
 
     def _remove(self, daemon_id: str) -> None:
-        if self.members.pop(daemon_id, None) is None:
+        member = self.members.pop(daemon_id, None)
+        if member is None:
             return
+        MEMBER_LEFT.write(peer=daemon_id, service=member.service)
         link = self.links.pop(daemon_id, None)
         if link is not None:
             link.close(LinkEnd.replaced)
         self.router.forget(daemon_id)
         self.events.record(EventKind.member_left, peer=daemon_id)
+
+
+def _log_joined(member: Member) -> None:
+    MEMBER_JOINED.write(
+        peer=member.daemon_id,
+        zone=member.zone,
+        service=member.service,
+        incarnation=member.incarnation,
+    )
--- a/burdocklead/process/error_pages.py
+++ b/burdocklead/process/error_pages.py
@@ -2,15 +2,14 @@
 
 from __future__ import annotations
 
-import logbook
 from aiohttp import web
 from aiohttp.typedefs import Handler, Middleware
 
+from burdocklead.log_events import PAGE_FAILED
 from burdocklead.metrics import UNEXPECTED_ERRORS, MetricSet
 from burdocklead.process.json_pages import json_response
 
 INTERNAL_ERROR = 500
-log = logbook.Logger('admin')
 
 
 def report_errors(metrics: MetricSet) -> Middleware:
@@ -29,7 +28,7 @@
             raise
         except Exception as unexpected:
             metrics.count(UNEXPECTED_ERRORS)
-            log.exception('page failed', path=request.path)
+            PAGE_FAILED.write(path=request.path, exc_info=True)
             reason = f'unexpected {type(unexpected).__name__}; see the log'
             return _error_page(request, reason, INTERNAL_ERROR)
 
--- a/burdocklead/process/host_daemon.py
+++ b/burdocklead/process/host_daemon.py
@@ -8,10 +8,9 @@
 from dataclasses import dataclass, field
 from functools import partial
 
-import logbook
-
 from burdocklead.connection.http_server import HttpServer
 from burdocklead.connection.request_reader import ServerLimits
+from burdocklead.log_events import STOPPED_AT_WORK
 from burdocklead.process.control_agent import ControlAgent
 from burdocklead.process.daemon_parts import DaemonParts
 from burdocklead.process.host_front import HostFront
@@ -21,8 +20,7 @@
 from burdocklead.process.metrics_page import MetricsSource, start_metrics
 from burdocklead.process.own_member import OwnMember
 from burdocklead.process.supervision import Supervisor, watch_process
-from burdocklead.request.admission import paced_admission_for
-from burdocklead.request.pace_guard import PaceGuard
+from burdocklead.process.upstream_watch import UpstreamWatch
 from burdocklead.request.pooled_upstream import PooledUpstreamClient
 from burdocklead.request.shared_budget import SharedRetryBudget
 from burdocklead.values import Address, Member
@@ -33,7 +31,6 @@
 LIMITS_CHECK_S = 0.5
 DRAIN_POLL_S = 0.02
 QUIET_S = 0.3
-log = logbook.Logger('daemon')
 
 
 @dataclass(slots=True)
@@ -69,7 +66,7 @@
         client = PooledUpstreamClient(
             self.plan.upstream_dialect, settings.max_answer_bytes
         )
-        self._use_client(client)
+        UpstreamWatch(self.parts, client).start()
         self.parts.dispatcher.shared_budget = SharedRetryBudget(
             self.plan.retry_terms,
             self.parts.directory.count_members,
@@ -105,7 +102,11 @@
         Args:
             on_hangup: Called when the settings may have changed.
         """
-        lifecycle = Lifecycle(self.parts.events)
+        lifecycle = Lifecycle(
+            self.parts.events,
+            self.parts.settings.zone,
+            self.parts.incarnation,
+        )
         lifecycle.watch_signals()
         lifecycle.watch_hangup(on_hangup)
         supervisor = watch_process(self.parts.metrics, lifecycle)
@@ -119,26 +120,6 @@
         await self._close()
         lifecycle.finish()
 
-    def _use_client(self, client: PooledUpstreamClient) -> None:
-        """Let attempts go to the upstream, at moments that suit it."""
-        executor = self.parts.executor
-        executor.client = client
-        executor.new_queue = paced_admission_for
-
-        async def check_health() -> None:
-            deployment = self.parts.directory.deployment()
-            if executor.upstream is None or deployment is None:
-                return
-            service = deployment.services.get(executor.service)
-            if service is not None:
-                await client.check_health(
-                    executor.upstream, service.health_path
-                )
-
-        executor.pace_guard = PaceGuard(
-            client.pace, executor.gate, check_health
-        )
-
     async def _serve_metrics(self, own: OwnMember) -> None:
         address = self.plan.metrics_listen
         if address is None:
@@ -214,7 +195,7 @@
                 break
             await asyncio.sleep(DRAIN_POLL_S)
         if self._is_working():
-            log.warning('stopped with work in progress')
+            STOPPED_AT_WORK.write()
 
     def _is_working(self) -> bool:
         busy = self.callers is not None and self.callers.is_working()
--- a/burdocklead/process/host_front.py
+++ b/burdocklead/process/host_front.py
@@ -6,9 +6,8 @@
 import math
 import random
 
-import logbook
-
 from burdocklead.connection.http_messages import HttpRequest, HttpResponse
+from burdocklead.log_events import CALL_FAILED, CALL_NOT_ANSWERED
 from burdocklead.metrics import (
     CALL_SECONDS,
     CALLS,
@@ -19,7 +18,7 @@
 from burdocklead.process.directory import DaemonDirectory
 from burdocklead.request.call import Call, CallResult, not_run, unknown
 from burdocklead.request.caller_input import CallerInputError
-from burdocklead.request.dialect import CallerDialect
+from burdocklead.request.dialect import CallerDialect, CallerTerms
 from burdocklead.request.dispatch import Dispatcher
 from burdocklead.values import Outcome, RefusalCause
 from burdocklead.version.route_table import RouteMatch
@@ -27,7 +26,6 @@
 MS_PER_S = 1000
 OBJECTIVE_SHARE = 0.95  # The way to the caller takes some of it.
 NO_ROUTE_LABEL = 'none'
-log = logbook.Logger('calls')
 
 
 class HostFront:
@@ -63,24 +61,26 @@
         call: Call | None = None
         call_id = ''
         try:
-            call = self._read_call(request)
-            call_id = call.call_id
+            terms = self.dialect.read_terms(request)
+            call_id = terms.call_id or self.dispatcher.new_id()
+            call = self._read_call(request, terms, call_id)
             result = await self.dispatcher.run(call)
         except CallerInputError as error:
             result = not_run(error.cause, error.reason)
         except Exception:
             self.metrics.count(INTERNAL_ERRORS)
-            log.exception('call failed', call=call_id)
+            CALL_FAILED.write(call=call_id, exc_info=True)
             result = unknown(RefusalCause.internal_error.value)
-        self._record(request, call, result)
+        self._record(request, call, call_id, result)
         return self.dialect.respond(result, call_id)
 
-    def _read_call(self, request: HttpRequest) -> Call:
+    def _read_call(
+        self, request: HttpRequest, terms: CallerTerms, call_id: str
+    ) -> Call:
         match = self._find_rules(request)
-        terms = self.dialect.read_terms(request)
         wait_ms = min(terms.wait_ms, match.route.timeout_ms)
         return Call(
-            call_id=terms.call_id or self.dispatcher.new_id(),
+            call_id=call_id,
             match=match,
             method=request.method,
             headers=terms.headers,
@@ -122,7 +122,11 @@
         return rules.match(request.target, self.rng)
 
     def _record(
-        self, request: HttpRequest, call: Call | None, result: CallResult
+        self,
+        request: HttpRequest,
+        call: Call | None,
+        call_id: str,
+        result: CallResult,
     ) -> None:
         elapsed = asyncio.get_running_loop().time() - request.arrived
         service = call.match.service_name if call else NO_ROUTE_LABEL
@@ -133,9 +137,8 @@
         if result.outcome is Outcome.answered:
             return
         self.metrics.count(REFUSALS, result.cause)
-        log.info(
-            'call not answered',
-            call=call.call_id if call else '',
+        CALL_NOT_ANSWERED.write(
+            call=call_id,
             target=request.target,
             service=service,
             version=self.directory.version,
--- a/burdocklead/process/lifecycle.py
+++ b/burdocklead/process/lifecycle.py
@@ -9,11 +9,11 @@
 from pathlib import Path
 from typing import Any
 
-import logbook
 import msgspec
 from transitions import Machine
 
 from burdocklead.events import EventKind, EventRing
+from burdocklead.log_events import STATE_CHANGED
 
 EXIT_AT_ONCE = 1
 STATES = ('starting', 'serving', 'draining', 'stopped')
@@ -26,7 +26,6 @@
     },
     {'trigger': 'finish', 'source': '*', 'dest': 'stopped'},
 )
-log = logbook.Logger('lifecycle')
 
 
 class Lifecycle:
@@ -42,9 +41,17 @@
     start_draining: Callable[[], bool]
     finish: Callable[[], bool]
 
-    def __init__(self, events: EventRing) -> None:
-        """Start in the state ``starting``."""
+    def __init__(self, events: EventRing, zone: str, incarnation: int) -> None:
+        """Start in the state ``starting``.
+
+        Args:
+            events: Ring of the process.
+            zone: Its availability zone.
+            incarnation: Its start time in ns.
+        """
         self.events = events
+        self.zone = zone
+        self.incarnation = incarnation
         self.stop_requested = asyncio.Event()
         self.machine = Machine(
             model=self,
@@ -58,7 +65,12 @@
     def record_state(self, *arguments: Any) -> None:
         """Record the state just entered."""
         self.events.record(EventKind.state_change, detail=self.state)
-        log.info('state changed', state=self.state)
+        STATE_CHANGED.write(
+            process=self.events.process,
+            zone=self.zone,
+            incarnation=self.incarnation,
+            state=self.state,
+        )
 
     def watch_signals(self) -> None:
         """Handle SIGTERM and SIGINT from now on; SIGHUP ends nothing."""
--- a/burdocklead/process/metrics_page.py
+++ b/burdocklead/process/metrics_page.py
@@ -5,18 +5,16 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-import logbook
-
 from burdocklead.connection.http_messages import HttpRequest, HttpResponse
 from burdocklead.connection.http_server import HttpServer
 from burdocklead.events import EventRing
+from burdocklead.log_events import METRICS_NOT_SERVED
 from burdocklead.metrics import READY, MetricSet
 from burdocklead.process.measurements import measure_events
 from burdocklead.values import Address
 
 METRICS_PATH = '/metrics'
 NOT_FOUND = HttpResponse(404)
-log = logbook.Logger('metrics')
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,6 +71,6 @@
     try:
         await server.start(address)
     except OSError as error:
-        log.warning('metrics not served', address=address, cause=str(error))
+        METRICS_NOT_SERVED.write(address=address, cause=str(error))
         return None
     return server
--- a/burdocklead/process/operator_drains.py
+++ b/burdocklead/process/operator_drains.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import logbook
 import msgspec
 
 from burdocklead.durable.drains import (
@@ -13,10 +12,9 @@
     decode_drains,
 )
 from burdocklead.events import EventKind, EventRing
+from burdocklead.log_events import DRAINS_CHANGED
 from burdocklead.process.register_service import RegisterService
 
-log = logbook.Logger('drains')
-
 
 class OperatorDrains:
     """The newest drain list known and its changes.
@@ -64,4 +62,4 @@
         self.known = drains
         names = ', '.join(drains.daemons) or 'none'
         self.events.record(EventKind.drains_changed, detail=names)
-        log.info('drains changed', daemons=names)
+        DRAINS_CHANGED.write(daemons=names)
--- a/burdocklead/process/own_member.py
+++ b/burdocklead/process/own_member.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from burdocklead.events import EventKind, EventRing
+from burdocklead.log_events import UPSTREAM_FOUND, UPSTREAM_LEFT, UPSTREAM_LOST
 from burdocklead.request.execution import AttemptExecutor
 from burdocklead.request.signal_watch import SignalWatch
 from burdocklead.request.upstream_client import Upstream
@@ -92,6 +93,11 @@
         executor = self.executor
         upstream = Upstream(address, announcement.instance)
         if executor.upstream != upstream:
+            UPSTREAM_FOUND.write(
+                instance=announcement.instance,
+                service=announcement.service,
+                slots=announcement.slots,
+            )
             executor.gate.queue = executor.new_queue(announcement.slots)
             self.events.record(
                 EventKind.upstream_announced,
@@ -101,6 +107,8 @@
         executor.upstream = upstream
         executor.service = announcement.service
         executor.gate.queue.table.slots = announcement.slots
+        if announcement.draining and DrainReason.upstream not in self.drains:
+            self._log_leave('drains')
         self._set_drain(DrainReason.upstream, announcement.draining)
         self.lease_ends = now + announcement.lease_seconds
         self._refresh(self.member.version_in_force)
@@ -118,12 +126,16 @@
 
     def leave(self) -> None:
         """Send no more work to an upstream that is about to end."""
+        self._log_leave('ends')
         self._set_drain(DrainReason.upstream, True)
         self._refresh(self.member.version_in_force)
 
     def expire(self, now: float) -> None:
         """Forget the upstream if its lease ended."""
         if self.executor.service and self.lease_ends <= now:
+            UPSTREAM_LOST.write(
+                instance=self._instance(), service=self.executor.service
+            )
             self.withdraw()
 
     def start_draining(self) -> None:
@@ -136,6 +148,17 @@
         self._set_drain(DrainReason.operator, drained)
         self._refresh(self.member.version_in_force)
 
+    def _instance(self) -> str:
+        upstream = self.executor.upstream
+        return upstream.instance if upstream else ''
+
+    def _log_leave(self, cause: str) -> None:
+        UPSTREAM_LEFT.write(
+            instance=self._instance(),
+            service=self.executor.service,
+            cause=cause,
+        )
+
     def _set_drain(self, reason: DrainReason, wanted: bool) -> None:
         """Announce a drain at once and refuse work a little later.
 
--- a/burdocklead/process/register_service.py
+++ b/burdocklead/process/register_service.py
@@ -6,7 +6,6 @@
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 
-import logbook
 import msgspec
 
 from burdocklead.connection.control_client import ControlClient
@@ -33,6 +32,7 @@
 from burdocklead.durable.replica_set import Replica, ReplicaSet
 from burdocklead.durable.store import RegisterStore
 from burdocklead.exceptions import ControlError, QuorumError
+from burdocklead.log_events import REPLICA_SET
 from burdocklead.settings import ControlSettings
 from burdocklead.values import Address
 
@@ -42,7 +42,6 @@
 PAGE_ENTRIES = 500
 PAGE_BYTES = 1048576
 STEP = 'registers'
-log = logbook.Logger('registers')
 
 
 @dataclass(frozen=True, slots=True)
@@ -156,7 +155,7 @@
         value = msgspec.msgpack.encode(replica_set)
         await self.commits.write({LOCAL_SET_KEY: Register(value=value)})
         names = ', '.join(sorted(replica_set.names))
-        log.info('replica set', epoch=replica_set.epoch, replicas=names)
+        REPLICA_SET.write(epoch=replica_set.epoch, replicas=names)
 
     async def settle_epochs(
         self, client: ControlClient, other: ReplicaSet
--- a/burdocklead/process/replica_exchange.py
+++ b/burdocklead/process/replica_exchange.py
@@ -6,8 +6,6 @@
 import contextlib
 import time
 
-import logbook
-
 from burdocklead.connection.control_client import ControlClient
 from burdocklead.connection.control_messages import (
     Cursor,
@@ -18,12 +16,12 @@
 )
 from burdocklead.durable.replica_set import Replica
 from burdocklead.exceptions import BurdockleadError
+from burdocklead.log_events import EXCHANGE_FAILED
 from burdocklead.process.control_replica import ControlReplica
 
 EXCHANGE_TIMEOUT_S = 1.0
 CATCH_UP_INTERVAL_S = 0.1
 CATCH_UP_S = 5.0  # All daemons announce themselves again within this time.
-log = logbook.Logger('control')
 
 
 class ReplicaExchange:
@@ -72,7 +70,7 @@
         try:
             await self._exchange_once(peer)
         except BurdockleadError as error:
-            log.debug('exchange failed', peer=peer.name, error=str(error))
+            EXCHANGE_FAILED.write(peer=peer.name, cause=str(error))
 
     async def _exchange_once(self, peer: ControlClient) -> None:
         message = Exchange(
--- a/burdocklead/process/replica_process.py
+++ b/burdocklead/process/replica_process.py
@@ -43,7 +43,9 @@
         pages: Server of the operators' calls.
         listeners: Where it listens.
     """
-    lifecycle = Lifecycle(replica.events)
+    lifecycle = Lifecycle(
+        replica.events, replica.settings.zone, replica.members.incarnation
+    )
     lifecycle.watch_signals()
     supervisor = watch_process(replica.metrics, lifecycle)
     server = ControlServer(replica.handle, replica.access, replica.metrics)
--- a/burdocklead/process/set_changer.py
+++ b/burdocklead/process/set_changer.py
@@ -6,7 +6,6 @@
 import time
 from collections.abc import Callable, Mapping
 
-import logbook
 import msgspec
 
 from burdocklead.connection.control_client import ControlClient
@@ -40,6 +39,13 @@
     ControlError,
     SetChangeError,
 )
+from burdocklead.log_events import (
+    CATCH_UP_FAILED,
+    CAUGHT_UP,
+    SET_CHANGE_PROPOSED,
+    SET_CHANGE_TAKEN_BACK,
+    SET_CHANGE_WAITS,
+)
 from burdocklead.process.register_service import RegisterService
 
 PAGE_TIMEOUT_S = 5.0
@@ -48,7 +54,6 @@
 FIRST_EPOCH = 1
 STEP = 'replica set'
 SetUpdate = Callable[[ReplicaSet], ReplicaSet]
-log = logbook.Logger('set-changer')
 
 
 class SetChanger:
@@ -80,7 +85,7 @@
             try:
                 await self._settle()
             except BurdockleadError as error:
-                log.debug('set change waits', error=str(error))
+                SET_CHANGE_WAITS.write(cause=str(error))
             await asyncio.sleep(self.settings.exchange_interval)
 
     def observe_replica(
@@ -156,18 +161,16 @@
         )
         match planned:
             case SetChange(leaving, joining):
-                log.info(
-                    'replica set change proposed',
+                SET_CHANGE_PROPOSED.write(
                     epoch=replica_set.epoch,
                     leaving=leaving,
                     joining=joining.replica_id if joining else '',
                 )
                 await self.start(planned)
             case CancelChange(reason):
-                log.info(
-                    'replica set change taken back',
+                SET_CHANGE_TAKEN_BACK.write(
                     epoch=replica_set.epoch,
-                    reason=reason,
+                    cause=reason,
                 )
                 await self.cancel()
 
@@ -234,14 +237,14 @@
             try:
                 await self._read_all(client, replica_set.epoch)
             except ControlError as error:
-                log.debug('catch-up', peer=client.name, error=str(error))
+                CATCH_UP_FAILED.write(peer=client.name, cause=str(error))
                 continue
             read.add(replica.replica_id)
         if not is_majority(read, replica_set.replicas):
             reason = f'caught up with {len(read)} replicas only'
             raise ControlError(reason, step=STEP)
         self.caught_up_epoch = replica_set.epoch
-        log.info('caught up', epoch=replica_set.epoch, replicas=len(read))
+        CAUGHT_UP.write(epoch=replica_set.epoch, replicas=len(read))
 
     async def _read_all(self, client: ControlClient, epoch: int) -> None:
         after = ''
--- a/burdocklead/process/supervision.py
+++ b/burdocklead/process/supervision.py
@@ -6,14 +6,12 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
-import logbook
-
 from burdocklead.events import EventKind, EventRing
+from burdocklead.log_events import UNEXPECTED_ERROR
 from burdocklead.metrics import UNEXPECTED_ERRORS, MetricSet
 from burdocklead.process.lifecycle import Lifecycle
 
 UNNAMED = 'callback'
-log = logbook.Logger('supervision')
 
 
 class Supervisor:
@@ -58,7 +56,7 @@
             EventKind.unexpected_error, detail=f'{step}: {kind}: {error}'
         )
         trace = (type(error), error, error.__traceback__) if error else None
-        log.error('unexpected error', step=step, exc_info=trace)
+        UNEXPECTED_ERROR.write(step=step, exc_info=trace)
 
     def _check_task(self, task: asyncio.Task[None]) -> None:
         if task.cancelled() or task.exception() is None:
--- a/burdocklead/request/attempt_journal.py
+++ b/burdocklead/request/attempt_journal.py
@@ -4,8 +4,6 @@
 
 from dataclasses import dataclass
 
-import logbook
-
 from burdocklead.connection.frames import (
     Answer,
     Attempt,
@@ -14,10 +12,10 @@
     Refusal,
 )
 from burdocklead.events import EventKind, EventRing
+from burdocklead.log_events import ATTEMPT_ADMITTED, ATTEMPT_NOT_ANSWERED
 from burdocklead.metrics import ATTEMPTS, QUEUE_SECONDS, MetricSet
 
 MS_PER_S = 1000
-log = logbook.Logger('gate')
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,8 +43,7 @@
             pace: Pace of the upstream at its start.
         """
         self.metrics.observe(QUEUE_SECONDS, waited_s)
-        log.info(
-            'attempt admitted',
+        ATTEMPT_ADMITTED.write(
             call=attempt.call_id,
             attempt=attempt.attempt_id,
             service=attempt.service,
@@ -61,8 +58,7 @@
         label, detail = _described(result)
         self.metrics.count(ATTEMPTS, label)
         if not isinstance(result, Answer):
-            log.info(
-                'attempt not answered',
+            ATTEMPT_NOT_ANSWERED.write(
                 call=attempt.call_id,
                 attempt=attempt.attempt_id,
                 service=attempt.service,
--- a/burdocklead/request/execution.py
+++ b/burdocklead/request/execution.py
@@ -7,7 +7,6 @@
 from dataclasses import dataclass
 from typing import assert_never
 
-import logbook
 import msgspec
 
 from burdocklead.connection.frames import (
@@ -21,6 +20,7 @@
     Refusal,
     Verdict,
 )
+from burdocklead.log_events import ATTEMPT_FAILED
 from burdocklead.request.admission import (
     AdmissionQueue,
     Refused,
@@ -48,7 +48,6 @@
 
 MS_PER_S = 1000
 BAD_GATEWAY = 502
-log = logbook.Logger('execution')
 
 
 @dataclass(slots=True, eq=False)
@@ -191,7 +190,7 @@
         except asyncio.CancelledError:
             result = self._unfinished(execution, 'cancelled')
         except Exception as error:
-            log.exception('attempt failed', attempt=attempt.attempt_id)
+            ATTEMPT_FAILED.write(attempt=attempt.attempt_id, exc_info=True)
             result = self._unfinished(execution, type(error).__name__)
         sent = sum(one.sent for one in self.executions.values())
         self.executions.pop(attempt.attempt_id, None)
--- a/burdocklead/request/pooled_upstream.py
+++ b/burdocklead/request/pooled_upstream.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Awaitable, Callable
 
 from burdocklead.connection.frames import Attempt
 from burdocklead.connection.http_client import (
@@ -23,6 +24,10 @@
 from burdocklead.values import RefusalCause
 
 
+async def _nobody_knows() -> bool:
+    return False
+
+
 class PooledUpstreamClient:
     """Carries attempts to an upstream in a dialect.
 
@@ -31,6 +36,8 @@
         pool: Kept connections for attempts.
         health_pool: The kept connection for health checks.
         pace: What the upstream tells of its pace.
+        is_alive: Asks whether the upstream runs; until it is set, every
+            connection that closes without an answer counts as a crash.
     """
 
     def __init__(self, dialect: UpstreamDialect, max_answer_bytes: int) -> None:
@@ -39,6 +46,7 @@
         self.pool = ConnectionPool(max_answer_bytes)
         self.health_pool = ConnectionPool(max_answer_bytes)
         self.pace = PaceView()
+        self.is_alive: Callable[[], Awaitable[bool]] = _nobody_knows
 
     async def close(self) -> None:
         """Close all connections."""
@@ -68,7 +76,8 @@
             case NotConnected():
                 return UpstreamRefused(RefusalCause.upstream_unreachable)
             case Broken(reason, answered, _):
-                return UpstreamLost(reason, crashed=not answered)
+                crashed = not answered and not await self.is_alive()
+                return UpstreamLost(reason, crashed=crashed)
 
     async def check_health(
         self, upstream: Upstream, path: str
--- a/burdocklead/request/recording_runner.py
+++ b/burdocklead/request/recording_runner.py
@@ -5,8 +5,6 @@
 import asyncio
 from dataclasses import dataclass
 
-import logbook
-
 from burdocklead.connection.frames import (
     Answer,
     Attempt,
@@ -15,13 +13,14 @@
     Refusal,
 )
 from burdocklead.events import EventKind, EventRing
+from burdocklead.log_events import ATTEMPT_ENDED
 from burdocklead.request.attempt_runner import AttemptRunner
 from burdocklead.request.call import Call
+from burdocklead.request.upstream_view import UpstreamView
 from burdocklead.values import Member, RefusalCause
 
 MS_PER_S = 1000
 NEVER_MS = 1e6  # Shown for a load that was never reported.
-log = logbook.Logger('attempts')
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,13 +51,13 @@
             kind = EventKind.attempt_given_up
             self._record(kind, member, attempt, 'cancelled')
             raise
-        log.info(
-            'attempt ended',
+        ATTEMPT_ENDED.write(
             call=call.call_id,
             attempt=attempt.attempt_id,
             peer=member.daemon_id,
             zone=member.zone,
             service=attempt.service,
+            told_ms=_told_ms(view, call.match.key),
             load_age_ms=round(min(told_age_ms, NEVER_MS), 1),
             in_flight=view.sent,
             elapsed_ms=round((loop.time() - started) * MS_PER_S, 1),
@@ -90,6 +89,12 @@
         )
 
 
+def _told_ms(view: UpstreamView, route: str) -> float | None:
+    """Return what the upstream's daemon told last, None if nothing."""
+    told = view.told.get(route)
+    return None if told is None else round(told.estimate.usual_ms, 1)
+
+
 def _cause_of(result: AttemptResult) -> str:
     match result:
         case Answer(status=status):
--- /dev/null
+++ b/burdocklead/timeline/log_lines.py
@@ -0,0 +1,121 @@
+"""Reading log lines of any number of processes, whole or cut."""
+
+from __future__ import annotations
+
+import gzip
+import sys
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any, BinaryIO
+
+import msgspec
+
+from burdocklead.exceptions import FileError
+
+STANDARD_INPUT = '-'
+COMPRESSED_ENDINGS = frozenset(('.gz',))
+STEP = 'explain'
+
+
+@dataclass(frozen=True, slots=True)
+class LogLine:
+    """One line of a log.
+
+    Attributes:
+        process: Process that wrote it.
+        time: Wall time as written.
+        message: Name of the event.
+        fields: All other fields.
+    """
+
+    process: str
+    time: str
+    message: str
+    fields: dict[str, Any]
+
+    def text(self, name: str) -> str:
+        """Return a field as text, empty if the line lacks it."""
+        found = self.fields.get(name)
+        return '' if found is None else str(found)
+
+
+@dataclass(frozen=True, slots=True)
+class LogBook:
+    """Lines of several processes.
+
+    Attributes:
+        lines: The lines, in the order of their files.
+        processes: Processes that wrote any.
+        unread: Lines that are no log lines.
+    """
+
+    lines: tuple[LogLine, ...]
+    processes: frozenset[str]
+    unread: int
+
+
+def read_logs(paths: Iterable[str]) -> LogBook:
+    """Return the lines of all files.
+
+    A line may stand behind a prefix of a log collector whose last word names
+    the process; else the process is the one that the file told last, and at
+    first the file itself.
+
+    Args:
+        paths: Names of files, plain or compressed; ``-`` is standard input.
+
+    Raises:
+        FileError: If a file can't be read.
+    """
+    lines: list[LogLine] = []
+    unread = 0
+    for name in paths:
+        process = Path(name).name
+        for content in _content_of(name):
+            line = _decode(content, process)
+            if line is None:
+                unread += bool(content.strip())
+                continue
+            process = line.process
+            lines.append(line)
+    return LogBook(
+        tuple(lines), frozenset(line.process for line in lines), unread
+    )
+
+
+def _content_of(name: str) -> Iterator[bytes]:
+    if name == STANDARD_INPUT:
+        yield from sys.stdin.buffer
+        return
+    path = Path(name)
+    try:
+        with _opened(path) as file:
+            yield from file
+    except OSError as error:
+        reason = error.strerror or str(error)
+        raise FileError(reason, step=STEP, peer=name) from None
+    except EOFError as error:
+        raise FileError(str(error), step=STEP, peer=name) from None
+
+
+def _opened(path: Path) -> BinaryIO | gzip.GzipFile:
+    if path.suffix in COMPRESSED_ENDINGS:
+        return gzip.open(path)
+    return path.open('rb')
+
+
+def _decode(content: bytes, process: str) -> LogLine | None:
+    prefix, brace, rest = content.partition(b'{')
+    if not brace:
+        return None
+    try:
+        fields = msgspec.json.decode(brace + rest, type=dict[str, Any])
+    except msgspec.DecodeError:
+        return None
+    message = fields.pop('message', None)
+    if not isinstance(message, str):
+        return None
+    words = [process, *prefix.decode(errors='replace').split()]
+    named = str(fields.get('process', words[-1]))
+    return LogLine(named, str(fields.pop('time', '')), message, fields)
--- a/devtools/reference_pages.py
+++ b/devtools/reference_pages.py
@@ -15,6 +15,7 @@
 
 import msgspec
 
+from burdocklead import log_events
 from burdocklead.exceptions import BurdockleadError
 from burdocklead.metrics import DECLARED
 from burdocklead.options import (
@@ -107,6 +108,33 @@
     return _page('Metrics reference', (('', columns, rows),))
 
 
+def logs_page() -> str:
+    """Return the reference of the log events."""
+    events = [
+        (
+            event.message,
+            event.channel,
+            event.level.name,
+            ', '.join(f'`{name}`' for name in event.fields) or NO_UNIT,
+            event.when,
+        )
+        for event in sorted(log_events.DECLARED, key=_channel_of)
+    ]
+    columns = ('message', 'channel', 'level', 'fields', 'written when')
+    fields = [(f'`{name}`', text) for name, text in log_events.FIELDS.items()]
+    return _page(
+        'Log reference',
+        (
+            ('Events', columns, events),
+            ('Fields', ('field', 'holds'), fields),
+        ),
+    )
+
+
+def _channel_of(event: log_events.LogEvent) -> tuple[str, str]:
+    return event.channel, event.message
+
+
 def errors_page() -> str:
     """Return the reference of the exception tree."""
     rows = [
@@ -126,6 +154,7 @@
     'configuration-reference.md': configuration_page,
     'settings-reference.md': settings_page,
     'metrics-reference.md': metrics_page,
+    'logs-reference.md': logs_page,
     'errors-reference.md': errors_page,
 }
 
