Tell callers when to return while nothing is known yet

A daemon knows the others 0.4 s after its start.

Change: such refusals tell to return after 0.3 to 0.6 s. Requests to a control replica that is not up yet are tried again each 20 ms, not each 100 ms. A hedge never waits for a slot.

Ruled out: a shorter way to the configuration than through a replica; daemons have no disk, and all of them had ended.

Tests: retries.feature and whole_path.feature of the platform failed first.

--- a/burdocklead/connection/control_client.py
+++ b/burdocklead/connection/control_client.py
@@ -20,6 +20,10 @@
 from burdocklead.values import Address
 
 MAX_MESSAGE_BYTES = 16 * 1024 * 1024
+RECONNECT_MIN_MS = (
+    20  # All processes may start at once, replicas a little late.
+)
+RECONNECT_MAX_MS = 200
 
 
 class ControlClient:
@@ -105,6 +109,8 @@
         socket = pynng.Req0(
             resend_time=-1,
             recv_max_size=MAX_MESSAGE_BYTES,
+            reconnect_time_min=RECONNECT_MIN_MS,
+            reconnect_time_max=RECONNECT_MAX_MS,
             tls_config=tls.control_client_config() if tls else None,
         )
         scheme = 'tls+tcp' if tls else 'tcp'
--- a/burdocklead/process/host_front.py
+++ b/burdocklead/process/host_front.py
@@ -5,6 +5,7 @@
 import asyncio
 import math
 import random
+from dataclasses import replace
 
 from burdocklead.connection.http_messages import HttpRequest, HttpResponse
 from burdocklead.log_events import CALL_FAILED, CALL_NOT_ANSWERED
@@ -20,6 +21,7 @@
 from burdocklead.request.caller_input import CallerInputError
 from burdocklead.request.dialect import CallerDialect, CallerTerms
 from burdocklead.request.dispatch import Dispatcher
+from burdocklead.request.retries import ABSENT_RETURN_S, return_time_s
 from burdocklead.values import Outcome, RefusalCause
 from burdocklead.version.route_table import RouteMatch
 
@@ -60,13 +62,14 @@
         """Return the response to one request."""
         call: Call | None = None
         call_id = ''
+        terms = CallerTerms()
         try:
             terms = self.dialect.read_terms(request)
             call_id = terms.call_id or self.dispatcher.new_id()
             call = self._read_call(request, terms, call_id)
             result = await self.dispatcher.run(call)
         except CallerInputError as error:
-            result = not_run(error.cause, error.reason)
+            result = self._refused(error, terms)
         except Exception:
             self.metrics.count(INTERNAL_ERRORS)
             CALL_FAILED.write(call=call_id, exc_info=True)
@@ -74,6 +77,18 @@
         self._record(request, call, call_id, result)
         return self.dialect.respond(result, call_id)
 
+    def _refused(
+        self, error: CallerInputError, terms: CallerTerms
+    ) -> CallResult:
+        """Return the result of a call that went nowhere."""
+        result = not_run(error.cause, error.reason)
+        if error.cause is not RefusalCause.no_configuration:
+            return result
+        back_s = return_time_s(
+            ABSENT_RETURN_S, terms.wait_ms / MS_PER_S, self.rng
+        )
+        return replace(result, retry_after_s=back_s)
+
     def _read_call(
         self, request: HttpRequest, terms: CallerTerms, call_id: str
     ) -> Call:
--- a/burdocklead/request/dispatch.py
+++ b/burdocklead/request/dispatch.py
@@ -9,6 +9,8 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+import msgspec
+
 from burdocklead.connection.frames import Attempt, AttemptResult, Lost
 from burdocklead.metrics import HEDGES, RETRIES, MetricSet
 from burdocklead.request.attempt_runner import AttemptRunner, Directory
@@ -82,7 +84,7 @@
         while True:
             member = await self.choose(call, progress.tried)
             if member is None:
-                return outcome_of(progress.results)
+                return with_return_time(call, progress.results, self.rng)
             progress.record(await self._run_or_hedge(call, member, progress))
             if self._crashed_enough(call, progress.results):
                 return outcome_of(progress.results)
@@ -105,7 +107,7 @@
             if not self._spend(call, reached=True):
                 self.metrics.count(HEDGES, 'over-budget')
                 return None
-            return self._attempt(call, other, progress)
+            return self._attempt(call, other, progress, hedge=True)
 
         found = await run_hedged(first, start_hedge, after_s)
         if found.hedged:
@@ -142,12 +144,23 @@
         return bool(crashed) and self._is_blocked(call)
 
     def _attempt(
-        self, call: Call, member: Member, progress: CallProgress
+        self,
+        call: Call,
+        member: Member,
+        progress: CallProgress,
+        *,
+        hedge: bool = False,
     ) -> Coroutine[Any, Any, AttemptResult]:
-        """Note an attempt and return what carries it to its result."""
+        """Note an attempt and return what carries it to its result.
+
+        A hedge never waits for a slot: it would take one from a call that
+        runs nowhere yet.
+        """
         number = progress.next_number()
         progress.tried.add(member.daemon_id)
         attempt = self.attempt_of(call, member, self.new_id(), number)
+        if hedge:
+            attempt = msgspec.structs.replace(attempt, patient=False)
         return self.runner.run(call, member, attempt)
 
     async def _try_again(self, call: Call, progress: CallProgress) -> bool:
--- a/burdocklead/request/retries.py
+++ b/burdocklead/request/retries.py
@@ -28,6 +28,10 @@
 )
 REACHED_CAUSES = frozenset((RefusalCause.upstream_refused,))
 SHORTEST_RETURN_S = 0.05  # A queue changes little within less.
+ABSENT_CAUSES = frozenset(
+    (RefusalCause.no_upstream.value, RefusalCause.no_configuration.value)
+)
+ABSENT_RETURN_S = 0.3  # A daemon that starts knows the others within 0.4 s.
 RETURN_SHARE = 1 / 3  # Callers wait no longer than this part of their time.
 FINAL_CAUSES = frozenset((RefusalCause.crash_suspect,))
 
@@ -124,6 +128,10 @@
     if result.outcome is not Outcome.not_run:
         return result
     left_s = call.deadline - asyncio.get_running_loop().time()
+    if result.cause in ABSENT_CAUSES:
+        return replace(
+            result, retry_after_s=return_time_s(ABSENT_RETURN_S, left_s, rng)
+        )
     waits_ms = [
         one.load.expected_wait_ms for one in results if isinstance(one, Refusal)
     ]
--- a/tests/platform/whole_path.feature
+++ b/tests/platform/whole_path.feature
@@ -10,6 +10,10 @@
     And the upstream saw the entry's service "orders" and its own instance
     And a request to "/other/7" at daemon 20 is answered 404
 
+  Scenario: Who comes before the first order is told when to return
+    Given a platform with the services "sheets", "orders"
+    Then a request to "/view/7" at daemon 20 is answered 503 with a time to return
+
   Scenario: Orders are decided once, whoever is asked
     Given a platform with the services "sheets", "orders"
     When version 3 routes "/view/" to "sheets"
--- a/tests/request/retries.feature
+++ b/tests/request/retries.feature
@@ -133,3 +133,11 @@
     When 20 retried calls are sent
     Then the retried calls are answered
     And no retry was spent
+
+  Scenario: Who comes while no upstream is known is told when to return
+    Given retried calls that are not idempotent with a hedge after 0 ms
+    And the service has no upstream
+    When 8 retried calls are sent
+    Then the retried calls are not run
+    And the times to return spread over at least 0.1 s and end within 3.4 s
+    And the times to return are 0.3 s at least
--- a/tests/steps/platform_steps.py
+++ b/tests/steps/platform_steps.py
@@ -23,6 +23,7 @@
 HOST = 'records.example'
 FIRST_DAEMON = 20
 EXIT_LIMIT_S = 20
+MS_PER_S = 1000
 
 
 def route_of(service, path):
@@ -282,6 +283,20 @@
     context.platform.start_daemon(same, upstream.service)
 
 
+@then(
+    'a request to "{path}" at daemon {daemon:d} is answered 503 with a time to '
+    'return'
+)
+def check_early(context, path, daemon):
+    """Wait until the daemon listens and look at its refusal."""
+    platform = context.platform
+    wait_until(lambda: platform.ready_status(daemon), 'the daemon listens')
+    answer = _request(context, daemon, path)
+    assert answer.status_code == 503, answer.status_code
+    back_ms = int(float(answer.headers['Retry-After']) * MS_PER_S)
+    assert back_ms in range(200, 700), back_ms
+
+
 @then('the metrics of VM {number:d} hold "{text}"')
 def check_metrics(context, number, text):
     """Look for a part of the metrics page, which follows within a second."""
--- a/tests/steps/retry_steps.py
+++ b/tests/steps/retry_steps.py
@@ -63,13 +63,15 @@
 
     def __init__(self):
         """Answer everything at once."""
+        self.count = 3
         self.script = {}
         self.attempts = []
         self.cancelled = 0
 
     def candidates(self, service):
-        """Return three upstreams."""
-        return candidates_for('vancouver', [member(one) for one in range(3)])
+        """Return the upstreams."""
+        members = [member(one) for one in range(self.count)]
+        return candidates_for('vancouver', members)
 
     async def run(self, call, target, attempt):
         """Return the scripted result of an attempt."""
@@ -117,6 +119,19 @@
     )
 
 
+@given('the service has no upstream')
+def plan_absence(context):
+    """Take all upstreams away."""
+    context.upstreams.count = 0
+
+
+@then('the times to return are {least:f} s at least')
+def check_least_return(context, least):
+    """Check that nobody is asked back before something can have changed."""
+    times = [one.retry_after_s for one in context.results]
+    assert min(times) >= least, times
+
+
 @given('{count:d} upstreams may be sent a retried call')
 def plan_attempts(context, count):
     """Limit the attempts of a call, which repeats errors of upstreams."""
