Add a fault soak of the real programs

Cause: faults that overlap were met by scenarios of one fault each only.

Change: 'make soak' runs replicas, daemons, upstreams and forwarders as processes, strikes faults drawn from a seed, and checks what callers, upstreams and operators see. Control replicas may advertise another address, so that a forwarder can stand before them; forwarders delay and reset; upstreams write down what they run.

--- a/Makefile
+++ b/Makefile
@@ -6,9 +6,10 @@
 COUNT ?= 1000
 SCENARIO ?= latency
 SECONDS ?= 12
+SEEDS ?= 1
 export PYTHONPATH = $(CURDIR)
 
-.PHONY: demo test fuzz model-check reference lint format types docs check bench clean
+.PHONY: demo test fuzz soak model-check reference lint format types docs check bench clean
 
 demo: $(STAMP)
 	$(PYTHON) -m devtools.demo
@@ -19,6 +20,9 @@
 fuzz: $(STAMP)
 	$(PYTHON) -m devtools.fuzz --seed $(SEED) --count $(COUNT)
 
+soak: $(STAMP)
+	$(PYTHON) -m devtools.soak --seed $(SEED) --count $(SEEDS) --seconds $(SECONDS)
+
 model-check: $(STAMP)
 	$(PYTHON) -m devtools.model_check
 
--- a/burdocklead/process/register_service.py
+++ b/burdocklead/process/register_service.py
@@ -95,7 +95,7 @@
         )
         self.own = Replica(
             settings.replica_id,
-            settings.listen,
+            settings.own_address(),
             self.identity.identity,
             settings.zone,
         )
@@ -279,7 +279,7 @@
     return tuple(
         (
             settings.replica_id
-            if address == settings.listen
+            if address == settings.own_address()
             else f'seed-{address}',
             address,
         )
--- a/burdocklead/settings.py
+++ b/burdocklead/settings.py
@@ -135,6 +135,9 @@
     admin_listen: Address = option(
         SocketAddress(), '127.0.0.1:8091', 'address for operators and metrics'
     )
+    advertise: Address | None = option(
+        OptionalAddress(), '', 'control address told to daemons and replicas'
+    )
     data_folder: Path = option(FilePath(), None, 'folder for durable state')
     replicas: tuple[tuple[str, Address], ...] = option(
         NamedAddresses(allow_empty=True),
@@ -165,6 +168,10 @@
         FilePath(must_exist=True), '', 'file with the operator token'
     )
 
+    def own_address(self) -> Address:
+        """Return the control address under which others reach the replica."""
+        return self.advertise or self.listen
+
 
 @dataclass(frozen=True, slots=True)
 class OperatorSettings:
--- a/devtools/forwarder.py
+++ b/devtools/forwarder.py
@@ -1,7 +1,9 @@
 """A TCP forwarder between two processes that can lose track of connections.
 
-``PUT /-/mode`` with ``pass``, ``swallow`` or ``swallow-back`` changes what
-happens to the connections that are open now; later ones pass again.
+``PUT /-/mode`` with ``pass``, ``swallow``, ``swallow-back`` or ``delay``
+changes what happens to the connections that are open now; later ones pass
+again. ``reset`` ends them. ``PUT /-/new`` does the same for connections that
+are opened from then on.
 """
 
 from __future__ import annotations
@@ -23,6 +25,7 @@
 from burdocklead.values import Address
 
 READ_BYTES = 65536
+DELAY_S = 0.15  # Of each chunk; longer than a zone is away, below time-outs.
 ANY_PORT = Address('127.0.0.1', 0)
 
 
@@ -32,6 +35,8 @@
     passing = 'pass'
     swallow = 'swallow'
     swallow_back = 'swallow-back'
+    delay = 'delay'
+    reset = 'reset'
 
 
 @dataclass(slots=True, eq=False)
@@ -40,9 +45,11 @@
 
     Attributes:
         mode: What happens to its bytes.
+        ended: Set when the connection is to be reset.
     """
 
     mode: Mode = Mode.passing
+    ended: asyncio.Event = field(default_factory=asyncio.Event)
 
 
 @dataclass(slots=True)
@@ -53,18 +60,20 @@
         target: Where connections lead; set later than the start.
         pairs: Open connections.
         accepted: Connections so far.
+        new_mode: What happens to the bytes of connections opened from now on.
     """
 
     target: Address | None = None
     pairs: set[Pair] = field(default_factory=set)
     accepted: int = 0
+    new_mode: Mode = Mode.passing
 
     async def forward(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         """Forward one connection until either side closes."""
         self.accepted += 1
-        pair = Pair()
+        pair = Pair(self.new_mode)
         with contextlib.closing(writer):
             if self.target is None:
                 return
@@ -82,6 +91,8 @@
         """Change what happens to the open connections."""
         for pair in self.pairs:
             pair.mode = mode
+            if mode is Mode.reset:
+                pair.ended.set()
 
     async def _copy_both(
         self,
@@ -99,9 +110,15 @@
                 )
             ),
         )
-        await asyncio.wait(copies, return_when=asyncio.FIRST_COMPLETED)
-        for copy in copies:
-            copy.cancel()
+        ended = asyncio.create_task(pair.ended.wait())
+        await asyncio.wait(
+            (*copies, ended), return_when=asyncio.FIRST_COMPLETED
+        )
+        if pair.ended.is_set():
+            for _, writer in (there, back):
+                writer.transport.abort()
+        for task in (*copies, ended):
+            task.cancel()
 
 
 async def copy_bytes(
@@ -113,6 +130,8 @@
     """Copy bytes one way unless the mode swallows them."""
     with contextlib.suppress(ConnectionError):
         while chunk := await reader.read(READ_BYTES):
+            if pair.mode is Mode.delay:
+                await asyncio.sleep(DELAY_S)
             if pair.mode not in swallowing:
                 writer.write(chunk)
                 await writer.drain()
@@ -129,6 +148,10 @@
         forwarder.change(Mode(await request.text()))
         return json_response({'changed': len(forwarder.pairs)})
 
+    async def set_new_mode(request: web.Request) -> web.Response:
+        forwarder.new_mode = Mode(await request.text())
+        return json_response({})
+
     async def show(request: web.Request) -> web.Response:
         return json_response({'accepted': forwarder.accepted})
 
@@ -137,6 +160,7 @@
         [
             web.put('/-/target', set_target),
             web.put('/-/mode', set_mode),
+            web.put('/-/new', set_new_mode),
             web.get('/-/connections', show),
         ]
     )
--- a/devtools/forwarder_process.py
+++ b/devtools/forwarder_process.py
@@ -28,12 +28,20 @@
 
     def aim(self, daemon: ManagedProcess) -> None:
         """Let the forwarder lead to a daemon."""
-        self._put('target', daemon.addresses['link'])
+        self.lead_to(daemon.addresses['link'])
+
+    def lead_to(self, address: str) -> None:
+        """Let the forwarder lead to an address."""
+        self._put('target', address)
 
     def set_mode(self, mode: str) -> None:
         """Change what happens to the connections that are open now."""
         self._put('mode', mode)
 
+    def set_new_mode(self, mode: str) -> None:
+        """Change what happens to connections opened from now on."""
+        self._put('new', mode)
+
     def connections(self) -> int:
         """Return the connections taken so far."""
         page = requests.get(self._url('connections'), timeout=HTTP_TIMEOUT_S)
--- a/devtools/local_deployment.py
+++ b/devtools/local_deployment.py
@@ -80,7 +80,7 @@
         """Start control replicas and wait until they serve."""
         use_repository_sources()
         names = [f'control-{index}' for index in range(count)]
-        ports = [self._reserve() for _ in range(count)]
+        ports = [self.reserve() for _ in range(count)]
         self.replica_list = ','.join(
             f'{name}=127.0.0.1:{port}'
             for name, port in zip(names, ports, strict=True)
@@ -95,7 +95,7 @@
 
     def start_joining_control(self, name: str) -> str:
         """Start a replica that is in no set; return its control address."""
-        port = self._reserve()
+        port = self.reserve()
         self.controls[name] = control_process(
             self, name, len(self.controls), port
         )
@@ -126,7 +126,8 @@
         for name in names:
             self.upstreams[name].wait_ready()
 
-    def _reserve(self) -> int:
+    def reserve(self) -> int:
+        """Return a port that only a process of this deployment may take."""
         self.reserved.append(reserve_port())
         return port_of(self.reserved[-1])
 
@@ -165,11 +166,12 @@
         """Wait until every daemon serves a version and sees all members."""
         for name, process in self.daemons.items():
             wait_until(
-                partial(self._is_in_force, process, version),
+                partial(self.is_in_force, process, version),
                 f'{name} serves version {version}',
             )
 
-    def _is_in_force(self, process: ManagedProcess, version: int) -> bool:
+    def is_in_force(self, process: ManagedProcess, version: int) -> bool:
+        """Return True if a daemon serves a version and sees all upstreams."""
         status = self.daemon_status(process)
         with_upstream = [
             member for member in status['members'] if member['service']
--- a/devtools/processes.py
+++ b/devtools/processes.py
@@ -85,6 +85,7 @@
             self.popen = subprocess.Popen(
                 [
                     sys.executable,
+                    '-P',  # Else the working folder would go before sources.
                     '-c',
                     launcher,
                     *self.arguments,
--- /dev/null
+++ b/devtools/soak/__main__.py
@@ -0,0 +1,181 @@
+"""Runs the soak with one seed or several, and tells every broken promise."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import contextlib
+import random
+import sys
+import tempfile
+import time
+from collections.abc import Sequence
+from dataclasses import dataclass
+from pathlib import Path
+
+import aiohttp
+
+from burdocklead.values import Outcome
+from devtools.processes import use_repository_sources
+from devtools.soak.cluster import SoakCluster
+from devtools.soak.faults import FaultDriver
+from devtools.soak.mutations import MUTATIONS, mutated_sources
+from devtools.soak.records import (
+    SoakRecord,
+    executions_in,
+    find_problems,
+    summary_of,
+)
+from devtools.soak.traffic import Caller, Operator, watch_versions
+
+CALLERS = 10
+RECOVERY_S = 15.0
+LAST_CALLS = 60
+QUIET_S = 2.5  # Calls that were given up may still start within their deadline.
+EXIT_BROKEN = 1
+SEEDS_FILE = Path(__file__).with_name('seeds.txt')
+SHOWN_PROBLEMS = 12
+
+
+@dataclass(frozen=True, slots=True)
+class SoakPlan:
+    """What one run does.
+
+    Attributes:
+        seed: Seed of faults, callers and operators.
+        seconds: Time for which faults strike in s.
+        daemons: Daemons of each of the two services.
+        mutation: Name of a fault put into the product, empty for none.
+    """
+
+    seed: int
+    seconds: float
+    daemons: int = 3
+    mutation: str = ''
+
+
+def run_soak(plan: SoakPlan, folder: Path) -> tuple[SoakRecord, list[str]]:
+    """Run one soak in a folder; return what was seen and what is wrong."""
+    use_repository_sources()
+    sources = mutated_sources(folder, plan.mutation)
+    cluster = SoakCluster(folder, plan.daemons, sources)
+    record = SoakRecord()
+    try:
+        cluster.start()
+        asyncio.run(_play(plan, cluster, record))
+        executions = executions_in(cluster.executions())
+    finally:
+        cluster.kill()
+    return record, find_problems(record, executions)
+
+
+async def _play(
+    plan: SoakPlan, cluster: SoakCluster, record: SoakRecord
+) -> None:
+    operator = Operator(cluster, record, plan.seed)
+    async with aiohttp.ClientSession() as session:
+        while not record.accepted:
+            await operator.apply_once(session)
+    await asyncio.to_thread(cluster.wait_in_force, 1, RECOVERY_S)
+    callers = [
+        Caller(cluster, record, f's{plan.seed}c{index}', plan.seed + index)
+        for index in range(CALLERS)
+    ]
+    background = [
+        asyncio.create_task(work)
+        for work in (
+            operator.run(),
+            watch_versions(cluster, record),
+            *(caller.run() for caller in callers),
+        )
+    ]
+    driver = FaultDriver(cluster, record)
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(plan.seconds):
+            await driver.run(random.Random(plan.seed))
+    await asyncio.to_thread(cluster.heal)
+    background[0].cancel()
+    await _check_recovery(cluster, record, callers[0])
+    for task in background:
+        task.cancel()
+    ended = await asyncio.gather(*background, return_exceptions=True)
+    record.problems.extend(
+        f'the soak itself failed: {error!r}'
+        for error in ended
+        if isinstance(error, Exception)
+    )
+    await asyncio.sleep(QUIET_S)
+
+
+async def _check_recovery(
+    cluster: SoakCluster, record: SoakRecord, caller: Caller
+) -> None:
+    """Check that what was accepted is in force and calls are answered."""
+    version = record.newest_accepted()
+    try:
+        await asyncio.to_thread(cluster.wait_in_force, version, RECOVERY_S)
+    except TimeoutError as error:
+        record.problems.append(f'after {RECOVERY_S:g} s not so: {error}')
+        return
+    async with aiohttp.ClientSession() as session:
+        calls = [await caller.call_once(session) for _ in range(LAST_CALLS)]
+    answered = sum(call.outcome == Outcome.answered for call in calls)
+    if answered < LAST_CALLS:
+        record.problems.append(
+            f'{answered} of {LAST_CALLS} calls were answered at the end'
+        )
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    """Run the soak and return the exit code."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--seed', type=int, default=int(time.time()))
+    parser.add_argument('--count', type=int, default=1, help='seeds in a row')
+    parser.add_argument('--seconds', type=float, default=20)
+    parser.add_argument(
+        '--daemons', type=int, default=3, help='of each of the two services'
+    )
+    parser.add_argument('--mutation', choices=sorted(MUTATIONS), default='')
+    parser.add_argument('--keep', type=Path, help='folder for failed runs')
+    parser.add_argument(
+        '--again', action='store_true', help='run the seeds that ever failed'
+    )
+    flags = parser.parse_args(arguments)
+    plans = failed_before() if flags.again else _plans_of(flags)
+    broken = [plan for plan in plans if _run_and_tell(plan, flags.keep)]
+    return EXIT_BROKEN if broken else 0
+
+
+def failed_before() -> list[SoakPlan]:
+    """Return the runs that ever failed."""
+    lines = SEEDS_FILE.read_text().splitlines()
+    named = [line.split() for line in lines if not line.startswith('#')]
+    return [
+        SoakPlan(int(seed), float(seconds), int(daemons))
+        for seed, seconds, daemons, *_ in named
+    ]
+
+
+def _plans_of(flags: argparse.Namespace) -> list[SoakPlan]:
+    return [
+        SoakPlan(seed, flags.seconds, flags.daemons, flags.mutation)
+        for seed in range(flags.seed, flags.seed + flags.count)
+    ]
+
+
+def _run_and_tell(plan: SoakPlan, keep: Path | None) -> bool:
+    with tempfile.TemporaryDirectory() as folder:
+        record, problems = run_soak(plan, Path(folder))
+        print(f'seed {plan.seed}: {summary_of(record)}', flush=True)
+        for problem in problems[:SHOWN_PROBLEMS]:
+            print(f'  broken: {problem}', flush=True)
+        if len(problems) > SHOWN_PROBLEMS:
+            print(f'  {len(problems)} in all', flush=True)
+        if problems and keep is not None:
+            Path(folder).rename(keep / f'seed-{plan.seed}')
+            Path(folder).mkdir()
+    return bool(problems)
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/devtools/soak/cluster.py
@@ -0,0 +1,190 @@
+"""The processes of a soak and the ways to harm them from outside."""
+
+from __future__ import annotations
+
+import resource
+import signal
+from dataclasses import dataclass, field
+from functools import partial
+from pathlib import Path
+
+from devtools.forwarder_process import ForwarderProcess, start_forwarder
+from devtools.local_deployment import (
+    LocalDeployment,
+    control_process,
+    daemon_process,
+    upstream_process,
+    wait_until,
+)
+from devtools.processes import ManagedProcess
+
+CONTROLS = 3
+SERVICES = ('job-sheets', 'archive')
+SLOTS = 8
+SERVICE_MS = 25  # Some calls are at an upstream whenever a daemon is killed.
+NO_LIMIT = resource.RLIM_INFINITY
+
+
+@dataclass(slots=True)
+class SoakCluster:
+    """A deployment whose links and control connections pass forwarders.
+
+    Attributes:
+        folder: Folder for logs, data and what upstreams ran.
+        daemons_each: Daemons of each service.
+        sources: Checkout to run, None for this one.
+        deployment: Its processes.
+        control_ways: Forwarders before control replicas.
+        stopping: Daemons that were asked to stop and not started again.
+    """
+
+    folder: Path
+    daemons_each: int = 3
+    sources: Path | None = None
+    control_ways: dict[str, ForwarderProcess] = field(default_factory=dict)
+    stopping: set[str] = field(default_factory=set)
+    deployment: LocalDeployment = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Prepare the deployment; nothing is started."""
+        self.deployment = LocalDeployment(self.folder, sources=self.sources)
+
+    def start(self) -> None:
+        """Start all processes and wait until they serve."""
+        self._start_controls()
+        for service in SERVICES:
+            for index in range(self.daemons_each):
+                self._start_pair(f'{service}-{index}', index)
+
+    def names(self) -> tuple[str, ...]:
+        """Return the names of the daemons."""
+        return tuple(self.deployment.daemons)
+
+    def processes(self) -> list[ManagedProcess]:
+        """Return every process that this cluster started."""
+        ways = [one.process for one in self.control_ways.values()]
+        return [*self.deployment.processes(), *ways]
+
+    def restart(self, process: ManagedProcess) -> None:
+        """Start a process that ended, and lead its forwarder to it."""
+        process.start()
+        process.wait_ready()
+        name = process.name
+        control_way = self.control_ways.get(name)
+        if control_way is not None:
+            control_way.lead_to(process.addresses['control'])
+        link_way = self.deployment.forwarders.get(name)
+        if link_way is not None:
+            link_way.aim(process)
+            self._restart_upstream(name)
+
+    def limit_files(self, name: str, most_bytes: int) -> None:
+        """Let writes of a replica beyond a file size fail."""
+        popen = self.deployment.controls[name].popen
+        if popen is not None and popen.poll() is None:
+            limits = (most_bytes, NO_LIMIT)
+            resource.prlimit(popen.pid, resource.RLIMIT_FSIZE, limits)
+
+    def ways(self) -> dict[str, ForwarderProcess]:
+        """Return all forwarders by the process behind them."""
+        return {**self.deployment.forwarders, **self.control_ways}
+
+    def heal(self) -> None:
+        """End every harm: what is paused goes on, what ended is started."""
+        for process in self.processes():
+            process.send_signal(signal.SIGCONT)
+        for way in self.ways().values():
+            way.set_new_mode('pass')
+            way.set_mode('reset')
+        for name in self.deployment.controls:
+            self.limit_files(name, NO_LIMIT)
+        for name in self.stopping:
+            self.deployment.daemons[name].wait_stopped()
+        self.stopping.clear()
+        for process in (
+            *self.deployment.controls.values(),
+            *self.deployment.daemons.values(),
+        ):
+            if not process.is_running():
+                self.restart(process)
+        for name in self.deployment.upstreams:
+            self._restart_upstream(name)
+
+    def executions(self) -> list[str]:
+        """Return the marks that upstreams wrote down as they started."""
+        lines: list[str] = []
+        for path in sorted(self.folder.glob('*.ran')):
+            lines.extend(path.read_text().splitlines())
+        return lines
+
+    def kill(self) -> None:
+        """End every process that this cluster started."""
+        self.deployment.kill()
+        for way in self.control_ways.values():
+            way.process.kill()
+
+    def _start_controls(self) -> None:
+        names = [f'control-{index}' for index in range(CONTROLS)]
+        for name in names:
+            self.control_ways[name] = start_forwarder(self.folder, name)
+        self.deployment.replica_list = ','.join(
+            f'{name}={self._way_of(name)}' for name in names
+        )
+        for index, name in enumerate(names):
+            process = control_process(self.deployment, name, index, 0)
+            port = self.deployment.reserve()
+            process.arguments += ('--advertise', self._way_of(name))
+            process.arguments += ('--listen', f'127.0.0.1:{port}')
+            self.deployment.controls[name] = process
+            process.start()
+        for name in names:
+            process = self.deployment.controls[name]
+            process.wait_ready()
+            self.control_ways[name].lead_to(process.addresses['control'])
+
+    def _way_of(self, name: str) -> str:
+        return self.control_ways[name].process.addresses['link']
+
+    def _start_pair(self, name: str, index: int) -> None:
+        forwarder = start_forwarder(self.folder, name)
+        self.deployment.forwarders[name] = forwarder
+        daemon = daemon_process(self.deployment, name, index)
+        # A process that starts again is at once behind its forwarder.
+        link = f'127.0.0.1:{self.deployment.reserve()}'
+        daemon.arguments += ('--link-listen', link)
+        self.deployment.daemons[name] = daemon
+        daemon.start()
+        daemon.wait_ready()
+        forwarder.aim(daemon)
+        self._restart_upstream(name)
+
+    def _restart_upstream(self, name: str) -> None:
+        """Start the upstream beside a daemon, at the daemon's present port."""
+        known = self.deployment.upstreams.get(name)
+        if known is not None:
+            known.kill()
+        upstream = upstream_process(self.deployment, name, SLOTS)
+        ran_file = self.folder / f'{name}.ran'
+        upstream.arguments += ('--ran-file', str(ran_file))
+        self.deployment.upstreams[name] = upstream
+        upstream.start()
+        upstream.wait_ready()
+        self.set_behaviour(name)
+
+    def set_behaviour(self, name: str, **behaviour: object) -> None:
+        """Change how an upstream serves, from the usual behaviour."""
+        usual = {'service_ms': SERVICE_MS}
+        self.deployment.set_behaviour(name, **{**usual, **behaviour})
+
+    def wait_in_force(self, version: int, limit_s: float) -> None:
+        """Wait until every daemon serves a version and sees all upstreams.
+
+        Raises:
+            TimeoutError: Names the daemon that does not.
+        """
+        for name, process in self.deployment.daemons.items():
+            wait_until(
+                partial(self.deployment.is_in_force, process, version),
+                f'{name} serves version {version}',
+                limit_s,
+            )
--- /dev/null
+++ b/devtools/soak/faults.py
@@ -0,0 +1,346 @@
+"""Faults of a soak: drawn from a seed, struck from outside the programs."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import itertools
+import random
+import signal
+from collections.abc import AsyncIterator, Callable, Iterator
+from dataclasses import dataclass
+from typing import assert_never
+
+from devtools.processes import ManagedProcess
+from devtools.soak.cluster import NO_LIMIT, SoakCluster
+from devtools.soak.records import Disturbance, SoakRecord
+
+GAP_S = (0.05, 0.9)
+PAUSE_S = (0.3, 3.0)
+CUT_S = (0.5, 4.0)
+DOWN_S = (0, 1.5)
+HEALED_S = 12.0
+AFTER_S = 1.5  # What was started again needs some time to learn of the others.
+STOP_LIMIT_S = 12.0
+FULL_DISK_BYTES = 1
+MOST_PROCESSES = 1000
+MODES = ('swallow', 'swallow-back', 'delay', 'reset')
+BEHAVIOURS: tuple[dict[str, object], ...] = (
+    {'stalled': True},
+    {'slowdown': 20},
+    {'shed_share': 0.6},
+    {'long_share': 0.2, 'long_factor': 20},
+)
+
+
+@dataclass(frozen=True, slots=True)
+class KillDaemon:
+    """A daemon is killed and started again."""
+
+    index: int
+    down_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class StopDaemon:
+    """A daemon is asked to stop and started again."""
+
+    index: int
+
+
+@dataclass(frozen=True, slots=True)
+class PauseDaemon:
+    """A daemon stands still."""
+
+    index: int
+    pause_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class HarmControl:
+    """A replica is killed or stands still.
+
+    Attributes:
+        index: The replica.
+        for_s: Time until it is back in s.
+        kill: True to kill it.
+    """
+
+    index: int
+    for_s: float
+    kill: bool
+
+
+@dataclass(frozen=True, slots=True)
+class KillAllControls:
+    """All replicas are killed and started again."""
+
+    down_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class FillDisk:
+    """Writes of a replica fail."""
+
+    index: int
+    for_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class HarmWay:
+    """Connections to a process are harmed on their way.
+
+    Attributes:
+        index: The process, daemons first.
+        mode: What happens to the bytes.
+        new_too: True if connections opened meanwhile fare the same.
+        for_s: Time until they pass again in s.
+    """
+
+    index: int
+    mode: str
+    new_too: bool
+    for_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class HarmUpstream:
+    """An upstream is killed, or behaves badly.
+
+    Attributes:
+        index: The daemon beside it.
+        behaviour: Index of its behaviour, None to kill it.
+        for_s: Time until it is well again in s.
+    """
+
+    index: int
+    behaviour: int | None
+    for_s: float
+
+
+Fault = (
+    KillDaemon
+    | StopDaemon
+    | PauseDaemon
+    | HarmControl
+    | KillAllControls
+    | FillDisk
+    | HarmWay
+    | HarmUpstream
+)
+
+
+def draw_faults(rng: random.Random) -> Iterator[tuple[float, Fault]]:
+    """Yield the pauses before faults in s and the faults, without end."""
+    for _ in itertools.count():
+        draw = rng.choices(DRAWS, WEIGHTS)[0]
+        yield rng.uniform(*GAP_S), draw(rng, rng.randrange(MOST_PROCESSES))
+
+
+def _draw_control(rng: random.Random, index: int) -> Fault:
+    return HarmControl(index, rng.uniform(*CUT_S), rng.choice((True, False)))
+
+
+def _draw_way(rng: random.Random, index: int) -> Fault:
+    new_too = rng.choice((True, False))
+    return HarmWay(index, rng.choice(MODES), new_too, rng.uniform(*CUT_S))
+
+
+def _draw_upstream(rng: random.Random, index: int) -> Fault:
+    behaviour = rng.choice((None, *range(len(BEHAVIOURS))))
+    return HarmUpstream(index, behaviour, rng.uniform(*CUT_S))
+
+
+DRAWS: tuple[Callable[[random.Random, int], Fault], ...] = (
+    lambda rng, index: KillDaemon(index, rng.uniform(*DOWN_S)),
+    lambda rng, index: StopDaemon(index),
+    lambda rng, index: PauseDaemon(index, rng.uniform(*PAUSE_S)),
+    _draw_control,
+    lambda rng, index: KillAllControls(rng.uniform(*DOWN_S)),
+    lambda rng, index: FillDisk(index, rng.uniform(*CUT_S)),
+    _draw_way,
+    _draw_upstream,
+)
+WEIGHTS = (3, 2, 2, 3, 1, 1, 5, 3)
+
+
+class FaultDriver:
+    """Strikes faults; those of one process never overlap, others do.
+
+    Attributes:
+        busy: Processes that are being harmed.
+        controls_down: Replicas that are being harmed.
+    """
+
+    def __init__(self, cluster: SoakCluster, record: SoakRecord) -> None:
+        """Prepare to harm a cluster."""
+        self.cluster = cluster
+        self.record = record
+        self.busy: set[str] = set()
+        self.controls_down: set[str] = set()
+
+    async def run(self, rng: random.Random) -> None:
+        """Strike faults until cancelled; those in progress go on."""
+        async with asyncio.TaskGroup() as group:
+            for gap_s, fault in draw_faults(rng):
+                await asyncio.sleep(gap_s)
+                group.create_task(self._strike(fault))
+
+    async def _strike(self, fault: Fault) -> None:
+        match fault:
+            case KillDaemon(index, down_s):
+                await self._kill_daemon(self._daemon(index), down_s)
+            case StopDaemon(index):
+                await self._stop_daemon(self._daemon(index))
+            case PauseDaemon(index, pause_s):
+                await self._pause(self._daemon(index), pause_s)
+            case HarmControl():
+                await self._harm_control(fault)
+            case KillAllControls(down_s):
+                await self._kill_all_controls(down_s)
+            case FillDisk(index, for_s):
+                await self._fill_disk(self._control(index), for_s)
+            case HarmWay():
+                await self._harm_way(fault)
+            case HarmUpstream():
+                await self._harm_upstream(fault)
+            case _:
+                assert_never(fault)
+
+    def _daemon(self, index: int) -> ManagedProcess:
+        daemons = list(self.cluster.deployment.daemons.values())
+        return daemons[index % len(daemons)]
+
+    def _control(self, index: int) -> ManagedProcess:
+        controls = list(self.cluster.deployment.controls.values())
+        return controls[index % len(controls)]
+
+    @contextlib.asynccontextmanager
+    async def _harming(self, process: ManagedProcess) -> AsyncIterator[None]:
+        """Take note of the time in which a process is harmed.
+
+        One whose harm is cut short is well again once the cluster is healed.
+        """
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        ended = started + HEALED_S
+        self.busy.add(process.name)
+        try:
+            yield
+            ended = loop.time() + AFTER_S
+        finally:
+            self.record.disturbances.append(
+                Disturbance(process.name, started, ended)
+            )
+            self.busy.discard(process.name)
+
+    async def _kill_daemon(
+        self, process: ManagedProcess, down_s: float
+    ) -> None:
+        if process.name in self.busy:
+            return
+        async with self._harming(process):
+            process.kill()
+            await asyncio.sleep(down_s)
+            await asyncio.to_thread(self.cluster.restart, process)
+
+    async def _stop_daemon(self, process: ManagedProcess) -> None:
+        if process.name in self.busy:
+            return
+        loop = asyncio.get_running_loop()
+        async with self._harming(process):
+            started = loop.time()
+            self.cluster.stopping.add(process.name)
+            process.send_signal(signal.SIGHUP)
+            process.ask_to_stop()
+            await asyncio.to_thread(process.wait_stopped)
+            if loop.time() - started > STOP_LIMIT_S:
+                reason = f'{process.name} did not stop in time'
+                self.record.problems.append(reason)
+            await asyncio.to_thread(self.cluster.restart, process)
+            self.cluster.stopping.discard(process.name)
+
+    async def _pause(self, process: ManagedProcess, pause_s: float) -> None:
+        if process.name in self.busy:
+            return
+        async with self._harming(process):
+            process.send_signal(signal.SIGSTOP)
+            await asyncio.sleep(pause_s)
+            process.send_signal(signal.SIGCONT)
+
+    async def _harm_control(self, fault: HarmControl) -> None:
+        process = self._control(fault.index)
+        if self.controls_down:
+            return
+        with self._down(process):
+            stop = signal.SIGKILL if fault.kill else signal.SIGSTOP
+            process.send_signal(stop)
+            await asyncio.sleep(fault.for_s)
+            if fault.kill:
+                process.kill()
+                await asyncio.to_thread(self.cluster.restart, process)
+            else:
+                process.send_signal(signal.SIGCONT)
+
+    async def _kill_all_controls(self, down_s: float) -> None:
+        processes = list(self.cluster.deployment.controls.values())
+        if self.controls_down:
+            return
+        with self._down(*processes):
+            for process in processes:
+                process.kill()
+            await asyncio.sleep(down_s)
+            for process in processes:
+                await asyncio.to_thread(self.cluster.restart, process)
+
+    async def _fill_disk(self, process: ManagedProcess, for_s: float) -> None:
+        if self.controls_down:
+            return
+        with self._down(process):
+            self.cluster.limit_files(process.name, FULL_DISK_BYTES)
+            await asyncio.sleep(for_s)
+            self.cluster.limit_files(process.name, NO_LIMIT)
+
+    @contextlib.contextmanager
+    def _down(self, *processes: ManagedProcess) -> Iterator[None]:
+        """Keep other faults from replicas while some are harmed."""
+        names = {process.name for process in processes}
+        self.controls_down |= names
+        try:
+            yield
+        finally:
+            self.controls_down -= names
+
+    async def _harm_way(self, fault: HarmWay) -> None:
+        ways = list(self.cluster.ways().values())
+        way = ways[fault.index % len(ways)]
+        if way.process.name in self.busy:
+            return
+        self.busy.add(way.process.name)
+        if fault.new_too and fault.mode != 'reset':
+            await asyncio.to_thread(way.set_new_mode, fault.mode)
+        await asyncio.to_thread(way.set_mode, fault.mode)
+        await asyncio.sleep(fault.for_s)
+        await asyncio.to_thread(way.set_new_mode, 'pass')
+        if fault.mode == 'delay':
+            await asyncio.to_thread(way.set_mode, 'pass')
+        self.busy.discard(way.process.name)
+
+    async def _harm_upstream(self, fault: HarmUpstream) -> None:
+        name = self._daemon(fault.index).name
+        upstream = self.cluster.deployment.upstreams[name]
+        if name in self.busy or not upstream.is_running():
+            return
+        self.busy.add(name)
+        if fault.behaviour is None:
+            upstream.kill()
+            await asyncio.to_thread(upstream.start)
+            await asyncio.to_thread(upstream.wait_ready)
+        else:
+            behaviour = BEHAVIOURS[fault.behaviour]
+            await asyncio.to_thread(
+                lambda: self.cluster.set_behaviour(name, **behaviour)
+            )
+            await asyncio.sleep(fault.for_s)
+            await asyncio.to_thread(self.cluster.set_behaviour, name)
+        self.busy.discard(name)
--- /dev/null
+++ b/devtools/soak/mutations.py
@@ -0,0 +1,69 @@
+"""Faults put into a copy of the product, which the soak must find."""
+
+from __future__ import annotations
+
+import shutil
+from dataclasses import dataclass
+from pathlib import Path
+
+from devtools.processes import source_root
+
+
+@dataclass(frozen=True, slots=True)
+class Edit:
+    """A change of a text in the product.
+
+    Attributes:
+        path: The module, from the root of the sources.
+        before: Text that stands there once.
+        after: What stands there instead.
+    """
+
+    path: str
+    before: str
+    after: str
+
+
+MUTATIONS: dict[str, tuple[Edit, ...]] = {
+    'broken-fence': (
+        Edit(
+            'burdocklead/request/attempt_runner.py',
+            "return _lost(query.attempt_id, 'daemon restarted', final=True)",
+            'return _refusal(query.attempt_id, RefusalCause.fenced)',
+        ),
+    ),
+    'lost-sync': (
+        Edit(
+            'burdocklead/durable/store.py',
+            '        record = encode_record(changes)\n',
+            '        if not self.failure:\n            return\n'
+            '        record = encode_record(changes)\n',
+        ),
+    ),
+    'stale-version': (
+        Edit(
+            'burdocklead/durable/configuration.py',
+            '    if version <= current.version:\n',
+            '    if version < current.version:\n',
+        ),
+    ),
+}
+
+
+def mutated_sources(folder: Path, name: str) -> Path | None:
+    """Return a changed copy of the sources, None without a mutation.
+
+    Raises:
+        ValueError: If the text to change does not stand there once.
+    """
+    if not name:
+        return None
+    copy = folder / 'sources'
+    shutil.copytree(source_root() / 'burdocklead', copy / 'burdocklead')
+    for edit in MUTATIONS[name]:
+        path = copy / edit.path
+        text = path.read_text()
+        if text.count(edit.before) != 1:
+            raise ValueError(f'{edit.path} does not hold the text once')
+        path.write_text(text.replace(edit.before, edit.after))
+    return copy
--- /dev/null
+++ b/devtools/soak/traffic.py
@@ -0,0 +1,234 @@
+"""Callers and operators of a soak."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import itertools
+import random
+from collections import deque
+from collections.abc import Iterator
+
+import aiohttp
+import msgspec
+
+from burdocklead.durable.configuration import ApplyResult
+from burdocklead.request.headers import DEADLINE_HEADER, OUTCOME_HEADER
+from burdocklead.values import Outcome
+from burdocklead.version.configuration_file import digest_of
+from devtools.processes import ManagedProcess
+from devtools.soak.cluster import SERVICES, SoakCluster
+from devtools.soak.records import CallRecord, SoakRecord, VersionSeen
+from devtools.upstream import MARK
+
+DEADLINE_MS = 1500
+MS_PER_S = 1000
+# A non-idempotent call may run past its deadline, see the daemon's settings;
+# its caller is told within the grace for the question about it.
+RESULT_LIMIT_S = 4.5
+CONNECT_LIMIT_S = 8.0
+PAUSE_S = (0, 0.04)
+APPLY_PAUSE_S = (0.2, 1.5)
+APPLY_LIMIT_S = 4.0
+ASK_INTERVAL_S = 0.3
+SENT_AGAIN = 20  # Control remembers more decisions than that.
+FILE = """version = {version}
+[measuring]
+asked_upstreams = {asked}
+[services.job-sheets]
+queue_limit = {limit}
+[[services.job-sheets.routes]]
+name = "view"
+method = "GET"
+path = "/"
+idempotent = true
+timeout_ms = 1500
+[[services.job-sheets.routes]]
+name = "issue"
+method = "POST"
+path = "/"
+idempotent = false
+timeout_ms = 1500
+[services.archive]
+queue_limit = {limit}
+hedge_after_ms = 100
+[[services.archive.routes]]
+name = "search"
+method = "GET"
+path = "/"
+idempotent = true
+timeout_ms = 1500
+[[services.archive.routes]]
+name = "record"
+method = "POST"
+path = "/"
+idempotent = false
+timeout_ms = 1500
+"""
+ERRORS = (aiohttp.ClientError, asyncio.TimeoutError, OSError)
+
+
+def file_text(version: int, rng: random.Random) -> bytes:
+    """Return a valid file; those of one version differ."""
+    return FILE.format(
+        version=version, limit=rng.randrange(50, 5000), asked=rng.choice((0, 2))
+    ).encode()
+
+
+class Caller:
+    """Sends calls to all daemons over kept connections."""
+
+    def __init__(
+        self, cluster: SoakCluster, record: SoakRecord, name: str, seed: int
+    ) -> None:
+        """Prepare a caller; its marks start with its name."""
+        self.cluster = cluster
+        self.record = record
+        self.name = name
+        self.rng = random.Random(seed)
+        self.numbers: Iterator[int] = itertools.count()
+
+    async def run(self) -> None:
+        """Call until cancelled."""
+        async with aiohttp.ClientSession(
+            timeout=aiohttp.ClientTimeout(total=CONNECT_LIMIT_S)
+        ) as session:
+            while True:
+                await self.call_once(session)
+                await asyncio.sleep(self.rng.uniform(*PAUSE_S))
+
+    async def call_once(self, session: aiohttp.ClientSession) -> CallRecord:
+        """Send one call and record what came of it."""
+        entry = self.rng.choice(self.cluster.names())
+        idempotent = self.rng.choice((True, False))
+        mark = f'{self.name}.{next(self.numbers)}'
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        outcome, whole, seen = '', True, ''
+        try:
+            outcome, whole = await self._send(session, entry, mark, idempotent)
+        except ERRORS as error:
+            seen = f': {error!r}'
+        call = CallRecord(
+            mark,
+            entry,
+            idempotent,
+            started,
+            loop.time(),
+            RESULT_LIMIT_S,
+            outcome,
+            whole,
+            seen,
+        )
+        self.record.calls.append(call)
+        return call
+
+    async def _send(
+        self,
+        session: aiohttp.ClientSession,
+        entry: str,
+        mark: str,
+        idempotent: bool,
+    ) -> tuple[str, bool]:
+        service = self.rng.choice(SERVICES)
+        async with session.request(
+            'GET' if idempotent else 'POST',
+            self.cluster.deployment.url(entry, f'/{service}/{mark}'),
+            headers={MARK: mark, DEADLINE_HEADER: str(DEADLINE_MS)},
+        ) as response:
+            body = await response.text()
+            outcome = response.headers.get(OUTCOME_HEADER, '')
+            whole = body.startswith(f'{mark}\n')
+            return outcome, whole or outcome != Outcome.answered
+
+
+class Operator:
+    """Applies files, races itself, and sends files again.
+
+    Attributes:
+        version: Highest version sent.
+        accepted: Versions and texts that were accepted lately.
+    """
+
+    def __init__(
+        self, cluster: SoakCluster, record: SoakRecord, seed: int
+    ) -> None:
+        """Prepare an operator."""
+        self.cluster = cluster
+        self.record = record
+        self.rng = random.Random(seed)
+        self.version = 0
+        self.accepted: deque[tuple[int, bytes]] = deque(maxlen=SENT_AGAIN)
+
+    async def run(self) -> None:
+        """Apply files until cancelled."""
+        timeout = aiohttp.ClientTimeout(total=APPLY_LIMIT_S)
+        async with aiohttp.ClientSession(timeout=timeout) as session:
+            while True:
+                await self.apply_once(session)
+                await asyncio.sleep(self.rng.uniform(*APPLY_PAUSE_S))
+
+    async def apply_once(self, session: aiohttp.ClientSession) -> None:
+        """Send one file, or two of the same version at once, maybe again."""
+        self.version += self.rng.randrange(1, 4)
+        texts = [
+            file_text(self.version, self.rng)
+            for _ in range(self.rng.choice((1, 1, 2)))
+        ]
+        results = await asyncio.gather(
+            *(self._put(session, text) for text in texts)
+        )
+        for text, accepted in zip(texts, results, strict=True):
+            if accepted:
+                self.accepted.append((self.version, text))
+        if self.accepted:
+            await self._send_again(session, *self.rng.choice(self.accepted))
+
+    async def _send_again(
+        self, session: aiohttp.ClientSession, version: int, text: bytes
+    ) -> None:
+        if await self._put(session, text) is False:
+            self.record.problems.append(
+                f'version {version} was accepted, then refused'
+            )
+
+    async def _put(
+        self, session: aiohttp.ClientSession, text: bytes
+    ) -> bool | None:
+        """Return the decision on a file, None if it is not known."""
+        controls = list(self.cluster.deployment.controls.values())
+        address = self.rng.choice(controls).addresses['admin']
+        url = f'http://{address}/v1/configuration'
+        try:
+            async with session.put(url, data=text) as response:
+                body = await response.read()
+        except ERRORS:
+            return None
+        if response.status not in {200, 409}:
+            return None
+        result = msgspec.json.decode(body, type=ApplyResult)
+        if result.accepted and result.digest == digest_of(text):
+            self.record.accept(result.version, result.digest)
+            return True
+        return False
+
+
+async def watch_versions(cluster: SoakCluster, record: SoakRecord) -> None:
+    """Ask daemons for the version that they serve until cancelled."""
+    timeout = aiohttp.ClientTimeout(total=1)
+    async with aiohttp.ClientSession(timeout=timeout) as session:
+        while True:
+            for process in cluster.deployment.daemons.values():
+                with contextlib.suppress(*ERRORS):
+                    record.seen.append(await _ask_version(session, process))
+            await asyncio.sleep(ASK_INTERVAL_S)
+
+
+async def _ask_version(
+    session: aiohttp.ClientSession, process: ManagedProcess
+) -> VersionSeen:
+    pid = process.popen.pid if process.popen else 0
+    url = f'http://{process.addresses["admin"]}/v1/status'
+    async with session.get(url) as response:
+        status = await response.json()
+    return VersionSeen(process.name, pid, status['version'])
--- a/devtools/upstream.py
+++ b/devtools/upstream.py
@@ -15,6 +15,7 @@
 import signal
 from collections import Counter
 from collections.abc import Sequence
+from pathlib import Path
 
 import msgspec
 from aiohttp import ClientError, ClientSession, ClientTimeout, web
@@ -121,8 +122,19 @@
 class StandInUpstream:
     """Serves calls with slots and a set service time."""
 
-    def __init__(self, service: str, slots: int, seed: int) -> None:
-        """Start with the usual behaviour."""
+    def __init__(
+        self, service: str, slots: int, seed: int, ran_file: Path | None = None
+    ) -> None:
+        """Start with the usual behaviour.
+
+        Args:
+            service: Service that it provides.
+            slots: Calls that it runs at the same time.
+            seed: Seed of its draws.
+            ran_file: File that gets the mark of each execution as it starts,
+                which outlives this process.
+        """
+        self.ran_file = ran_file.open('ab', 0) if ran_file else None
         self.service = service
         self.slots = slots
         self.behaviour = Behaviour()
@@ -212,6 +224,9 @@
             text = request.headers.get(name, '')
             if text:
                 counter[text] += 1
+        if self.ran_file is not None:
+            mark = request.headers.get(MARK, '')
+            self.ran_file.write(f'{mark}\n'.encode())
 
     async def _work(self, request: web.Request) -> None:
         behaviour = self.behaviour
@@ -278,7 +293,9 @@
 
 async def run_upstream(flags: argparse.Namespace) -> None:
     """Serve until SIGTERM."""
-    upstream = StandInUpstream(flags.service, flags.slots, flags.seed)
+    upstream = StandInUpstream(
+        flags.service, flags.slots, flags.seed, flags.ran_file
+    )
     address = SocketAddress().parse(flags.listen)
     runner, own = await start_site(upstream.application(), address)
     daemon = SocketAddress().parse(flags.daemon)
@@ -300,6 +317,7 @@
     parser.add_argument('--daemon', required=True)
     parser.add_argument('--seed', type=int, default=1)
     parser.add_argument('--ready-file', type=FilePath().parse)
+    parser.add_argument('--ran-file', type=FilePath().parse)
     asyncio.run(run_upstream(parser.parse_args(arguments)))
 
 
--- /dev/null
+++ b/tests/steps/soak_steps.py
@@ -0,0 +1,103 @@
+"""Steps for the soak and its oracle."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from behave import given, then, when
+
+from devtools.soak.__main__ import SoakPlan, run_soak
+from devtools.soak.records import (
+    CallRecord,
+    Disturbance,
+    SoakRecord,
+    VersionSeen,
+    find_problems,
+)
+
+CALL = CallRecord('m', 'd', False, 10, 11, 4.5, 'answered')
+READ = replace(CALL, idempotent=True)
+
+
+def _served(*pairs):
+    seen = [VersionSeen('d', process, version) for process, version in pairs]
+    return SoakRecord(seen=seen), 0
+
+
+def _called(call, ran, *disturbances):
+    return SoakRecord(calls=[call], disturbances=list(disturbances)), ran
+
+
+RECORDS = {
+    'a non-idempotent call ran twice': _called(CALL, 2),
+    'a call that was told not run ran once': _called(
+        replace(CALL, outcome='not-run'), 1
+    ),
+    'an answered call ran nowhere': _called(CALL, 0),
+    'a call got the answer of another one': _called(
+        replace(CALL, whole=False), 1
+    ),
+    'a call at a sound entry got no outcome': _called(
+        replace(CALL, outcome=''), 0, Disturbance('e', 9, 12)
+    ),
+    'a call at a sound entry waited for 9 s': _called(
+        replace(CALL, ended=19), 1, Disturbance('d', 1, 10)
+    ),
+    'two contents of one version were accepted': (
+        SoakRecord(accepted={4: {'x', 'y'}}),
+        0,
+    ),
+    'a process served an older version than before': _served((1, 4), (1, 3)),
+    'an idempotent call ran twice': _called(READ, 2),
+    'a call at a killed entry got no outcome': _called(
+        replace(CALL, outcome=''), 1, Disturbance('d', 10.5, 12)
+    ),
+    'a restarted process served an older version': _served((1, 4), (2, 3)),
+    'a call of unknown outcome ran once': _called(
+        replace(CALL, outcome='unknown'), 1
+    ),
+}
+
+
+@when('the soak runs {seconds:d} s with seed {seed:d}')
+def run_short(context, seconds, seed):
+    """Run a small soak with real processes."""
+    plan = SoakPlan(seed, seconds, daemons=2)
+    record, problems = run_soak(plan, context.folder)
+    context.record = record
+    context.problems = problems
+
+
+@then('the soak found no broken promise')
+def check_nothing(context):
+    """Check that nothing was found."""
+    assert not context.problems, context.problems
+
+
+@then(
+    'the soak saw at least {calls:d} calls and {versions:d} accepted versions'
+)
+def check_amount(context, calls, versions):
+    """Check that there was something to find."""
+    seen = (len(context.record.calls), len(context.record.accepted))
+    assert seen[0] >= calls, seen
+    assert seen[1] >= versions, seen
+
+
+@given('a soak record in which {what}')
+def plan_record(context, what):
+    """Take a record made by hand."""
+    record, ran = RECORDS[what]
+    context.problems = find_problems(record, {'m': ran})
+
+
+@then('the soak\'s oracle finds "{problem}"')
+def check_found(context, problem):
+    """Compare what the oracle says."""
+    assert context.problems == [problem], context.problems
+
+
+@then("the soak's oracle finds nothing")
+def check_allowed(context):
+    """Check that the oracle is content."""
+    assert not context.problems, context.problems
