Keep latencies of 0 ms and paces of 0 from being divisors

Cause: a call that took less than the resolution of the loop's clock has a latency of 0 ms; as the first one of a route it became the estimate by which Router._apply_answer divides. From then on each answer ended as 'call failed' and its caller was told 'unknown' (known red, whole_path.feature:33). A reported pace of 0 does the same in PaceView.

Change: a QuantileTracker starts at its minimum, a pace of 0 is no report.

--- a/burdocklead/request/route_costs.py
+++ b/burdocklead/request/route_costs.py
@@ -36,6 +36,10 @@
     last_step: float = LAST_STEP
     samples: int = 0
 
+    def __post_init__(self) -> None:
+        """Raise the first estimate above 0, since estimates are divisors."""
+        self.estimate = max(self.estimate, MIN_ESTIMATE_MS)
+
     def observe(self, sample: float) -> None:
         """Move the estimate one step towards a sample."""
         step = max(
--- a/burdocklead/request/upstream_load.py
+++ b/burdocklead/request/upstream_load.py
@@ -67,28 +67,22 @@
     slow_pace: float = USUAL_PACE
 
     def observe(self, load: UpstreamLoad, now: float) -> None:
-        """Record a report."""
-        if load.pace is None:
+        """Record a report; a pace that is not positive is ignored."""
+        pace = load.pace or 0
+        if pace <= 0:
             return
         self.is_reported = True
         self.reported_at = now
-        self.pace = load.pace
-        if load.pace <= self.best or now - self.best_at > BEST_WINDOW_S:
-            self.best = load.pace
+        self.pace = pace
+        if pace <= self.best or now - self.best_at > BEST_WINDOW_S:
+            self.best = pace
             self.best_at = now
-        self.slow_share += (self.is_slow() - self.slow_share) * REPORT_WEIGHT
-        if self.is_slow():
-            known = self.slow_pace > USUAL_PACE
-            weight = SLOW_PERIOD_WEIGHT if known else 1
-            self.slow_pace += (load.pace - self.slow_pace) * weight
-        if self.is_slow() and self.slow_since is None:
-            self.slow_since = now
-        elif not self.is_slow() and self.slow_since is not None:
-            slow_period_s = now - self.slow_since
-            self.mean_slow_period_s += (
-                slow_period_s - self.mean_slow_period_s
-            ) * SLOW_PERIOD_WEIGHT
-            self.slow_since = None
+        slow = self.is_slow()
+        self.slow_share += (slow - self.slow_share) * REPORT_WEIGHT
+        if slow:
+            self._observe_slow(now)
+        elif self.slow_since is not None:
+            self._end_slow_period(now - self.slow_since)
 
     def age_s(self, now: float) -> float:
         """Return the age of the last report in s."""
@@ -140,3 +134,16 @@
             return False
         lost_ms = cost_ms * (self.pace / self.best - 1)
         return lost_ms > self.mean_slow_period_s * REMAINING_SHARE * MS_PER_S
+
+    def _observe_slow(self, now: float) -> None:
+        known = self.slow_pace > USUAL_PACE
+        weight = SLOW_PERIOD_WEIGHT if known else 1
+        self.slow_pace += (self.pace - self.slow_pace) * weight
+        if self.slow_since is None:
+            self.slow_since = now
+
+    def _end_slow_period(self, length_s: float) -> None:
+        self.mean_slow_period_s += (
+            length_s - self.mean_slow_period_s
+        ) * SLOW_PERIOD_WEIGHT
+        self.slow_since = None
--- a/tests/request/pace.feature
+++ b/tests/request/pace.feature
@@ -50,3 +50,8 @@
       | factor | limit |
       | 1      | 18    |
       | 1.7    | 14    |
+
+  Scenario: A pace of 0 is no report
+    Given an upstream whose pace changed 0.1 s ago from 1 to 0
+    Then a call of 100 ms should wait for a better pace: no
+    And a call of 100 ms is expected to take 100 ms
--- a/tests/request/routing.feature
+++ b/tests/request/routing.feature
@@ -45,3 +45,7 @@
   Scenario: An upstream with overdue answers is avoided before attempts are lost
     When a router waits for 5 answers of 5 ms of one of 2 upstreams for 100 ms
     Then it chooses the other one 200 times
+
+  Scenario: Calls that took no measurable time
+    When a router records answers after 0 ms, 0 ms and 5 ms
+    Then their upstream is scored by a finite latency
--- a/tests/steps/pace_steps.py
+++ b/tests/steps/pace_steps.py
@@ -50,6 +50,12 @@
     assert waits is (expected == 'yes'), context.pace
 
 
+@then('a call of {cost:d} ms is expected to take {expected:d} ms')
+def check_expected(context, cost, expected):
+    """Check the expected time of a call."""
+    assert context.pace.expected_ms(cost, context.now) == expected, context.pace
+
+
 @given('an admission queue of {slots:d} slots at pace {pace:g}')
 def plan_queue(context, slots, pace):
     """Make a queue whose upstream had its usual pace until now."""
--- a/tests/steps/routing_steps.py
+++ b/tests/steps/routing_steps.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
+import math
 import random
 
 from behave import given, then, when
 
-from burdocklead.connection.frames import Refusal
+from burdocklead.connection.frames import Answer, Refusal
 from burdocklead.request.attempt_runner import NO_LOAD
 from burdocklead.request.routing import Router
 from burdocklead.values import RefusalCause
@@ -199,3 +200,24 @@
         for _ in range(100)
     ]
     assert zones.count(context.router.zone) >= count, zones
+
+
+@when('a router records answers after {one:g} ms, {two:g} ms and {three:g} ms')
+def record_answers(context, one, two, three):
+    """Record answers of one upstream."""
+    context.router = Router('a', random.Random(1))
+    for number, elapsed_ms in enumerate((one, two, three)):
+        answer = Answer('d.1.1', 200, (), b'', NO_LOAD)
+        context.router.start_attempt('u0', ROUTE, number)
+        context.router.finish_attempt('u0', ROUTE)
+        context.router.observe_result(
+            'u0', ROUTE, answer, elapsed_ms / 1000, number
+        )
+
+
+@then('their upstream is scored by a finite latency')
+def check_finite_score(context):
+    """Check the expected latency of the upstream."""
+    median_ms = context.router.median_latency_ms(ROUTE)
+    score = context.router.score(member(0), median_ms, 3)
+    assert 0 < score < math.inf, score
