Bound what an upstream or a caller may send, and believe fewer answers

A refusal with the ID of the request was believed although the upstream may have written an earlier one once more; an answer without an ID was taken on a used connection. The daemon of the product used another client, which took every answer. Trailers were read as headers, in answers and in requests. The server of callers neither bounded chunk extensions, empty lines, slow bodies and connections nor responses that nobody reads. One unexpected error in a control request ended one of the tasks that serve all others.

Change: AnswerReader counts all bytes, header lines, interim and foreign answers of an exchange and the pace of its head and body; checked settings hold the bounds. A request that was refused is sent again only on a new connection. An answer without an ID is taken as the first one of a connection, which then closes. Upstreams of the product echo Burdocklead-Attempt-Id; both daemons use PooledUpstreamClient, and AiohttpUpstreamClient goes. RequestReader counts the bytes outside of headers and body and the pace of a body, HttpServer bounds its connections, and BufferedConnection stops reading from a client that reads nothing and closes it after the idle timeout.

--- a/burdocklead/connection/control_server.py
+++ b/burdocklead/connection/control_server.py
@@ -28,6 +28,7 @@
     ControlError,
     QuorumError,
 )
+from burdocklead.log_events import CONTROL_FAILED
 from burdocklead.metrics import CONTROL_BAD, CONTROL_UNPROVED, MetricSet
 from burdocklead.values import Address
 
@@ -110,3 +111,9 @@
             return Failure(
                 error.step, error.reason, isinstance(error, QuorumError)
             )
+        except Exception as error:
+            # One request must not end a task that serves all later ones.
+            CONTROL_FAILED.write(
+                operation=type(message).__name__, exc_info=True
+            )
+            return Failure('handle', type(error).__name__)
--- a/burdocklead/connection/http_server.py
+++ b/burdocklead/connection/http_server.py
@@ -10,8 +10,9 @@
 from collections import deque
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
-from typing import cast
+from operator import attrgetter
 
+from burdocklead.connection.buffered_connection import BufferedConnection
 from burdocklead.connection.http_messages import (
     HttpRequest,
     HttpResponse,
@@ -52,23 +53,22 @@
         return self.last or bool(self.response and self.response.close)
 
 
-class HttpConnection(asyncio.Protocol):
+class HttpConnection(BufferedConnection):
     """One connection of a client.
 
     Attributes:
         server: The server that accepted it.
         reader: Parses the requests that the client sends.
         exchanges: Requests whose responses are not written, oldest first.
-        last_activity: Loop time in seconds of the last byte in either
-            direction.
+        last_activity: Loop time in seconds of the last byte of a request or
+            of a response.
         stopped: True if no more requests are read.
     """
 
     def __init__(self, server: HttpServer) -> None:
         """Initialize a connection that is not open yet."""
+        super().__init__()
         self.server = server
-        self.loop = asyncio.get_running_loop()
-        self.transport: asyncio.Transport | None = None
         self.reader = RequestReader(self, lambda: server.limits)
         self.exchanges: deque[Exchange] = deque()
         self.last_activity = self.loop.time()
@@ -76,8 +76,8 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and register the connection."""
-        self.transport = cast(asyncio.Transport, transport)
-        self.server.connections.add(self)
+        super().connection_made(transport)
+        self.server.add_connection(self)
 
     def connection_lost(self, error: Exception | None) -> None:
         """Cancel the pending requests."""
@@ -87,9 +87,10 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes."""
-        self.last_activity = self.loop.time()
         if not self.stopped:
             self.reader.feed(data)
+        if self.is_working():
+            self.last_activity = self.loop.time()
 
     def handle_request(self, request: HttpRequest, *, last: bool) -> None:
         """Start the handler of a complete request."""
@@ -121,8 +122,14 @@
         """Apply the timeouts for headers, bodies and idle connections."""
         idle_s = now - self.last_activity
         self.reader.check_timeout(now, idle_s)
-        if idle_s > self.server.limits.idle_timeout_s:
+        idle_timeout_s = self.server.limits.idle_timeout_s
+        if idle_s > idle_timeout_s:
             self.close_if_idle()
+        self.abort_if_stalled(now, idle_timeout_s)
+
+    def may_read(self) -> bool:
+        """Return True unless too many requests are pending."""
+        return len(self.exchanges) < MAX_PIPELINED
 
     def is_working(self) -> bool:
         """Return True while a request is being read or is pending."""
@@ -133,11 +140,6 @@
         if not self.is_working() and not self.stopped:
             self.close()
 
-    def close(self) -> None:
-        """Close the connection after flushing buffered data."""
-        if self.transport is not None:
-            self.transport.close()
-
     async def _run(self, request: HttpRequest, exchange: Exchange) -> None:
         try:
             response = await self.server.handler(request)
@@ -161,8 +163,7 @@
                 self._cancel_pending()
                 self._lingering_close()
                 return
-        if self.transport and len(self.exchanges) < MAX_PIPELINED:
-            self.transport.resume_reading()
+        self.resume_reading()
 
     def _write(self, exchange: Exchange, *, closes: bool) -> None:
         if self.transport is None or exchange.response is None:
@@ -203,6 +204,8 @@
         connections: Open connections.
         draining: True if connections close after their last response.
         bad_requests: Number of requests that could not be read.
+        shed_connections: Number of connections closed because too many were
+            open.
     """
 
     def __init__(self, handler: RequestHandler) -> None:
@@ -212,6 +215,7 @@
         self.connections: set[HttpConnection] = set()
         self.draining = False
         self.bad_requests = 0
+        self.shed_connections = 0
         self.listener: asyncio.Server | None = None
         self.sweeper: asyncio.Task[None] | None = None
 
@@ -229,6 +233,21 @@
         port = self.listener.sockets[0].getsockname()[1]
         return Address(address.host, port)
 
+    def add_connection(self, connection: HttpConnection) -> None:
+        """Register a connection; close the longest idle one above the limit.
+
+        The new connection is closed if no other one is idle.
+        """
+        self.connections.add(connection)
+        if len(self.connections) <= self.limits.max_connections:
+            return
+        idle = (one for one in self.connections if not one.is_working())
+        self.shed_connections += 1
+        longest_idle = min(
+            idle, key=attrgetter('last_activity'), default=connection
+        )
+        longest_idle.abort()
+
     def start_draining(self) -> None:
         """Make each connection close once its requests are answered."""
         self.draining = True
--- a/burdocklead/connection/request_reader.py
+++ b/burdocklead/connection/request_reader.py
@@ -16,6 +16,9 @@
 )
 
 SEPARATOR_BYTES = 4  # Colon, space and CRLF of a header.
+# A chunk of one byte takes five bytes of framing.
+FRAMING_BYTES_PER_BODY_BYTE = 8
+REQUEST_LINE_BYTES = 1024  # Method, version and line ends.
 BAD_REQUEST = HttpResponse(400, close=True)
 HEADER_TIMEOUT = HttpResponse(408, close=True)
 BODY_TOO_LARGE = HttpResponse(413, close=True)
@@ -33,12 +36,18 @@
             between received parts of a body.
         idle_timeout_s: Time in seconds after which an idle connection is
             closed.
+        max_connections: Maximum number of open connections.
+        body_grace_s: Time in seconds for a body of any size.
+        min_body_rate: Mean bytes/s of a body that takes longer.
     """
 
     max_header_bytes: int = 65536
     max_body_bytes: int = 67108864
     header_timeout_s: float = 5
     idle_timeout_s: float = 60
+    max_connections: int = 10000
+    body_grace_s: float = 30
+    min_body_rate: float = 1000
 
 
 class RequestSink(Protocol):
@@ -56,14 +65,19 @@
 
 @dataclass(slots=True)
 class PartialRequest:
-    """A request that is being received."""
+    """A request that is being received.
+
+    Attributes:
+        started: Loop time in s of its first byte.
+        body_started: Loop time in s at which its headers were complete.
+    """
 
     started: float
+    body_started: float = 0
     target: bytearray = field(default_factory=bytearray)
     headers: list[tuple[str, str]] = field(default_factory=list)
     body: list[bytes] = field(default_factory=list)
     header_bytes: int = 0
-    unparsed_bytes: int = 0
     body_bytes: int = 0
 
 
@@ -76,6 +90,7 @@
         partial: The request that is being read, None between requests.
         in_headers: True until the headers of that request are complete.
         completed: Number of complete requests.
+        unfinished_bytes: Bytes received since the last complete request.
         parse_error: Error of the parser, empty if there was none.
     """
 
@@ -90,6 +105,7 @@
         self.partial: PartialRequest | None = None
         self.in_headers = True
         self.completed = 0
+        self.unfinished_bytes = 0
         self.parse_error = ''
 
     def feed(self, data: bytes) -> None:
@@ -104,10 +120,13 @@
             self.parse_error = str(error)
             self.sink.refuse(BAD_REQUEST)
         if self.completed == completed:
-            self._count_unparsed(len(data))
+            self.unfinished_bytes += len(data)
+            self._limit_overhead()
+        else:
+            self.unfinished_bytes = 0
 
     def check_timeout(self, now: float, idle_s: float) -> None:
-        """Reject a request that exceeds the header timeout.
+        """Reject a request that arrives too slowly.
 
         Args:
             now: Loop time in seconds.
@@ -116,7 +135,8 @@
         if self.partial is None:
             return
         waited_s = now - self.partial.started if self.in_headers else idle_s
-        if waited_s > self.limits().header_timeout_s:
+        too_slow = not self.in_headers and self._is_body_slow(now)
+        if too_slow or waited_s > self.limits().header_timeout_s:
             self.sink.refuse(HEADER_TIMEOUT)
 
     def on_message_begin(self) -> None:
@@ -131,17 +151,20 @@
             self._count_header_bytes(len(url))
 
     def on_header(self, name: bytes, text: bytes) -> None:
-        """Add a header to the request."""
-        if self.partial is not None:
+        """Add a header to the request; trailers are counted and dropped."""
+        if self.partial is None:
+            return
+        self._count_header_bytes(len(name) + len(text) + SEPARATOR_BYTES)
+        if self.in_headers:
             pair = (name.decode(ENCODING), text.decode(ENCODING).strip())
             self.partial.headers.append(pair)
-            self._count_header_bytes(len(name) + len(text) + SEPARATOR_BYTES)
 
     def on_headers_complete(self) -> None:
         """Handle the Expect and Content-Length headers."""
         self.in_headers = False
         if self.partial is None:
             return
+        self.partial.body_started = self.loop.time()
         for name, text in self.partial.headers:
             lower_name = name.lower()
             if lower_name == 'expect':
@@ -181,13 +204,31 @@
         if self.partial.header_bytes > self.limits().max_header_bytes:
             self.sink.refuse(HEADERS_TOO_LARGE)
 
-    def _count_unparsed(self, count: int) -> None:
-        """Count the bytes of headers that the parser buffers until they end."""
-        if self.partial is None or not self.in_headers:
+    def _limit_overhead(self) -> None:
+        """Limit the bytes of a request that its headers and body don't count.
+
+        The parser reports neither an unfinished header nor the extension of a
+        chunk nor empty lines between requests.
+        """
+        max_header_bytes = self.limits().max_header_bytes
+        if self.partial is not None and self.in_headers:
+            if self.unfinished_bytes > max_header_bytes:
+                self.sink.refuse(HEADERS_TOO_LARGE)
             return
-        self.partial.unparsed_bytes += count
-        if self.partial.unparsed_bytes > self.limits().max_header_bytes:
-            self.sink.refuse(HEADERS_TOO_LARGE)
+        body_bytes = self.partial.body_bytes if self.partial else 0
+        framing_bytes = body_bytes * FRAMING_BYTES_PER_BODY_BYTE
+        allowed_bytes = max_header_bytes + REQUEST_LINE_BYTES + framing_bytes
+        if self.unfinished_bytes - body_bytes > allowed_bytes:
+            self.parse_error = 'too many bytes outside of the body'
+            self.sink.refuse(BAD_REQUEST)
+
+    def _is_body_slow(self, now: float) -> bool:
+        if self.partial is None:
+            return False
+        limits = self.limits()
+        body_s = self.partial.body_bytes / limits.min_body_rate
+        allowed_s = limits.body_grace_s + body_s
+        return now - self.partial.body_started > allowed_s
 
     def _check_body_size(self, size: int) -> None:
         if size > self.limits().max_body_bytes:
--- a/burdocklead/log_events.py
+++ b/burdocklead/log_events.py
@@ -152,6 +152,13 @@
     'an unexpected error ends an attempt',
     'attempt',
 )
+CONTROL_FAILED = _declare(
+    'control request failed',
+    'control',
+    Level.error,
+    'an unexpected error ends a request to a replica',
+    'operation',
+)
 RESULT_NOT_SENT = _declare(
     'result not sent',
     'link',
--- a/burdocklead/process/daemon_process.py
+++ b/burdocklead/process/daemon_process.py
@@ -24,9 +24,13 @@
 from burdocklead.process.local_member import LocalMember
 from burdocklead.process.prober import Prober
 from burdocklead.process.supervision import Supervisor, watch_process
-from burdocklead.request.aiohttp_upstream import AiohttpUpstreamClient
+from burdocklead.request.dialect import BurdockleadDialect
 from burdocklead.request.keyed_call import KeyedCalls
 from burdocklead.request.measuring import MeasuringBudget, ProbePlanner
+from burdocklead.request.pooled_upstream import (
+    PooledUpstreamClient,
+    answer_limits,
+)
 from burdocklead.settings import DaemonSettings
 from burdocklead.values import Address, Member
 
@@ -83,8 +87,8 @@
             self.components.metrics,
         )
         lifecycle.watch_signals()
-        self.components.executor.client = AiohttpUpstreamClient(
-            self.components.settings.max_answer_bytes
+        self.components.executor.client = PooledUpstreamClient(
+            BurdockleadDialect(), answer_limits(self.components.settings)
         )
         servers = await self._start_servers(caller_handler)
         supervisor = watch_process(self.components.metrics, lifecycle)
--- a/burdocklead/process/host_routing_daemon.py
+++ b/burdocklead/process/host_routing_daemon.py
@@ -21,7 +21,10 @@
 from burdocklead.process.metrics_http import MetricsSource, start_metrics_server
 from burdocklead.process.supervision import Supervisor, watch_process
 from burdocklead.process.upstream_health import UpstreamHealth
-from burdocklead.request.pooled_upstream import PooledUpstreamClient
+from burdocklead.request.pooled_upstream import (
+    PooledUpstreamClient,
+    answer_limits,
+)
 from burdocklead.request.shared_budget import SharedRetryBudget
 from burdocklead.values import Address, Member
 from burdocklead.version.deployment import CallerLimits
@@ -69,7 +72,7 @@
         """Listen on all addresses."""
         settings = self.options.settings
         client = PooledUpstreamClient(
-            self.options.upstream_dialect, settings.max_answer_bytes
+            self.options.upstream_dialect, answer_limits(settings)
         )
         UpstreamHealth(self.components, client).start()
         self.components.dispatcher.shared_budget = SharedRetryBudget(
--- a/burdocklead/process/upstream_health.py
+++ b/burdocklead/process/upstream_health.py
@@ -5,7 +5,7 @@
 import asyncio
 from dataclasses import dataclass
 
-from burdocklead.connection.http_client import RawAnswer
+from burdocklead.connection.answer_reader import RawAnswer
 from burdocklead.process.daemon_components import DaemonComponents
 from burdocklead.request.admission import paced_admission_for
 from burdocklead.request.pace_guard import PaceGuard
--- a/burdocklead/request/dialect.py
+++ b/burdocklead/request/dialect.py
@@ -7,13 +7,17 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol
 
+from burdocklead.connection.answer_reader import RawAnswer
 from burdocklead.connection.frames import Attempt, Headers
-from burdocklead.connection.http_client import RawAnswer
-from burdocklead.connection.http_messages import HttpRequest, HttpResponse
+from burdocklead.connection.http_messages import (
+    NO_BODY_STATUSES,
+    HttpRequest,
+    HttpResponse,
+    find_header,
+)
 from burdocklead.request.call import CallResult, explanation
 from burdocklead.request.caller_input import read_deadline
 from burdocklead.request.headers import (
@@ -22,6 +26,7 @@
     CALL_HEADER,
     CAUSE_HEADER,
     DEADLINE_HEADER,
+    LENGTH_HEADER,
     NOT_RUN_HEADER,
     OUTCOME_HEADER,
     forwarded_headers,
@@ -37,6 +42,7 @@
 
 JSON_TYPE = ('Content-Type', 'application/json')
 RETRY_AFTER_HEADER = 'Retry-After'
+HOST_HEADER = 'Host'
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,8 +82,11 @@
     ) -> Headers:
         """Return the headers of an attempt."""
 
-    def answer_check(self, attempt: Attempt) -> Callable[[Headers], bool]:
-        """Return a predicate that tells if an answer is for the attempt."""
+    def answer_id(self, attempt: Attempt) -> str:
+        """Return the ID that an answer to the attempt echoes."""
+
+    def read_answer_id(self, headers: Headers) -> str | None:
+        """Return the ID that an answer echoes, None if it has none."""
 
     def read_answer(
         self, attempt: Attempt, answer: RawAnswer
@@ -124,31 +133,41 @@
         self, upstream: Upstream, attempt: Attempt, remaining_ms: float
     ) -> Headers:
         """Return the headers of an attempt."""
+        has_host = find_header(attempt.headers, HOST_HEADER) is not None
+        host = () if has_host else ((HOST_HEADER, str(upstream.address)),)
         return (
+            *host,
             *attempt.headers,
             (DEADLINE_HEADER, f'{remaining_ms:.0f}'),
             (ATTEMPT_HEADER, attempt.attempt_id),
             (ATTEMPT_NUMBER_HEADER, str(attempt.number)),
         )
 
-    def answer_check(self, attempt: Attempt) -> Callable[[Headers], bool]:
-        """Return a predicate that accepts every answer with headers."""
-        return bool
+    def answer_id(self, attempt: Attempt) -> str:
+        """Return the ID of the attempt."""
+        return attempt.attempt_id
+
+    def read_answer_id(self, headers: Headers) -> str | None:
+        """Return the attempt ID that an answer echoes."""
+        return find_header(headers, ATTEMPT_HEADER)
 
     def read_answer(
         self, attempt: Attempt, answer: RawAnswer
     ) -> UpstreamResult:
         """Return the result of the attempt that got an answer."""
-        if any(name == NOT_RUN_HEADER for name, _ in answer.headers):
+        if find_header(answer.headers, NOT_RUN_HEADER) is not None:
             return UpstreamRefused(RefusalCause.upstream_refused)
-        return UpstreamAnswer(
-            answer.status, forwarded_headers(answer.headers), answer.body
-        )
+        headers = forwarded_headers(answer.headers)
+        length = find_header(answer.headers, LENGTH_HEADER)
+        bodiless = attempt.method == 'HEAD' or answer.status in NO_BODY_STATUSES
+        if bodiless and length is not None:
+            headers = (*headers, (LENGTH_HEADER, length))
+        return UpstreamAnswer(answer.status, headers, answer.body)
 
     def read_load(self, headers: Headers) -> UpstreamLoad | None:
         """Return None; no ``Burdocklead-*`` header reports a load."""
 
 
 def _with_host(request: HttpRequest, headers: Headers) -> Headers:
-    host = request.find('Host')
-    return headers if host is None else (('Host', host), *headers)
+    host = request.find(HOST_HEADER)
+    return headers if host is None else ((HOST_HEADER, host), *headers)
--- a/burdocklead/request/pooled_upstream.py
+++ b/burdocklead/request/pooled_upstream.py
@@ -4,30 +4,53 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 
+from burdocklead.connection.answer_reader import (
+    AnswerLimits,
+    RawAnswer,
+    UpstreamRequest,
+)
+from burdocklead.connection.connection_pool import ConnectionPool
 from burdocklead.connection.frames import Attempt
 from burdocklead.connection.http_client import (
     ConnectionBroken,
-    ConnectionPool,
     NotConnected,
-    RawAnswer,
+    OversizedAnswer,
 )
 from burdocklead.connection.http_messages import encode_request
 from burdocklead.request.dialect import UpstreamDialect
 from burdocklead.request.upstream_client import (
+    AnswerTooLarge,
     Upstream,
     UpstreamLost,
     UpstreamRefused,
     UpstreamResult,
 )
 from burdocklead.request.upstream_load import PaceView
+from burdocklead.settings import DaemonSettings
 from burdocklead.values import RefusalCause
 
+MAX_HEALTH_ANSWER_BYTES = 65536
+
 
 async def _assume_dead() -> bool:
     return False
 
 
+def answer_limits(settings: DaemonSettings) -> AnswerLimits:
+    """Return the limits on the answers of the upstream."""
+    return AnswerLimits(
+        max_body_bytes=settings.max_answer_bytes,
+        max_head_bytes=settings.max_answer_head_bytes,
+        max_header_lines=settings.max_answer_header_lines,
+        max_skipped=settings.max_skipped_answers,
+        head_timeout_s=settings.answer_head_timeout,
+        min_body_rate=settings.min_answer_rate,
+        max_idle_s=settings.upstream_keep_alive,
+    )
+
+
 class PooledUpstreamClient:
     """Sends attempts to an upstream in its header dialect.
 
@@ -40,11 +63,13 @@
             every connection that closes without an answer counts as a crash.
     """
 
-    def __init__(self, dialect: UpstreamDialect, max_answer_bytes: int) -> None:
+    def __init__(self, dialect: UpstreamDialect, limits: AnswerLimits) -> None:
         """Initialize the client without connections."""
         self.dialect = dialect
-        self.pool = ConnectionPool(max_answer_bytes)
-        self.health_pool = ConnectionPool(max_answer_bytes)
+        self.pool = ConnectionPool(limits)
+        self.health_pool = ConnectionPool(
+            replace(limits, max_body_bytes=MAX_HEALTH_ANSWER_BYTES)
+        )
         self.pace = PaceView()
         self.is_alive: Callable[[], Awaitable[bool]] = _assume_dead
 
@@ -66,16 +91,19 @@
             self.dialect.request_headers(upstream, attempt, remaining_ms),
             attempt.body,
         )
+        answer_id = self.dialect.answer_id(attempt)
         result = await self.pool.exchange(
             upstream.address,
-            attempt.method,
-            content,
-            self.dialect.answer_check(attempt),
+            UpstreamRequest(
+                attempt.method, content, answer_id, self.dialect.read_answer_id
+            ),
         )
         match result:
             case RawAnswer():
                 self.observe_load(result)
-                return self.dialect.read_answer(attempt, result)
+                return self._read_answer(attempt, result)
+            case OversizedAnswer(status):
+                return AnswerTooLarge(status)
             case NotConnected():
                 return UpstreamRefused(RefusalCause.upstream_unreachable)
             case ConnectionBroken(reason, answered, _):
@@ -89,9 +117,7 @@
         host = (('Host', str(upstream.address)),)
         result = await self.health_pool.exchange(
             upstream.address,
-            'GET',
-            encode_request('GET', path, host, b''),
-            bool,
+            UpstreamRequest('GET', encode_request('GET', path, host, b'')),
         )
         if not isinstance(result, RawAnswer):
             return None
@@ -103,3 +129,11 @@
         load = self.dialect.read_load(answer.headers)
         if load is not None:
             self.pace.observe(load, asyncio.get_running_loop().time())
+
+    def _read_answer(
+        self, attempt: Attempt, answer: RawAnswer
+    ) -> UpstreamResult:
+        result = self.dialect.read_answer(attempt, answer)
+        if isinstance(result, UpstreamRefused):
+            self.pool.record_refusal(self.dialect.answer_id(attempt))
+        return result
--- a/burdocklead/settings.py
+++ b/burdocklead/settings.py
@@ -83,6 +83,40 @@
         '16777216',
         'largest body of an answer in bytes',
     )
+    max_answer_head_bytes: int = option(
+        Number(256, MEBIBYTE, whole=True),
+        '65536',
+        'most bytes that an upstream may send for one request outside of '
+        'bodies: status lines, headers and trailers',
+    )
+    max_answer_header_lines: int = option(
+        Number(1, 10000, whole=True),
+        '256',
+        'most header and trailer lines that an upstream may send for one '
+        'request',
+    )
+    max_skipped_answers: int = option(
+        Number(0, 1000, whole=True),
+        '16',
+        'most interim responses and answers to other requests that an '
+        'upstream may send before its answer',
+    )
+    answer_head_timeout: float = option(
+        Number(0.1, 600),
+        '5',
+        'time in s from the first byte of the head of an answer to its end',
+    )
+    min_answer_rate: float = option(
+        Number(1, 1000000000),
+        '1000',
+        'lowest mean rate of the body of an answer in bytes/s, after 30 s',
+    )
+    upstream_keep_alive: float = option(
+        Number(0, 3600),
+        '4',
+        'time in s for which an idle connection to the upstream is kept; the '
+        'upstream may state a shorter one',
+    )
     max_pending_attempts: int = option(
         Number(1, 1000000, whole=True),
         '10000',
--- a/devtools/upstream.py
+++ b/devtools/upstream.py
@@ -196,7 +196,9 @@
         """Serve one call."""
         if self.rng.random() < self.behaviour.shed_share:
             self.shed += 1
-            return web.Response(status=503, headers={NOT_RUN_HEADER: 'true'})
+            return web.Response(
+                status=503, headers={NOT_RUN_HEADER: 'true', **_echo(request)}
+            )
         body = await request.read()
         self._count_execution(request)
         if CRASH_HEADER in request.headers:
@@ -255,12 +257,13 @@
     def _make_response(self, request: web.Request, body: bytes) -> web.Response:
         scripted = request.headers.get(SCRIPTED_ANSWER_HEADER)
         if scripted is not None:
-            return _scripted_response(scripted)
+            return _scripted_response(scripted, _echo(request))
         mark = request.headers.get(MARK_HEADER, '')
         padding = 'x' * max(self.behaviour.answer_bytes - len(mark), 0)
         return web.Response(
             text=f'{mark}\n{padding}',
             headers={
+                **_echo(request),
                 MARK_HEADER: mark,
                 'Received-Bytes': str(len(body)),
                 'Received-Headers': ','.join(request.headers).lower(),
@@ -268,10 +271,17 @@
         )
 
 
-def _scripted_response(text: str) -> web.Response:
+def _echo(request: web.Request) -> dict[str, str]:
+    """Return the header that tells to which attempt an answer belongs."""
+    attempt_id = request.headers.get(ATTEMPT_HEADER)
+    return {} if attempt_id is None else {ATTEMPT_HEADER: attempt_id}
+
+
+def _scripted_response(text: str, echo: dict[str, str]) -> web.Response:
     scripted = msgspec.json.decode(text, type=ScriptedAnswer)
     response = web.Response(status=scripted.status, body=scripted.body.encode())
     response.headers.popall('Content-Type', None)
+    response.headers.update(echo)
     for name, header in scripted.headers:
         response.headers.add(name, header)
     return response
--- a/tests/connection/http_client.feature
+++ b/tests/connection/http_client.feature
@@ -19,6 +19,9 @@
       | truncated answers                         | broken   | broken   | 2           |
       | invalid HTTP                              | broken   | broken   | 2           |
       | interim responses before the answers      | answer 1 | answer 2 | 1           |
+      | answers without an ID                     | answer 1 | answer 2 | 2           |
+      | a second answer without an ID             | answer 1 | broken   | 1           |
+      | a trailer with another ID                 | answer 1 | answer 2 | 1           |
 
   Scenario: A request to an upstream that does not listen is not sent
     Given an upstream that does not listen
--- a/tests/connection/http_server.feature
+++ b/tests/connection/http_server.feature
@@ -25,6 +25,38 @@
       | a body of 500 bytes       | 413    |
       | data that is not HTTP     | 400    |
       | two Content-Length values | 400    |
+      | 9000 bytes of a chunk extension | 400 |
+      | 9000 bytes of trailers    | 431    |
+      | 9000 bytes of empty lines | 400    |
+
+  Scenario: A body that arrives a byte at a time is rejected in time
+    Given an HTTP server with limits of 1000 header bytes, 100 body bytes and 300 ms for headers
+    And bodies have 500 ms and 1000 bytes/s
+    When a client sends a body of 50 bytes with a byte every 100 ms
+    Then the client is answered 408 and the connection is closed
+    And no handler ran
+
+  Scenario: Trailers are not headers of the request
+    Given an HTTP server whose handler takes as many ms as the path says
+    When a client sends "/1" in chunks with the trailer "Authorization: yes"
+    Then the handler of "/1" got no header "Authorization"
+
+  Scenario: Connections that trickle a head are closed while others are served
+    Given an HTTP server with limits of 1000 header bytes, 100 body bytes and 1000 ms for headers
+    When 400 connections trickle a head with a byte every 50 ms
+    Then all of them are closed within 2 s
+    And a request meanwhile was answered
+
+  Scenario: The longest idle connection makes room for a new one
+    Given an HTTP server that keeps at most 3 connections
+    When a client opens 5 connections one after the other
+    Then only the last 3 of them are open
+
+  Scenario: A client that reads no responses is not buffered for without end
+    Given an HTTP server whose responses have 1 MB and that waits 300 ms for idle clients
+    When a client sends 500 requests and reads nothing for 2 s
+    Then fewer than 100 of them were handled
+    And the connection was aborted
 
   Scenario: A draining server closes a connection after its last response
     Given an HTTP server whose handler takes as many ms as the path says
--- a/tests/steps/crash_suspect_steps.py
+++ b/tests/steps/crash_suspect_steps.py
@@ -7,6 +7,7 @@
 from behave import given, then, when
 
 from burdocklead.clock import HybridClock
+from burdocklead.connection.answer_reader import AnswerLimits
 from burdocklead.connection.frames import Attempt, Lost, Refusal
 from burdocklead.connection.http_client import ConnectionBroken
 from burdocklead.events import EventRing
@@ -26,7 +27,7 @@
 class ClosingPool:
     """Pool whose connections close without an answer."""
 
-    async def exchange(self, address, method, content, matches_request):
+    async def exchange(self, address, request):
         """Return a closed connection."""
         return ConnectionBroken(
             'closed by the upstream', answered=False, reused=True
@@ -43,7 +44,7 @@
     )
     telemetry = AttemptTelemetry(EventRing('d', HybridClock()), MetricSet())
     context.executor = AttemptExecutor(settings, 1, telemetry)
-    client = PooledUpstreamClient(BurdockleadDialect(), 1000)
+    client = PooledUpstreamClient(BurdockleadDialect(), AnswerLimits())
     client.pool = ClosingPool()
     context.executor.client = client
     context.executor.upstream = Upstream(Address('127.0.0.1', 1))
--- a/tests/steps/http_client_steps.py
+++ b/tests/steps/http_client_steps.py
@@ -8,12 +8,13 @@
 
 from behave import given, then, when
 
-from burdocklead.connection.http_client import (
-    ConnectionBroken,
-    ConnectionPool,
-    NotConnected,
+from burdocklead.connection.answer_reader import (
+    AnswerLimits,
     RawAnswer,
+    UpstreamRequest,
 )
+from burdocklead.connection.connection_pool import ConnectionPool
+from burdocklead.connection.http_client import ConnectionBroken, NotConnected
 from burdocklead.connection.http_messages import encode_request, find_header
 from burdocklead.values import Address
 
@@ -28,10 +29,22 @@
     )
 
 
+def _chunked(number, trailers):
+    body = f'answer {number}'
+    return (
+        f'HTTP/1.1 200 OK\r\nId: {number}\r\nTransfer-Encoding: chunked'
+        f'\r\n\r\n{len(body):x}\r\n{body}\r\n0\r\n{trailers}\r\n'
+    )
+
+
 def _without_length(number):
     return f'HTTP/1.1 200 OK\r\nId: {number}\r\n\r\nanswer {number}'
 
 
+def _read_id(headers):
+    return find_header(headers, 'Id')
+
+
 class ScriptedUpstream:
     """Upstream that answers requests according to a script."""
 
@@ -67,6 +80,12 @@
                 text += _answer(99)
             case 'a late answer before the second one' if number == 2:
                 text = _answer(1) + text
+            case 'answers without an ID':
+                text = text.replace(f'Id: {number}\r\n', '')
+            case 'a second answer without an ID' if number == 2:
+                text = text.replace(f'Id: {number}\r\n', '')
+            case 'a trailer with another ID':
+                text = _chunked(number, 'Id: 99\r\n')
             case 'answers without a length and closes':
                 text, closes = _without_length(number), True
             case 'answers without a length and resets':
@@ -105,21 +124,12 @@
             context.scripted_upstream.serve, '127.0.0.1', 0
         )
         port = server.sockets[0].getsockname()[1]
-    pool = ConnectionPool(max_body_bytes=100000)
+    pool = ConnectionPool(AnswerLimits(max_body_bytes=100000))
     results = []
     for number in (1, 2):
         content = encode_request('GET', '/', (('Host', 'a'),), b'')
-
-        wanted = str(number)
-
-        def matches_request(headers, wanted=wanted):
-            return find_header(headers, 'Id') == wanted
-
-        results.append(
-            await pool.exchange(
-                Address('127.0.0.1', port), 'GET', content, matches_request
-            )
-        )
+        request = UpstreamRequest('GET', content, str(number), _read_id)
+        results.append(await pool.exchange(Address('127.0.0.1', port), request))
         await asyncio.sleep(0.02)
     pool.close()
     await asyncio.sleep(0.02)
--- a/tests/steps/http_server_steps.py
+++ b/tests/steps/http_server_steps.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import re
+from dataclasses import replace
 
 from behave import given, then, when
 
@@ -15,6 +17,9 @@
 CLIENT_TIMEOUT_S = 3
 MS_PER_S = 1000
 HEAD = 'GET {0} HTTP/1.1\r\nHost: sheets\r\n{1}\r\n'
+CHUNKED = (
+    'POST /1 HTTP/1.1\r\nHost: sheets\r\nTransfer-Encoding: chunked\r\n\r\n'
+)
 INVALID_REQUESTS = {
     'a header of 5000 bytes': HEAD.format('/1', f'X-Long: {"x" * 5000}\r\n'),
     'an unterminated header': f'GET /1 HTTP/1.1\r\nX-Long: {"x" * 5000}',
@@ -27,31 +32,41 @@
         'POST /1 HTTP/1.1\r\nHost: sheets\r\nContent-Length: 2\r\n'
         'Content-Length: 3\r\n\r\nabc'
     ),
+    '9000 bytes of a chunk extension': f'{CHUNKED}2;{"x" * 9000}',
+    '9000 bytes of trailers': '\r\n'.join(
+        (f'{CHUNKED}0', *itertools.repeat('A: b', 1500))
+    ),
+    '9000 bytes of empty lines': '\r\n' * 4500,
 }
 
 
 class RecordingHandler:
     """Request handler that takes as many ms as the path of a request says."""
 
-    def __init__(self):
+    def __init__(self, padding_bytes=0):
         """Initialize empty lists of requests."""
+        self.padding_bytes = padding_bytes
         self.handled = []
+        self.headers = ()
         self.cancelled = []
 
     async def handle(self, request):
         """Wait as long as the path says and return the path."""
         self.handled.append(request.target)
+        self.headers = request.headers
         try:
             await asyncio.sleep(int(request.target[1:]) / MS_PER_S)
         except asyncio.CancelledError:
             self.cancelled.append(request.target)
             raise
-        return HttpResponse(200, (), request.target.encode())
+        padding = b'x' * self.padding_bytes
+        return HttpResponse(200, (), request.target.encode() + padding)
 
 
 async def _run_with_server(context, run_client):
     """Run a client against a new server."""
-    context.recorder = RecordingHandler()
+    padding_bytes = getattr(context, 'response_bytes', 0)
+    context.recorder = RecordingHandler(padding_bytes)
     server = HttpServer(context.recorder.handle)
     server.limits = context.limits
     address = await server.start(Address('127.0.0.1', 0))
@@ -226,3 +241,159 @@
     """Check the idle and the new connection."""
     assert context.rest == b'', context.rest
     assert context.refused
+
+
+@given('bodies have {grace_ms:d} ms and {rate:d} bytes/s')
+def use_body_pace(context, grace_ms, rate):
+    """Use a pace that a test can wait for."""
+    context.limits = replace(
+        context.limits, body_grace_s=grace_ms / MS_PER_S, min_body_rate=rate
+    )
+
+
+@given('an HTTP server that keeps at most {count:d} connections')
+def use_connection_limit(context, count):
+    """Use a low limit on connections."""
+    context.limits = ServerLimits(max_connections=count)
+
+
+@given(
+    'an HTTP server whose responses have {size:d} MB and that waits '
+    '{idle_ms:d} ms for idle clients'
+)
+def use_large_responses(context, size, idle_ms):
+    """Use large responses and a short idle timeout."""
+    context.limits = ServerLimits(idle_timeout_s=idle_ms / MS_PER_S)
+    context.response_bytes = size * 1048576
+
+
+@when('a client sends a body of 50 bytes with a byte every {gap_ms:d} ms')
+def trickle_body(context, gap_ms):
+    """Send a body slowly and read the response."""
+
+    async def run_client(server, reader, writer):
+        writer.write(HEAD.format('/1', 'Content-Length: 50\r\n').encode())
+        response = asyncio.create_task(reader.read())
+        while not response.done():
+            writer.write(b'x')
+            await asyncio.sleep(gap_ms / MS_PER_S)
+        return response.result().decode()
+
+    context.received = asyncio.run(_run_with_server(context, run_client))
+
+
+@when('a client sends "{path}" in chunks with the trailer "{trailer}"')
+def send_trailer(context, path, trailer):
+    """Send a chunked request with a trailer."""
+
+    async def run_client(server, reader, writer):
+        head = HEAD.format(path, 'Transfer-Encoding: chunked\r\n')
+        writer.write(f'{head}2\r\nok\r\n0\r\n{trailer}\r\n\r\n'.encode())
+        return await reader.readuntil(f'\r\n\r\n{path}'.encode())
+
+    context.received = asyncio.run(_run_with_server(context, run_client))
+
+
+@then('the handler of "{path}" got no header "{name}"')
+def check_no_header(context, path, name):
+    """Check the headers that reached the handler."""
+    assert context.recorder.handled == [path]
+    names = {key.lower() for key, _ in context.recorder.headers}
+    assert name.lower() not in names, names
+
+
+@when('{count:d} connections trickle a head with a byte every {gap_ms:d} ms')
+def trickle_heads(context, count, gap_ms):
+    """Send heads slowly over many connections, and one request."""
+
+    async def trickle(address):
+        reader, writer = await asyncio.open_connection(*address)
+        started = asyncio.get_running_loop().time()
+        writer.write(b'GET /1 HTTP/1.1\r\nA: ')
+        end = asyncio.create_task(reader.read())
+        while not end.done():
+            writer.write(b'x')
+            await asyncio.sleep(gap_ms / MS_PER_S)
+        writer.close()
+        return asyncio.get_running_loop().time() - started
+
+    async def run_client(server, reader, writer):
+        address = writer.get_extra_info('peername')
+        tasks = [asyncio.create_task(trickle(address)) for _ in range(count)]
+        await asyncio.sleep(0.2)
+        writer.write(HEAD.format('/1', '').encode())
+        await reader.readuntil(b'\r\n\r\n/1')
+        return await asyncio.gather(*tasks)
+
+    context.open_s = asyncio.run(_run_with_server(context, run_client))
+
+
+@then('all of them are closed within {limit_s:d} s')
+def check_all_closed(context, limit_s):
+    """Check for how long the connections were open."""
+    assert max(context.open_s) < limit_s, max(context.open_s)
+
+
+@then('a request meanwhile was answered')
+def check_answered(context):
+    """Check that the handler ran once."""
+    assert context.recorder.handled == ['/1']
+
+
+@when('a client opens {count:d} connections one after the other')
+def open_connections(context, count):
+    """Open connections, each with one request."""
+
+    async def run_client(server, reader, writer):
+        address = writer.get_extra_info('peername')
+        writer.close()
+        await asyncio.sleep(0.05)
+        opened = []
+        for _ in range(count):
+            opened.append(await asyncio.open_connection(*address))
+            opened[-1][1].write(HEAD.format('/1', '').encode())
+            await opened[-1][0].readuntil(b'\r\n\r\n/1')
+            await asyncio.sleep(0.01)
+        is_open = [
+            not one.at_eof() and one.exception() is None for one, _ in opened
+        ]
+        for _, one in opened:
+            one.close()
+        return is_open
+
+    context.is_open = asyncio.run(_run_with_server(context, run_client))
+
+
+@then('only the last {count:d} of them are open')
+def check_open(context, count):
+    """Check which connections were closed."""
+    assert sum(context.is_open) == count, context.is_open
+    assert all(context.is_open[-count:]), context.is_open
+
+
+@when('a client sends {count:d} requests and reads nothing for {wait_s:d} s')
+def read_nothing(context, count, wait_s):
+    """Send requests without reading the responses."""
+
+    async def run_client(server, reader, writer):
+        writer.transport.pause_reading()
+        one = HEAD.format('/0', '').encode()
+        for _ in range(count):
+            writer.write(one)
+            await asyncio.sleep(0)
+        await asyncio.sleep(wait_s)
+        return len(server.connections)
+
+    context.open_count = asyncio.run(_run_with_server(context, run_client))
+
+
+@then('fewer than {limit:d} of them were handled')
+def check_handled(context, limit):
+    """Check that the server stopped reading."""
+    assert len(context.recorder.handled) < limit, len(context.recorder.handled)
+
+
+@then('the connection was aborted')
+def check_aborted(context):
+    """Check that the server has no connection left."""
+    assert not context.open_count, context.open_count
