Wait for known upstreams in the platform steps, and end processes before their folder goes

Cause (known red): the step 'version 3 routes' waited for answers only, so a drain could begin before the other daemon knew a second upstream (84 and 200 requests answered 503, no-upstream). The hook after_scenario removed the folder of a scenario before the cleanups of its steps ended the processes that write into it.

--- a/burdocklead/metrics.py
+++ b/burdocklead/metrics.py
@@ -89,6 +89,7 @@
     'retry_budget_left', 'Retries that may be sent.', 'service'
 )
 MEMBERS = _gauge('members', 'Daemons known.', 'state')
+UPSTREAMS = _gauge('upstreams', 'Upstreams that take new work.', 'service')
 UPSTREAM_CALLS = _gauge('upstream_calls', 'Calls beside this daemon.', 'state')
 UPSTREAM_LIMIT = _gauge('upstream_limit', 'Calls let run at the same time.')
 UPSTREAM_SLOTS = _gauge('upstream_slots', 'Slots that the upstream announced.')
--- a/burdocklead/process/measurements.py
+++ b/burdocklead/process/measurements.py
@@ -16,6 +16,7 @@
     UPSTREAM_CALLS,
     UPSTREAM_LIMIT,
     UPSTREAM_SLOTS,
+    UPSTREAMS,
     VERSION,
     MetricSet,
 )
@@ -67,6 +68,9 @@
     """Update the metrics of a daemon in its role as entry daemon."""
     metrics.set(VERSION, directory.version)
     measure_members(metrics, directory.members.values())
+    deployment = directory.deployment()
+    for name in deployment.services if deployment else ():
+        metrics.set(UPSTREAMS, len(directory.candidates(name).members), name)
     for service, budget in dispatcher.budgets.items():
         metrics.set(RETRY_BUDGET, budget.tokens, service)
 
--- a/tests/environment.py
+++ b/tests/environment.py
@@ -8,8 +8,11 @@
 
 def before_scenario(context, scenario):
     """Create a temporary folder for the scenario."""
-    context.temporary = tempfile.TemporaryDirectory()
-    context.folder = Path(context.temporary.name)
+    temporary = tempfile.TemporaryDirectory()
+    # Cleanups run last to first: those of the steps end the processes that
+    # still write into the folder.
+    context.add_cleanup(temporary.cleanup)
+    context.folder = Path(temporary.name)
     context.deployment = None
 
 
@@ -19,7 +22,6 @@
         context.deployment.kill()
         if scenario.status.name == 'failed':
             print_logs(context.deployment)
-    context.temporary.cleanup()
 
 
 def print_logs(deployment):
--- a/tests/platform/stand_in.py
+++ b/tests/platform/stand_in.py
@@ -169,6 +169,10 @@
             f'daemon-{number}', 'daemon_role.py', ip, extra_settings, PORTS
         )
 
+    def services(self):
+        """Return the service of each upstream."""
+        return [upstream.service for upstream in self.upstreams.values()]
+
     def seeds(self):
         """Return the operator addresses of the control replicas."""
         return [
--- a/tests/steps/platform_steps.py
+++ b/tests/steps/platform_steps.py
@@ -89,8 +89,11 @@
     """Apply the first configuration; wait until all daemons serve it."""
     context.sent = configuration_of(version, service, path, context.services)
     context.platform.apply(context.sent, 0)
+    known = context.platform.services().count(service)
     for daemon in (FIRST_DAEMON, FIRST_DAEMON + 1):
         wait_until(partial(_is_serving, context, daemon, f'{path}1'), 'served')
+        text = f'burdocklead_upstreams{{service="{service}"}} {known}'
+        check_metrics(context, daemon, text)
 
 
 @when('a patch to version {version:d} routes "{path}" to "{service}"')
