Let a slow proposer win against one that never pauses

Cause: a proposer that wrote a register last keeps a promise for its next ballot and changes the register in one phase. The prepare of a slower proposer, one above the highest ballot it knew, arrives when that ballot is long outbid; and a winner that learned of the higher ballot from one replica outbid it at the others.

Change: the lead of a ballot doubles with each lost round; a proposer learns the ballots of others only if it lost; and one whose register is taken over again within a second waits for the other, twice as long each time.

--- a/burdocklead/durable/proposer.py
+++ b/burdocklead/durable/proposer.py
@@ -36,6 +36,10 @@
 FIRST_BALLOT_PAUSE_S = 5.0
 MAX_CACHED_REGISTERS = 8192
 MAX_CACHED_BYTES = 4096
+MAX_BALLOT_LEAD = 1024
+PREEMPTION_WINDOW_S = 1.0
+MAX_YIELD_S = 0.5
+MAX_PREEMPTED_REGISTERS = 1024
 STEP = 'propose'
 
 Update = Callable[[bytes], bytes]
@@ -49,6 +53,19 @@
     return EMPTY_REGISTER
 
 
+@dataclass(frozen=True, slots=True)
+class Preemption:
+    """Other proposers took over a register that this one wrote last.
+
+    Attributes:
+        at: Loop time in s of the last time.
+        count: Number of times in a row, each soon after the one before.
+    """
+
+    at: float
+    count: int
+
+
 class Acceptor(Protocol):
     """A replica that handles phases, local or remote."""
 
@@ -68,6 +85,7 @@
         counter: Counter of the last ballot; each ballot is used once.
         cached: Promised ballot and value of registers that this proposer
             wrote last, by key.
+        preempted: Registers that other proposers took over recently, by key.
         first_ballots_paused_until: Loop time in s before which no first
             ballot is tried.
         all_reachable: Returns True if every replica answered recently; a
@@ -84,6 +102,7 @@
     cached: OrderedDict[str, tuple[Ballot, bytes]] = field(
         default_factory=OrderedDict
     )
+    preempted: OrderedDict[str, Preemption] = field(default_factory=OrderedDict)
     first_ballots_paused_until: float = 0
     all_reachable: Callable[[], bool] = _always
     read_local: Callable[[str], Register] = _empty_register
@@ -106,11 +125,11 @@
         loop = asyncio.get_running_loop()
         async with self.locks.hold(key):
             value = await self._run_fast_path(key, update, maybe_new)
-            for _ in range(MAX_ROUNDS):
+            for lost_rounds in range(MAX_ROUNDS):
                 if value is not None:
                     return value
                 started = loop.time()
-                value = await self._run_round(key, update)
+                value = await self._run_round(key, update, lost_rounds)
                 if value is None:
                     await self._pause(loop.time() - started)
         raise QuorumError('other proposers kept winning', step=STEP)
@@ -150,8 +169,7 @@
     ) -> bytes | None:
         cached = self.cached.pop(key, None)
         if cached is not None:
-            ballot, value = cached
-            return await self._accept(key, ballot, update(value))
+            return await self._change_cached(key, *cached, update)
         now = asyncio.get_running_loop().time()
         if now < self.first_ballots_paused_until or not self.all_reachable():
             return None
@@ -159,6 +177,32 @@
             return None
         return await self._accept_first_ballot(key, update(b''))
 
+    async def _change_cached(
+        self, key: str, ballot: Ballot, value: bytes, update: Update
+    ) -> bytes | None:
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        accepted = await self._accept(key, ballot, update(value))
+        if accepted is None:
+            await self._yield_register(key, loop.time() - started)
+        return accepted
+
+    async def _yield_register(self, key: str, phase_time: float) -> None:
+        """Wait for the proposer that took a register over.
+
+        The wait doubles each time until it exceeds a round of the other
+        proposer, which would lose each round to a faster one otherwise.
+        """
+        now = asyncio.get_running_loop().time()
+        last = self.preempted.pop(key, None)
+        is_repeated = last and now - last.at < PREEMPTION_WINDOW_S
+        count = last.count + 1 if last and is_repeated else 0
+        self.preempted[key] = Preemption(now, count)
+        if len(self.preempted) > MAX_PREEMPTED_REGISTERS:
+            self.preempted.popitem(last=False)
+        limit = max(phase_time, MIN_ROUND_TIME_S) * ((1 << count) - 1)
+        await asyncio.sleep(min(limit, MAX_YIELD_S))
+
     async def _accept_first_ballot(
         self, key: str, value: bytes
     ) -> bytes | None:
@@ -173,8 +217,10 @@
             self.first_ballots_paused_until = now + FIRST_BALLOT_PAUSE_S
         return None
 
-    async def _run_round(self, key: str, update: Update) -> bytes | None:
-        ballot = self._next_ballot()
+    async def _run_round(
+        self, key: str, update: Update, lost_rounds: int
+    ) -> bytes | None:
+        ballot = self._next_ballot(_ballot_lead(lost_rounds))
         tally = Tally(self.replicas)
         local = self.read_local(key)
         message = Prepare(key, ballot, local.accepted)
@@ -221,7 +267,10 @@
                 won = await decided
         except TimeoutError:
             won = False
-        self.counter = max(self.counter, tally.promised.counter)
+        if not won:
+            # A winner that outbid the conflicts of a minority would keep any
+            # slower proposer from ever reaching a quorum.
+            self.counter = max(self.counter, tally.promised.counter)
         return won and self.replicas is tally.replicas
 
     def use_replica_set(
@@ -248,11 +297,21 @@
         if len(self.cached) > MAX_CACHED_REGISTERS:
             self.cached.popitem(last=False)
 
-    def _next_ballot(self) -> Ballot:
-        self.counter += 1
+    def _next_ballot(self, lead: int = 1) -> Ballot:
+        self.counter += lead
         return Ballot(self.counter, self.start, self.replica_id)
 
 
+def _ballot_lead(lost_rounds: int) -> int:
+    """Return by how much the next ballot exceeds the highest known one.
+
+    While a ballot travels, a proposer that keeps its promise between changes
+    raises the promised ballot with each change. Only a ballot above all of
+    these wins, so the lead doubles with each lost round.
+    """
+    return min(1 << lost_rounds, MAX_BALLOT_LEAD)
+
+
 def _reply_recorder(
     name: str, tally: Tally, decided: asyncio.Future[bool]
 ) -> Callable[[asyncio.Future[PhaseReply]], None]:
