Follow a daemon's heartbeats by the time at which they were sent

Cause: a replica dated a heartbeat by its arrival.

Change: records and reports carry the time at which the daemon sent its last heartbeat; an older heartbeat moves nothing, the home replica's report that a daemon is gone counts, an outdated one is contradicted, and a daemon that is gone returns only with a heartbeat sent since.

Five scenarios, all of which fail before.

--- a/burdocklead/clock.py
+++ b/burdocklead/clock.py
@@ -4,7 +4,7 @@
 
 import time
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 import msgspec
 
@@ -24,6 +24,9 @@
     count: int
 
 
+NO_TIME = HybridTime(0, 0)
+
+
 @dataclass(slots=True)
 class HybridClock:
     """Issues timestamps later than any issued or observed before.
@@ -35,7 +38,7 @@
     """
 
     wall_ns: Callable[[], int] = time.time_ns
-    last: HybridTime = field(default_factory=lambda: HybridTime(0, 0))
+    last: HybridTime = NO_TIME
     ignored: int = 0
 
     def issue(self) -> HybridTime:
--- a/burdocklead/connection/control_messages.py
+++ b/burdocklead/connection/control_messages.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from burdocklead.clock import HybridTime
+from burdocklead.clock import NO_TIME, HybridTime
 from burdocklead.durable.claims import ClaimFinish, ClaimReply, ClaimStart
 from burdocklead.durable.configuration import AcceptedFile
 from burdocklead.durable.drains import NO_DRAINS, DrainList
@@ -95,12 +95,14 @@
         gone: True if the daemon left or its lease expired.
         age_ms: Milliseconds since the daemon's last heartbeat.
         home: ID of the replica to which the daemon sends heartbeats.
+        sent_at: Time at which the daemon sent its last known heartbeat.
     """
 
     member: Member
     gone: bool
     age_ms: float
     home: str = ''
+    sent_at: HybridTime = NO_TIME
 
 
 class Heartbeat(msgspec.Struct, frozen=True, tag=True, array_like=True):
--- a/burdocklead/process/control_replica.py
+++ b/burdocklead/process/control_replica.py
@@ -91,7 +91,9 @@
             case CatchUp():
                 return await self.registers.catch_up_page(message)
             case Heartbeat():
-                self.members.observe(message.member, time.monotonic())
+                self.members.observe(
+                    message.member, time.monotonic(), sent_at=message.time
+                )
                 return self._heartbeat_reply(message)
             case Exchange():
                 self._note_candidate(message)
--- a/burdocklead/process/membership.py
+++ b/burdocklead/process/membership.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from burdocklead.clock import NO_TIME, HybridTime
 from burdocklead.connection.control_messages import (
     Cursor,
     MemberUpdate,
@@ -27,6 +28,7 @@
         gone: True if its lease expired.
         change: Number of the last change of this record.
         home: Replica that receives the daemon's heartbeats.
+        sent_at: Time at which the daemon sent its last known heartbeat.
     """
 
     member: Member
@@ -34,6 +36,7 @@
     gone: bool
     change: int
     home: str
+    sent_at: HybridTime = NO_TIME
 
 
 @dataclass(slots=True)
@@ -59,7 +62,13 @@
         """Return a cursor that points after the last change."""
         return Cursor(self.replica_id, self.incarnation, self.last_change)
 
-    def observe(self, member: Member, last_seen: float, home: str = '') -> bool:
+    def observe(
+        self,
+        member: Member,
+        last_seen: float,
+        home: str = '',
+        sent_at: HybridTime = NO_TIME,
+    ) -> bool:
         """Record a heartbeat; return True if the change must be announced.
 
         A change of fields that only operators read updates the record without
@@ -69,35 +78,47 @@
             member: Self-description of the daemon.
             last_seen: Monotonic time in s of the heartbeat.
             home: Replica that received it, empty for this one.
+            sent_at: Time at which the daemon sent it.
         """
         home = home or self.replica_id
         record = self.records.get(member.daemon_id)
         if record is None:
-            self._store(MemberRecord(member, last_seen, False, 0, home))
+            self._store(
+                MemberRecord(member, last_seen, False, 0, home, sent_at)
+            )
             return True
-        if _order_of(member) < _order_of(record.member):
+        if _is_outdated(member, sent_at, record):
             return False
         changed = record.gone or _shared_part(member) != _shared_part(
             record.member
         )
-        if last_seen >= record.last_seen and home != record.home:
+        is_latest = last_seen >= record.last_seen or _both_known(
+            sent_at, record.sent_at
+        )
+        if is_latest and home != record.home:
             changed = True
             record.home = home
         record.last_seen = max(record.last_seen, last_seen)
+        if sent_at != NO_TIME:
+            record.sent_at = sent_at
         record.member = member
         record.gone = False
         if changed:
             self._store(record)
         return changed
 
-    def merge(self, updates: Iterable[MemberUpdate], now: float) -> None:
+    def merge(
+        self, updates: Iterable[MemberUpdate], now: float, sender: str
+    ) -> None:
         """Merge updates from another replica."""
         for update in updates:
             last_seen = now - update.age_ms / MS_PER_S
             if update.gone:
-                self._mark_gone(update.member, last_seen)
+                self._mark_gone(update, last_seen, sender)
             elif last_seen + self.lease > now:
-                self.observe(update.member, last_seen, update.home)
+                self.observe(
+                    update.member, last_seen, update.home, update.sent_at
+                )
 
     def expire(self, now: float) -> list[Member]:
         """Mark daemons whose lease expired and return them."""
@@ -126,6 +147,7 @@
                 record.gone,
                 (now - record.last_seen) * MS_PER_S,
                 record.home,
+                record.sent_at,
             )
             for record in self.records.values()
             if record.change > since
@@ -152,15 +174,29 @@
             if record.home == replica_id and not record.gone:
                 record.last_seen = max(record.last_seen, last_seen)
 
-    def _mark_gone(self, member: Member, last_seen: float) -> None:
-        """Mark a daemon as gone unless this replica has newer information."""
-        record = self.records.get(member.daemon_id)
-        if record is None or record.gone or last_seen < record.last_seen:
+    def _mark_gone(
+        self, update: MemberUpdate, last_seen: float, sender: str
+    ) -> None:
+        """Mark a daemon as gone unless this replica has newer information.
+
+        A replica that does not hear the daemon renews its lease with each
+        reply of the home replica, so it may have heard of the daemon later
+        than the home replica itself, whose word counts.
+        """
+        record = self.records.get(update.member.daemon_id)
+        if record is None or record.gone:
+            return
+        if _is_outdated(update.member, update.sent_at, record):
+            self._contradict(record)
             return
-        if _order_of(member) >= _order_of(record.member):
+        if last_seen >= record.last_seen or sender == record.home:
             record.gone = True
             self._store(record)
 
+    def _contradict(self, record: MemberRecord) -> None:
+        """Announce a daemon again that another replica reported as gone."""
+        self._store(record)
+
     def _store(self, record: MemberRecord) -> None:
         self.last_change += 1
         record.change = self.last_change
@@ -174,5 +210,27 @@
     )
 
 
+def _is_outdated(
+    member: Member, sent_at: HybridTime, record: MemberRecord
+) -> bool:
+    """Return True if a record has a newer heartbeat than a report.
+
+    A daemon that is gone returns only with a heartbeat sent since.
+    """
+    if _order_of(member) < _order_of(record.member):
+        return True
+    if member.incarnation != record.member.incarnation:
+        return False
+    if not _both_known(sent_at, record.sent_at):
+        return False
+    if record.gone:
+        return sent_at <= record.sent_at
+    return sent_at < record.sent_at
+
+
+def _both_known(sent_at: HybridTime, other: HybridTime) -> bool:
+    return NO_TIME not in {sent_at, other}
+
+
 def _order_of(member: Member) -> tuple[int, int]:
     return member.incarnation, member.revision
--- a/burdocklead/process/replica_exchange.py
+++ b/burdocklead/process/replica_exchange.py
@@ -94,8 +94,9 @@
         # After losing its disk, a replica has a new name at the same address.
         self.replica.last_reply_at[reply.cursor.replica_id] = now
         self.cursors[peer.name] = reply.cursor
-        self.replica.members.merge(reply.updates, now)
-        self.replica.members.renew_leases(reply.cursor.replica_id, now)
+        sender = reply.cursor.replica_id
+        self.replica.members.merge(reply.updates, now, sender)
+        self.replica.members.renew_leases(sender, now)
         self.replica.drains.learn(reply.drains)
         if reply.file is not None:
             self.replica.learn_file(reply.file)
--- a/tests/durable/leases.feature
+++ b/tests/durable/leases.feature
@@ -53,6 +53,45 @@
     When another replica reports at 14 s that the daemon is gone, heard 3.5 s before
     Then the daemon is gone
 
+  Scenario: A heartbeat that waited while its replica was paused does not move the daemon back
+    Given replica "a" with a lease of 3 s got a heartbeat at 10 s
+    When replica "b" reports at 18 s that it got a heartbeat sent at 17.5 s
+    And a heartbeat sent at 10.5 s arrives at 18.1 s
+    And the replica "b" answers at 20 s
+    Then no daemon expires at 22 s
+
+  Scenario: A daemon that its home replica lost is gone at the others too
+    Given replica "a" with a lease of 3 s got a heartbeat at 10 s
+    When replica "b" reports at 11 s that it got a heartbeat sent at 11 s
+    And the replica "b" answers at 13.9 s
+    And replica "b" reports at 14.1 s that the daemon is gone, last heartbeat sent at 11 s
+    And the replica "b" answers at 14.1 s
+    Then the daemon is gone
+
+  Scenario: A replica that did not hear the latest heartbeat is contradicted
+    Given replica "a" with a lease of 3 s got a heartbeat at 10 s
+    When a heartbeat sent at 13 s arrives at 13 s
+    And replica "b" reports at 13.2 s that the daemon is gone, last heartbeat sent at 10 s
+    Then the daemon is present
+    And the view sends 1 change
+
+  Scenario: A daemon moves to another home although the earlier one renewed its lease
+    Given replica "a" with a lease of 3 s got a heartbeat at 10 s
+    When replica "b" reports at 11 s that it got a heartbeat sent at 11 s
+    And the replica "b" answers at 12 s
+    And replica "c" reports at 12.1 s that it got a heartbeat sent at 11.8 s
+    And the replica "c" answers at 14.5 s
+    Then no daemon expires at 17 s
+
+  Scenario: An old report does not bring back a daemon that is gone
+    Given replica "a" with a lease of 3 s got a heartbeat at 10 s
+    When replica "b" reports at 11 s that it got a heartbeat sent at 11 s
+    And replica "b" reports at 13.5 s that the daemon is gone, last heartbeat sent at 11 s
+    And replica "c" reports at 13.6 s that it got a heartbeat sent at 11 s
+    Then the daemon is gone
+    When replica "c" reports at 14 s that it got a heartbeat sent at 13.9 s
+    Then the daemon is present
+
   Scenario: The quorum age follows the replica set
     Given the replica set a, b, c in epoch 4
     Then the quorum age for a 0, b 1, c 9 is 1 s
--- a/tests/steps/lease_steps.py
+++ b/tests/steps/lease_steps.py
@@ -5,6 +5,7 @@
 import msgspec
 from behave import given, then, when
 
+from burdocklead.clock import HybridTime
 from burdocklead.connection.control_messages import MemberUpdate
 from burdocklead.durable.replica_set import NO_QUORUM_AGE_S
 from burdocklead.process.membership import MembershipView
@@ -12,6 +13,7 @@
 
 UNUSED_ADDRESS = Address('127.0.0.1', 1)
 MS_PER_S = 1000
+NS_PER_S = 1_000_000_000
 MEMBER = Member(
     daemon_id='d1',
     incarnation=1,
@@ -39,7 +41,53 @@
 def merge_heard(context, name, at, age):
     """Merge a report of another replica that heard the daemon."""
     update = MemberUpdate(MEMBER, False, age * MS_PER_S, name)
-    context.view.merge([update], at)
+    context.view.merge([update], at, name)
+
+
+def sent(seconds):
+    """Return the time at which a heartbeat was sent."""
+    return HybridTime(int(seconds * NS_PER_S), 0)
+
+
+@given(
+    'replica "{replica_id}" with a lease of {lease:d} s got a heartbeat at '
+    '{at:g} s'
+)
+def make_replica(context, replica_id, lease, at):
+    """Create the view of a replica with one daemon."""
+    context.view = MembershipView(replica_id, 1, lease)
+    context.view.observe(MEMBER, at, sent_at=sent(at))
+
+
+@when('a heartbeat sent at {sent_at:g} s arrives at {at:g} s')
+def receive_heartbeat(context, sent_at, at):
+    """Receive a heartbeat, perhaps late."""
+    context.view.observe(MEMBER, at, sent_at=sent(sent_at))
+
+
+@when(
+    'replica "{name}" reports at {at:g} s that it got a heartbeat sent at '
+    '{sent_at:g} s'
+)
+def merge_sent(context, name, at, sent_at):
+    """Merge a report of the replica that got the heartbeat."""
+    update = MemberUpdate(
+        MEMBER, False, (at - sent_at) * MS_PER_S, name, sent(sent_at)
+    )
+    context.view.merge([update], at, name)
+
+
+@when(
+    'replica "{name}" reports at {at:g} s that the daemon is gone, last '
+    'heartbeat sent at {sent_at:g} s'
+)
+def merge_lost(context, name, at, sent_at):
+    """Merge a report that the lease ran out at another replica."""
+    context.cursor = context.view.cursor
+    update = MemberUpdate(
+        MEMBER, True, (at - sent_at) * MS_PER_S, name, sent(sent_at)
+    )
+    context.view.merge([update], at, name)
 
 
 @when('the replica "{name}" answers at {at:g} s')
@@ -78,7 +126,7 @@
 def merge_gone(context, at, age):
     """Merge a report of another replica that the daemon is gone."""
     update = MemberUpdate(MEMBER, gone=True, age_ms=age * MS_PER_S)
-    context.view.merge([update], at)
+    context.view.merge([update], at, 'z')
 
 
 @then('no daemon expires at {at:g} s')
