Serve connections that are pending when a server stops to listen

Change: the pending connections are accepted and the socket is shut down in one step, by both servers for callers; those accepted last are served.

--- a/burdocklead/connection/http_server.py
+++ b/burdocklead/connection/http_server.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections import deque
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
@@ -18,6 +19,10 @@
     HttpResponse,
     encode_response,
 )
+from burdocklead.connection.listen_socket import (
+    accept_last,
+    open_listen_socket,
+)
 from burdocklead.connection.request_reader import RequestReader, ServerLimits
 from burdocklead.log_events import REQUEST_FAILED, REQUEST_REFUSED
 from burdocklead.values import Address
@@ -200,6 +205,7 @@
 
     Attributes:
         handler: Returns the response to a request.
+        listen_socket: Socket that accepts connections, None if there is none.
         limits: Limits on clients; may be replaced at any time.
         connections: Open connections.
         draining: True if connections close after their last response.
@@ -216,23 +222,26 @@
         self.draining = False
         self.bad_requests = 0
         self.shed_connections = 0
+        self.listen_socket: socket.socket | None = None
         self.listener: asyncio.Server | None = None
         self.sweeper: asyncio.Task[None] | None = None
 
     async def start(self, address: Address) -> Address:
         """Start to listen and return the address with the actual port."""
         loop = asyncio.get_running_loop()
+        self.listen_socket = open_listen_socket(address, LISTEN_BACKLOG)
         self.listener = await loop.create_server(
-            lambda: HttpConnection(self),
-            address.host,
-            address.port,
+            self._create_connection,
+            sock=self.listen_socket,
             backlog=LISTEN_BACKLOG,
-            reuse_address=True,
         )
         self.sweeper = loop.create_task(self._sweep_forever())
-        port = self.listener.sockets[0].getsockname()[1]
+        port = self.listen_socket.getsockname()[1]
         return Address(address.host, port)
 
+    def _create_connection(self) -> HttpConnection:
+        return HttpConnection(self)
+
     def add_connection(self, connection: HttpConnection) -> None:
         """Register a connection; close the longest idle one above the limit.
 
@@ -252,22 +261,30 @@
         """Make each connection close once its requests are answered."""
         self.draining = True
 
-    def drain(self) -> None:
+    async def drain(self) -> None:
         """Stop accepting connections, and close open ones once idle.
 
-        A client whose connection was not accepted yet is refused immediately
-        and can use another daemon. With a shorter accept queue, it would wait
-        for seconds.
+        A client whose connection is refused can use another daemon
+        immediately. With a shorter accept queue, it would wait for seconds.
         """
         self.start_draining()
-        self.stop_listening()
-        for connection in tuple(self.connections):
+        known = tuple(self.connections)
+        await self.stop_listening()
+        for connection in known:
             connection.close_if_idle()
 
-    def stop_listening(self) -> None:
-        """Refuse new connections."""
-        if self.listener is not None:
-            self.listener.close()
+    async def stop_listening(self) -> None:
+        """Accept the pending connections and refuse new ones."""
+        if self.listen_socket is None or self.listener is None:
+            return
+        pending = accept_last(self.listen_socket)
+        self.listen_socket = None
+        self.listener.close()
+        loop = asyncio.get_running_loop()
+        for connection in pending:
+            await loop.connect_accepted_socket(
+                self._create_connection, connection
+            )
 
     def is_working(self) -> bool:
         """Return True while a request is being read or is pending."""
@@ -275,7 +292,7 @@
 
     async def close(self) -> None:
         """Close all connections."""
-        self.stop_listening()
+        await self.stop_listening()
         if self.sweeper is not None:
             self.sweeper.cancel()
         for connection in tuple(self.connections):
--- a/burdocklead/process/caller_server.py
+++ b/burdocklead/process/caller_server.py
@@ -17,6 +17,10 @@
 from aiohttp.http import RawRequestMessage
 from aiohttp.web_protocol import RequestHandler
 
+from burdocklead.connection.listen_socket import (
+    accept_last,
+    open_listen_socket,
+)
 from burdocklead.request.call import not_run
 from burdocklead.request.call_response import response_of
 from burdocklead.values import Address, RefusalCause
@@ -133,7 +137,7 @@
         On a busy VM, connections may be pending even though the event loop
         has just run.
         """
-        pending = _accept_pending(self.listen_socket)
+        pending = accept_last(self.listen_socket)
         for site in tuple(self.runner.sites):
             await site.stop()
         loop = asyncio.get_running_loop()
@@ -143,18 +147,6 @@
             )
 
 
-def _accept_pending(listen_socket: socket.socket) -> list[socket.socket]:
-    """Accept all pending connections without blocking."""
-    accepted: list[socket.socket] = []
-    while True:
-        try:
-            connection, _ = listen_socket.accept()
-        except BlockingIOError:
-            return accepted
-        connection.setblocking(False)
-        accepted.append(connection)
-
-
 async def start_caller_server(
     server: CallerServer,
     address: Address,
@@ -164,8 +156,7 @@
     """Start a server and return its listener."""
     runner = web.ServerRunner(server, shutdown_timeout=shutdown_s)
     await runner.setup()
-    listen_socket = socket.create_server((address.host, address.port))
-    listen_socket.setblocking(False)
+    listen_socket = open_listen_socket(address)
     await web.SockSite(runner, listen_socket, ssl_context=tls).start()
     port = listen_socket.getsockname()[1]
     return CallerListener(
--- a/burdocklead/process/host_routing_daemon.py
+++ b/burdocklead/process/host_routing_daemon.py
@@ -198,7 +198,7 @@
         limit = loop.time() + self.options.stop_times.limit_s
         await asyncio.sleep(self.options.stop_times.unready_s)
         if self.caller_server is not None:
-            self.caller_server.drain()
+            await self.caller_server.drain()
         quiet_since = loop.time()
         while loop.time() < limit:
             if self._is_working():
--- a/tests/connection/http_server.feature
+++ b/tests/connection/http_server.feature
@@ -68,6 +68,11 @@
     When a server with an idle connection drains
     Then the idle connection is closed and a new one is refused
 
+  Scenario: Connections that are pending when a server drains are served
+    Given an HTTP server whose handler takes as many ms as the path says
+    When 5 clients connect and the server drains before it accepts them
+    Then all 5 clients get a complete response
+
   Scenario: A request pipelined after one that closes the connection is not run
     Given an HTTP server whose handler takes as many ms as the path says
     When a client pipelines "/50" with "Connection: close" and "/1"
--- a/tests/steps/http_server_steps.py
+++ b/tests/steps/http_server_steps.py
@@ -5,6 +5,7 @@
 import asyncio
 import itertools
 import re
+import socket
 from dataclasses import replace
 
 from behave import given, then, when
@@ -225,7 +226,7 @@
     async def run_client(server, reader, writer):
         await asyncio.sleep(0.05)
         address = writer.get_extra_info('peername')
-        server.drain()
+        await server.drain()
         context.rest = await reader.read()
         try:
             await asyncio.open_connection(*address)
@@ -397,3 +398,30 @@
 def check_aborted(context):
     """Check that the server has no connection left."""
     assert not context.open_count, context.open_count
+
+
+@when('{count:d} clients connect and the server drains before it accepts them')
+def connect_and_drain(context, count):
+    """Block the event loop while the clients connect and send a request."""
+
+    async def run_client(server, reader, writer):
+        address = writer.get_extra_info('peername')
+        clients = []
+        for _ in range(count):
+            client = socket.create_connection(address)
+            client.sendall(HEAD.format('/1', '').encode())
+            client.setblocking(False)
+            clients.append(client)
+        await server.drain()
+        loop = asyncio.get_running_loop()
+        return [await loop.sock_recv(client, 65536) for client in clients]
+
+    context.responses = asyncio.run(_run_with_server(context, run_client))
+
+
+@then('all {count:d} clients get a complete response')
+def check_complete(context, count):
+    """Check the responses."""
+    assert len(context.responses) == count
+    for response in context.responses:
+        assert response.endswith(b'/1'), context.responses
--- a/tests/steps/last_accept_steps.py
+++ b/tests/steps/last_accept_steps.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+from unittest import mock
 
 import uvloop
 from aiohttp import web
@@ -72,3 +73,39 @@
     assert len(context.answers) == count
     for answer in context.answers:
         assert answer.endswith('whole'), context.answers
+
+
+async def _close_and_connect():
+    server = CallerServer(_answer, 1000)
+    listener = await start_caller_server(
+        server, Address('127.0.0.1', 0), None, 1
+    )
+    refusals = []
+    stop = web.SockSite.stop
+
+    async def connect_first(site):
+        _connect(listener.address, refusals)
+        await stop(site)
+
+    with mock.patch.object(web.SockSite, 'stop', connect_first):
+        await listener.close_listen_socket()
+    await listener.runner.cleanup()
+    return refusals
+
+
+def _connect(address, refusals):
+    try:
+        socket.create_connection((address.host, address.port)).close()
+    except ConnectionRefusedError as error:
+        refusals.append(error)
+
+
+@when('the socket is closed and a caller connects before the server stops')
+def close_and_connect(context):
+    """Connect once the pending connections are accepted."""
+    context.refusals = uvloop.run(_close_and_connect())
+
+
+@then('the caller is refused')
+def check_refused(context):
+    assert context.refusals
