--- a/burdocklead/process/local_member.py
+++ b/burdocklead/process/local_member.py
@@ -86,6 +86,11 @@
         """Return True if any party requested a drain of the upstream."""
         return bool(self.drains)
 
+    def instance(self) -> str:
+        """Return the instance of the upstream, empty if it has none."""
+        upstream = self.executor.upstream
+        return upstream.instance if upstream else ''
+
     def announce(
         self, announcement: Announcement, address: Address, now: float
     ) -> None:
@@ -134,7 +139,7 @@
         """Remove the upstream if its lease has expired."""
         if self.executor.service and self.lease_expires_at <= now:
             UPSTREAM_LOST.write(
-                instance=self._instance(), service=self.executor.service
+                instance=self.instance(), service=self.executor.service
             )
             self.remove_upstream()
 
@@ -148,13 +153,9 @@
         self._set_drain(DrainReason.operator, drained)
         self._refresh(self.member.version_in_force)
 
-    def _instance(self) -> str:
-        upstream = self.executor.upstream
-        return upstream.instance if upstream else ''
-
     def _log_upstream_left(self, cause: str) -> None:
         UPSTREAM_LEFT.write(
-            instance=self._instance(),
+            instance=self.instance(),
             service=self.executor.service,
             cause=cause,
         )
--- a/tests/platform/whole_path.feature
+++ b/tests/platform/whole_path.feature
@@ -51,6 +51,17 @@
     And upstream 20 sends no more heartbeats and daemon 20 is killed and restarted
     Then a request to "/view/7" at daemon 21 is answered by "sheets"
 
+  Scenario: An upstream that leaves a restarted daemon gets no more work
+    Given a platform with the services "sheets", "orders"
+    When version 3 routes "/view/" to "sheets"
+    And upstream 20 sends no more heartbeats and daemon 20 is killed and restarted
+    Then a request to "/view/7" at daemon 21 is answered by "sheets"
+    When upstream 20 deregisters
+    Then after 2 s a request to "/view/7" at daemon 21 is answered 503
+    And a late heartbeat of upstream 20 changes nothing
+    When upstream 20 starts again under its instance name
+    Then a request to "/view/7" at daemon 21 is answered by "sheets"
+
   Scenario: A replica that lost its disk rejoins as a new replica
     Given a platform with the services "sheets", "orders"
     When version 3 routes "/view/" to "sheets"
--- a/tests/steps/platform_steps.py
+++ b/tests/steps/platform_steps.py
@@ -17,6 +17,7 @@
     METRICS_PORT,
     ROOT,
     StandInPlatform,
+    StandInUpstream,
     wait_until,
 )
 
@@ -326,6 +327,39 @@
     assert 'metrics not served' in platform.log_text(f'daemon-{number}')
 
 
+@when('upstream {number:d} deregisters')
+def deregister(context, number):
+    """Deregister an upstream that stays healthy for a while."""
+    upstream = context.platform.upstreams[f'daemon-{number}']
+    assert upstream.call('instances.deregister') == 200
+
+
+@then(
+    'after {wait:d} s a request to "{path}" at daemon {daemon:d} is answered '
+    '{status:d}'
+)
+def check_status_later(context, wait, path, daemon, status):
+    """Wait for the longest time that a drain may take, then check."""
+    time.sleep(wait)
+    check_status(context, path, daemon, status)
+
+
+@then('a late heartbeat of upstream {number:d} changes nothing')
+def check_late_heartbeat(context, number):
+    """Send a heartbeat of the process that left."""
+    upstream = context.platform.upstreams[f'daemon-{number}']
+    assert StandInUpstream.send_heartbeat(upstream) == 200
+    check_status_later(context, 1, '/view/7', FIRST_DAEMON + 1, 503)
+
+
+@when('upstream {number:d} starts again under its instance name')
+def restart_upstream(context, number):
+    """Send the heartbeat of a new process."""
+    upstream = context.platform.upstreams[f'daemon-{number}']
+    started_ms = int(time.time() * MS_PER_S)
+    assert StandInUpstream.send_heartbeat(upstream, born=started_ms) == 200
+
+
 @when('replica {number:d} loses its disk and restarts')
 def restart_without_disk(context, number):
     """Restart a replica with an empty data folder."""
