Announce a change during a heartbeat, and use new seeds at once

Cause: the agent cleared the sign of a change after its heartbeat, so a drain that began during the request waited for the next interval; new seeds took effect only with the next replica set; a replica named twice got two clients, of which one was forgotten; and a daemon failed over from a replica of the set to the seeds before the rest of the set.

Change: the sign is cleared once the member is described; new seeds replace the old ones at once; a name has one client, and the set is tried before the seeds.

--- a/burdocklead/connection/control_client.py
+++ b/burdocklead/connection/control_client.py
@@ -132,6 +132,7 @@
     """Sends requests to a preferred replica and fails over to the others.
 
     Attributes:
+        replicas: Replicas of the set in use, empty before it is known.
         fallback: Replicas from the settings.
         clients: Clients of all replicas, in failover order.
         preferred: Index of the client that is tried first.
@@ -144,6 +145,7 @@
     ) -> None:
         """Initialize a client for each replica."""
         self.credentials = credentials
+        self.replicas: tuple[tuple[str, Address], ...] = ()
         self.fallback = replicas
         self.clients = [
             ControlClient(name, address, credentials)
@@ -156,6 +158,11 @@
         """Return the client of the preferred replica."""
         return self.clients[self.preferred]
 
+    def use_fallback(self, replicas: tuple[tuple[str, Address], ...]) -> None:
+        """Use other replicas from the settings, from now on."""
+        self.fallback = replicas
+        self.use_replicas(self.replicas, self.client.name)
+
     def use_replicas(
         self, replicas: tuple[tuple[str, Address], ...], preferred: str = ''
     ) -> None:
@@ -170,20 +177,20 @@
                 current one.
         """
         first = preferred or self.client.name
+        self.replicas = replicas
         present = {address for _, address in replicas}
-        replicas += tuple(
-            (name, address)
-            for name, address in self.fallback
-            if address not in present
-        )
+        wanted = dict(_rotate(replicas, first))
+        for name, address in self.fallback:
+            if address not in present:
+                wanted.setdefault(name, address)
         known = {client.name: client for client in self.clients}
         self.clients = [
             _client_for(known.pop(name, None), name, address, self.credentials)
-            for name, address in replicas
+            for name, address in wanted.items()
         ]
         for client in known.values():
             client.close()
-        names = [client.name for client in self.clients]
+        names = list(wanted)
         self.preferred = names.index(first) if first in names else 0
 
     def switch_replica(self) -> None:
@@ -214,6 +221,15 @@
             client.close()
 
 
+def _rotate(
+    replicas: tuple[tuple[str, Address], ...], first: str
+) -> tuple[tuple[str, Address], ...]:
+    """Return the replicas in the same cyclic order, one of them first."""
+    names = [name for name, _ in replicas]
+    start = names.index(first) if first in names else 0
+    return replicas[start:] + replicas[:start]
+
+
 def _client_for(
     known: ControlClient | None,
     name: str,
--- a/burdocklead/process/control_agent.py
+++ b/burdocklead/process/control_agent.py
@@ -64,7 +64,6 @@
         """Send heartbeats until cancelled, and one at once after a change."""
         while True:
             await self.send_heartbeat()
-            self.local_member.changed.clear()
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(self._heartbeat_delay_s()):
                     await self.local_member.changed.wait()
@@ -85,6 +84,8 @@
     async def send_heartbeat(self) -> None:
         """Send one heartbeat and apply the reply."""
         member = self.local_member.describe(self.directory.version)
+        # A change during the request is announced by the next heartbeat.
+        self.local_member.changed.clear()
         message = Heartbeat(
             member,
             self.cursor,
--- /dev/null
+++ b/tests/process/heartbeats.feature
@@ -0,0 +1,24 @@
+Feature: A daemon announces each change to the replicas that it should use
+
+  Scenario: A change during a heartbeat is announced by the next one at once
+    Given a daemon with a heartbeat interval of 5 s whose replica answers in 50 ms
+    When its upstream starts to drain during a heartbeat
+    Then the replica is told of the drain within 200 ms
+
+  Scenario: New seeds are used at once, and the replicas in use keep their clients
+    Given a control client for the seeds "one, two"
+    When the replica set "a, b" is in use with "b" first
+    And the seeds become "three"
+    Then the control client tries "b, a, three" in this order
+    And the client of "b" is the same as before
+
+  Scenario: New seeds before any replica set replace the old ones
+    Given a control client for the seeds "one, two"
+    When the seeds become "three, four"
+    Then the control client tries "three, four" in this order
+
+  Scenario: A replica named twice has one client
+    Given a control client for the seeds "a, two"
+    When the replica set "a, b" is in use with "a" first
+    And the address of "a" in the settings is another one
+    Then the control client tries "a, b, two" in this order
--- /dev/null
+++ b/tests/steps/heartbeat_steps.py
@@ -0,0 +1,158 @@
+"""Steps for the heartbeats of a daemon and the replicas it sends them to."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+from types import SimpleNamespace
+
+from behave import given, then, when
+
+from burdocklead.clock import NO_TIME, HybridClock
+from burdocklead.connection.control_client import FailoverControlClient
+from burdocklead.connection.control_messages import Cursor, HeartbeatReply
+from burdocklead.connection.peer_credentials import PeerCredentials
+from burdocklead.process.control_agent import ControlAgent
+from burdocklead.values import Address, Member
+
+MS_PER_S = 1000
+HOST = '127.0.0.1'
+MEMBER = Member(
+    daemon_id='d1',
+    incarnation=1,
+    revision=1,
+    zone='victoria',
+    link=Address(HOST, 1),
+    http=Address(HOST, 2),
+)
+
+
+@dataclass
+class ChangingMember:
+    """The member record of a daemon whose upstream may drain."""
+
+    member: Member = MEMBER
+    changed: asyncio.Event = field(default_factory=asyncio.Event)
+    draining: bool = False
+
+    def describe(self, version):
+        """Return the record."""
+        return SimpleNamespace(draining=self.draining, version=version)
+
+    def set_operator_drain(self, drained):
+        """Ignore drains by operators."""
+
+
+@dataclass
+class RecordingReplica:
+    """A replica that answers heartbeats after a delay and records them."""
+
+    delay: float
+    received: list = field(default_factory=list)
+    name: str = 'a'
+
+    @property
+    def client(self):
+        """Return the client of the preferred replica."""
+        return self
+
+    async def request(self, message, timeout):
+        """Answer a heartbeat."""
+        loop = asyncio.get_running_loop()
+        self.received.append((loop.time(), message.member.draining))
+        await asyncio.sleep(self.delay)
+        return HeartbeatReply(Cursor(), False, (), None, 0, NO_TIME)
+
+
+@given(
+    'a daemon with a heartbeat interval of {interval:d} s whose replica '
+    'answers in {ms:d} ms'
+)
+def make_daemon(context, interval, ms):
+    """The next step runs the daemon."""
+    context.interval = interval
+    context.replica = RecordingReplica(ms / MS_PER_S)
+
+
+@when('its upstream starts to drain during a heartbeat')
+def drain_during_heartbeat(context):
+    """Change the member while the replica answers."""
+
+    async def run():
+        local = ChangingMember()
+        directory = SimpleNamespace(
+            version=1, apply_updates=lambda updates, is_snapshot: None
+        )
+        agent = ControlAgent(
+            context.replica, local, directory, HybridClock(), context.interval
+        )
+        agent.connected = True
+        task = asyncio.create_task(agent.run_forever())
+        await asyncio.sleep(context.replica.delay / 2)
+        local.draining = True
+        local.changed.set()
+        await asyncio.sleep(context.replica.delay * 6)
+        task.cancel()
+
+    asyncio.run(run())
+
+
+@then('the replica is told of the drain within {ms:d} ms')
+def check_told(context, ms):
+    """Check the time between the heartbeat and the next one."""
+    drained = [at for at, draining in context.replica.received if draining]
+    first = context.replica.received[0][0]
+    assert drained, context.replica.received
+    assert (drained[0] - first) * MS_PER_S < ms, context.replica.received
+
+
+def addresses_of(names, first_port=1):
+    """Return a name and an address for each replica."""
+    return tuple(
+        (name, Address(HOST, first_port + ord(name[0]) + len(name)))
+        for name in names.split(', ')
+    )
+
+
+@given('a control client for the seeds "{names}"')
+def make_client(context, names):
+    """Create a client; no socket is opened."""
+    context.client = FailoverControlClient(
+        addresses_of(names), PeerCredentials(None, None)
+    )
+
+
+@when('the replica set "{names}" is in use with "{first}" first')
+def use_set(context, names, first):
+    """Use a replica set."""
+    context.client.use_replicas(addresses_of(names, 1000), first)
+    context.known = context.client.client
+
+
+@when('the seeds become "{names}"')
+def change_seeds(context, names):
+    """Use other seeds."""
+    context.client.use_fallback(addresses_of(names))
+
+
+@when('the address of "{name}" in the settings is another one')
+def change_address(context, name):
+    """The seeds have other ports than the set."""
+    assert name in dict(context.client.fallback)
+
+
+@then('the control client tries "{names}" in this order')
+def check_order(context, names):
+    """Fail over from each replica to the next."""
+    tried = []
+    for _ in context.client.clients:
+        tried.append(context.client.client.name)
+        context.client.switch_replica()
+    assert tried == names.split(', '), tried
+
+
+@then('the client of "{name}" is the same as before')
+def check_same(context, name):
+    """Check that the open client was kept."""
+    assert context.client.client is context.known
+    assert context.known.name == name
