Redirect operators from a replica that is not in the set

Cause: of ten control replicas of the large deployment five are members; the others answered every operator call with 503, so half of the calls went on to another replica after a growing pause.

The scenario fails before: the spare replica answers 503.

--- a/burdocklead/process/control_replica.py
+++ b/burdocklead/process/control_replica.py
@@ -36,7 +36,7 @@
     decode_accepted_file,
     without_history,
 )
-from burdocklead.durable.replica_set import NO_QUORUM_AGE_S
+from burdocklead.durable.replica_set import NO_QUORUM_AGE_S, Replica
 from burdocklead.events import EventKind, EventRing
 from burdocklead.exceptions import ControlError
 from burdocklead.log_events import LEASE_RAN_OUT, VERSION_ACCEPTED
@@ -163,6 +163,23 @@
         """Return why changes are refused, empty if they are accepted."""
         return '' if self.quorum_age() < QUORUM_AGE_LIMIT_S else 'no quorum'
 
+    def find_responsive_member(self) -> Replica | None:
+        """Return the replica of the set that replied last.
+
+        Returns:
+            None if none of them replied recently.
+        """
+        limit = time.monotonic() - RECENT_REPLY_S
+        replied_at = {
+            name: at
+            for name, at in self.last_reply_at.items()
+            if name in self.registers.clients and at > limit
+        }
+        if not replied_at:
+            return None
+        latest = max(replied_at, key=lambda name: replied_at[name])
+        return self.registers.replica_set.find(latest)
+
     def all_peers_responsive(self) -> bool:
         """Return True if every other replica replied recently."""
         limit = time.monotonic() - RECENT_REPLY_S
--- a/tests/platform/stand_in.py
+++ b/tests/platform/stand_in.py
@@ -175,23 +175,27 @@
 
     def seeds(self):
         """Return the operator addresses of the control replicas."""
-        return [
-            f'{self.ip(number + 1)}:{PORTS["control"]}'
-            for number in range(REPLICA_COUNT)
-        ]
+        return list(map(self.operator_address, range(REPLICA_COUNT)))
 
-    def call_operator_api(self, call, body=None, base=None, control=0):
+    def operator_address(self, number):
+        """Return the operator address of a control replica."""
+        return f'{self.ip(number + 1)}:{PORTS["control"]}'
+
+    def call_operator_api(
+        self, call, body=None, base=None, control=0, *, follow=True
+    ):
         """Send an operator call to a control replica; return the response."""
         headers = {} if base is None else {'If-Match': str(base)}
         text = body
         if isinstance(body, dict):
             text = json.dumps(body)
         return requests.post(
-            f'http://{self.seeds()[control]}/-/rpc',
+            f'http://{self.operator_address(control)}/-/rpc',
             params={'call': call},
             data=text,
             headers=headers,
             timeout=HTTP_TIMEOUT_S,
+            allow_redirects=follow,
         )
 
     def apply(self, body, base):
--- a/tests/platform/whole_path.feature
+++ b/tests/platform/whole_path.feature
@@ -70,6 +70,15 @@
     When replica 2 is killed
     Then replica 1 returns version 3
 
+  Scenario: A replica that is not in the set redirects operators to one that is
+    Given a platform with the services "sheets", "orders"
+    When version 3 routes "/view/" to "sheets"
+    And a replica 3 starts that the set does not need
+    Then replica 3 redirects the same change to a replica of the set
+    And the change that follows the redirect is answered 200
+    When the replicas of the set are killed
+    Then replica 3 answers an operator call 503
+
   Scenario: Metrics are served at the port in the environment
     Given a platform with the services "sheets", "orders"
     When version 3 routes "/view/" to "sheets"
--- a/tests/steps/platform_steps.py
+++ b/tests/steps/platform_steps.py
@@ -15,6 +15,7 @@
 
 from tests.platform.stand_in import (
     METRICS_PORT,
+    REPLICA_COUNT,
     ROOT,
     StandInPlatform,
     StandInUpstream,
@@ -381,6 +382,64 @@
     assert answer.status_code == 200, answer.text
 
 
+@when('a replica {number:d} starts that the set does not need')
+def start_spare_replica(context, number):
+    """Start one more replica and wait until it knows the set."""
+    context.platform.start_control(number, bootstrap=False)
+    wait_until(
+        lambda: operator_status(context, number) == 307, 'it knows the set'
+    )
+
+
+def operator_status(context, number):
+    """Return the status of an operator call, 0 if it got no response."""
+    try:
+        return context.platform.call_operator_api(
+            'config.get', control=number, follow=False
+        ).status_code
+    except requests.RequestException:
+        return 0
+
+
+@then('replica {number:d} redirects the same change to a replica of the set')
+def check_redirect(context, number):
+    """Send the change to the replica that is not in the set."""
+    platform = context.platform
+    answer = platform.call_operator_api(
+        'config.replace', context.sent, 0, number, follow=False
+    )
+    location = answer.headers['Location']
+    targets = [
+        f'http://{seed}/-/rpc?call=config.replace' for seed in platform.seeds()
+    ]
+    assert location in targets[:REPLICA_COUNT], location
+
+
+@then('the change that follows the redirect is answered {status:d}')
+def check_followed(context, status):
+    """Send the change again and follow the redirect."""
+    answer = context.platform.call_operator_api(
+        'config.replace', context.sent, 0, REPLICA_COUNT
+    )
+    assert answer.status_code == status, answer.text
+    assert answer.history, 'the call was not redirected'
+
+
+@when('the replicas of the set are killed')
+def kill_set(context):
+    """Kill all replicas but the spare one."""
+    for number in range(REPLICA_COUNT):
+        context.platform.kill(f'control-{number}')
+
+
+@then('replica {number:d} answers an operator call {status:d}')
+def check_operator_status(context, number, status):
+    """Wait until the replica notices that the others are gone."""
+    wait_until(
+        lambda: operator_status(context, number) == status, 'no redirect', 5
+    )
+
+
 @when('replica {number:d} is killed')
 def kill_replica(context, number):
     """Kill a second replica, so that the restarted one is needed."""
