Count, earn and hold calls as their rules say

A call that took over the claim of an attempt that never ran had one attempt less. Keyed calls spent the shared retry budget and earned only the local one. A cancelled hedge reset the time by which the other answers of its upstream are due to now, so a healthy upstream was avoided at once. A call held for a better pace kept shorter ones behind it waiting while slots were free.

Each has a scenario that fails before.

--- a/burdocklead/request/admission.py
+++ b/burdocklead/request/admission.py
@@ -281,9 +281,11 @@
         if not queue:
             return None
         _demote_late(queue, now)
-        if self._should_hold(queue.first(), now):
-            return None
-        return queue.pop_first()
+        for waiting in queue.calls:
+            if not self._should_hold(waiting, now):
+                queue.remove(waiting.call_id)
+                return waiting
+        return None
 
     def _should_hold(self, waiting: WaitingCall[Ticket], now: float) -> bool:
         """Return True if a call should wait for a better pace.
--- a/burdocklead/request/dispatch.py
+++ b/burdocklead/request/dispatch.py
@@ -86,7 +86,7 @@
         """Run a call without an idempotency key and return its result."""
         if self._is_blocked(call):
             return not_run(RefusalCause.crash_suspect)
-        self._earn(call)
+        self.earn(call)
         progress = CallProgress()
         while True:
             member = await self.choose(call, progress.tried)
@@ -192,16 +192,17 @@
             call, progress.results[-1], progress.reached
         )
 
-    def _earn(self, call: Call) -> None:
-        self.budget_of(call).earn()
-        if self.shared_budget is not None:
-            self.shared_budget.earn(call.match.service_name)
-
     def _spend(self, call: Call, *, reached: bool) -> bool:
         if self.shared_budget is not None and reached:
             return self.shared_budget.spend(call.match.service_name)
         return self.budget_of(call).spend()
 
+    def earn(self, call: Call) -> None:
+        """Add the first attempt of a call to the budgets for retries."""
+        self.budget_of(call).earn()
+        if self.shared_budget is not None:
+            self.shared_budget.earn(call.match.service_name)
+
     async def wait_for_retry(
         self, call: Call, result: AttemptResult, attempt_count: int
     ) -> bool:
--- a/burdocklead/request/keyed_call.py
+++ b/burdocklead/request/keyed_call.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import hashlib
-import itertools
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from typing import Any
@@ -79,10 +78,11 @@
         return await asyncio.shield(task)
 
     async def _run(self, call: Call) -> CallResult:
-        self.dispatcher.budget_of(call).earn()
+        self.dispatcher.earn(call)
         replaces = ''
         tried: set[str] = set()
-        for number in itertools.count(1):
+        attempts = 0
+        while True:
             member = await self.dispatcher.choose(call, tried)
             if member is None:
                 return not_run(RefusalCause.no_upstream)
@@ -93,12 +93,12 @@
             replaces = outcome
             if outcome != claim.attempt_id:
                 continue
-            result = await self._run_attempt(call, member, claim, number)
-            if not await self.dispatcher.wait_for_retry(call, result, number):
+            attempts += 1
+            result = await self._run_attempt(call, member, claim, attempts)
+            if not await self.dispatcher.wait_for_retry(call, result, attempts):
                 await self._finish_claim(call, claim, result)
                 return result_of_attempts([result])
             tried.add(member.daemon_id)
-        raise AssertionError('unreachable')
 
     async def _acquire_claim(
         self, call: Call, claim: Claim, replaces: str
--- a/burdocklead/request/routing.py
+++ b/burdocklead/request/routing.py
@@ -257,7 +257,7 @@
         """Record a cancelled attempt if it took longer than the median."""
         ratio = elapsed * MS_PER_S / self.median_latency_ms(route)
         if ratio > 1:
-            self.view_of(daemon_id).record_answer(ratio, 0, now)
+            self.view_of(daemon_id).slowness.observe(ratio, now)
 
     def forget(self, daemon_id: str) -> None:
         """Drop an upstream that has left; keep its view while attempts run."""
--- a/tests/request/pace.feature
+++ b/tests/request/pace.feature
@@ -29,6 +29,15 @@
     When the pace is 1 again
     Then the call of 200 ms runs
 
+  Scenario: A waiting short call is not kept by a held one before it
+    Given an admission queue of 1 slots at pace 1
+    When a call of 21 ms with 5000 ms left is offered
+    And a call of 30 ms with 1000 ms left is offered
+    And a call of 20 ms with 2000 ms left is offered
+    And the pace is 5 again
+    And the call of 21 ms ends
+    Then the call of 30 ms waits and the call of 20 ms runs
+
   Scenario: A held call that can no longer end in time is refused at once
     Given an admission queue of 4 slots at pace 5
     When a call of 200 ms with 250 ms left is offered
--- a/tests/request/retries.feature
+++ b/tests/request/retries.feature
@@ -141,3 +141,17 @@
     Then the dispatched calls are not run
     And the retry-after times spread over at least 0.1 s and are at most 3.4 s
     And the retry-after times are at least 0.3 s
+
+  Scenario: Taking over a claim is not an attempt
+    Given dispatched calls that are not idempotent with a hedge after 0 ms
+    And max_attempts is 2 for the dispatched calls
+    And every dispatched attempt is refused
+    When a keyed call is sent whose key is claimed by an attempt that never ran
+    Then 2 dispatched attempts went to different upstreams
+
+  Scenario: Keyed calls earn the shared budget that their retries spend
+    Given dispatched calls that are not idempotent with a hedge after 0 ms
+    And the daemons share a budget of 0.2 retries per call plus 10 per 10 s
+    When 8 keyed calls are sent
+    Then the dispatched calls are answered
+    And the shared budget counts 8 first attempts
--- a/tests/request/routing.feature
+++ b/tests/request/routing.feature
@@ -46,6 +46,11 @@
     When a router waits for 5 answers of 5 ms of one of 2 upstreams for 100 ms
     Then it chooses the other one 200 times
 
+  Scenario: A hedge that is cancelled makes no other attempt overdue
+    When a router cancels 1 of 3 attempts of 100 ms in flight at an upstream after 150 ms
+    Then the other attempts are not overdue 50 ms later
+    And they are overdue 400 ms later
+
   Scenario: Calls that took no measurable time
     When a router records answers after 0 ms, 0 ms and 5 ms
     Then their upstream is scored by a finite latency
--- a/tests/steps/pace_steps.py
+++ b/tests/steps/pace_steps.py
@@ -96,6 +96,13 @@
         context.verdicts[decision.ticket.attempt_id] = decision.verdict
 
 
+@when('the call of {cost:d} ms ends')
+def end_call(context, cost):
+    """Release the slot of a call."""
+    for decision in context.queue.release(f'{cost} ms', cost, context.now):
+        context.verdicts[decision.ticket.attempt_id] = decision.verdict
+
+
 @when('the pace is {pace:g} again')
 def change_pace(context, pace):
     """Report another pace a moment later."""
--- a/tests/steps/retry_steps.py
+++ b/tests/steps/retry_steps.py
@@ -12,6 +12,13 @@
 
 from burdocklead.clock import HybridClock
 from burdocklead.connection.frames import Answer, Lost, Refusal
+from burdocklead.durable.claims import (
+    Claim,
+    ClaimReply,
+    ClaimStart,
+    finish_claim,
+    start_claim,
+)
 from burdocklead.events import EventRing
 from burdocklead.metrics import MetricSet
 from burdocklead.request.attempt_runner import NO_LOAD
@@ -19,6 +26,7 @@
 from burdocklead.request.call import Call
 from burdocklead.request.crash_guard import CrashGuard
 from burdocklead.request.dispatch import Dispatcher
+from burdocklead.request.keyed_call import KeyedCalls, claim_fingerprint_of
 from burdocklead.request.placement import Placement
 from burdocklead.request.retries import MAX_BUDGET_TOKENS, backoff_s
 from burdocklead.request.routing import Router
@@ -76,6 +84,15 @@
         members = [member(one) for one in range(self.count)]
         return candidates_for('vancouver', members)
 
+    def find_member(self, daemon_id):
+        """Return an upstream by the ID of its daemon."""
+        found = map(member, range(self.count))
+        return next(one for one in found if one.daemon_id == daemon_id)
+
+    async def resolve(self, target, query):
+        """Report that the earlier attempt of a keyed call never ran."""
+        return Refusal(query.attempt_id, RefusalCause.draining, NO_LOAD)
+
     async def run(self, call, target, attempt):
         """Return the scripted result of an attempt."""
         self.attempts.append((attempt.number, target.daemon_id))
@@ -303,3 +320,53 @@
     assert min(times) > 0, times
     assert max(times) - min(times) >= spread, times
     assert max(times) <= limit, times
+
+
+class ScriptedClaim:
+    """The claim of one key, held at first by an earlier attempt, if any."""
+
+    def __init__(self, current=None):
+        """Start with the claim of the earlier attempt."""
+        self.current = current
+
+    async def request(self, message, timeout):
+        """Decide a request like a control replica."""
+        if isinstance(message, ClaimStart):
+            self.current = start_claim(self.current, message)
+        else:
+            self.current = finish_claim(self.current, message)
+        return ClaimReply(self.current)
+
+
+async def _send_keyed(context, count, *, claimed):
+    results = []
+    for number in range(count):
+        deadline = asyncio.get_running_loop().time() + 10
+        key = f'k{number}'
+        call = Call(f'c{number}', context.match, 'POST', (), b'', key, deadline)
+        earlier = Claim(
+            claim_fingerprint_of(call), 'e.1.1', 'u0', member(0).incarnation
+        )
+        claim = ScriptedClaim(earlier if claimed else None)
+        keyed_calls = KeyedCalls(context.dispatcher, claim.request, lambda: 100)
+        results.append(await keyed_calls.run(call))
+    return results
+
+
+@when('{count:d} keyed calls are sent')
+def send_keyed_calls(context, count):
+    """Send calls with different keys."""
+    context.results = asyncio.run(_send_keyed(context, count, claimed=False))
+
+
+@when('a keyed call is sent whose key is claimed by an attempt that never ran')
+def send_claimed_call(context):
+    """Send a call whose claim is taken over."""
+    context.results = asyncio.run(_send_keyed(context, 1, claimed=True))
+
+
+@then('the shared budget counts {count:d} first attempts')
+def check_first_attempts(context, count):
+    """Check what the calls earned."""
+    window = context.dispatcher.shared_budget.windows['sheets']
+    assert window.count_first_attempts() == count, window
--- a/tests/steps/routing_steps.py
+++ b/tests/steps/routing_steps.py
@@ -221,3 +221,33 @@
     median_ms = context.router.median_latency_ms(ROUTE)
     score = context.router.score(member(0), median_ms, 3)
     assert 0 < score < math.inf, score
+
+
+@when(
+    'a router cancels 1 of {count:d} attempts of {usual:d} ms in flight at an '
+    'upstream after {elapsed:d} ms'
+)
+def cancel_attempt(context, count, usual, elapsed):
+    """Start attempts at once and cancel one that took longer than usual."""
+    record_answers(context, usual, usual, usual)
+    router = context.router
+    context.now = 10
+    for _ in range(count):
+        router.start_attempt('u0', ROUTE, context.now)
+    context.now += elapsed / 1000
+    router.observe_cancelled('u0', ROUTE, elapsed / 1000, context.now)
+    router.finish_attempt('u0', ROUTE)
+
+
+@then('the other attempts are not overdue {later:d} ms later')
+def check_not_overdue(context, later):
+    """Check the time for which an answer is overdue."""
+    view = context.router.view_of('u0')
+    assert not view.overdue_ms(context.now + later / 1000), view
+
+
+@then('they are overdue {later:d} ms later')
+def check_overdue(context, later):
+    """Check that the time of the attempts still counts."""
+    view = context.router.view_of('u0')
+    assert view.overdue_ms(context.now + later / 1000) > 0, view
