Share the measuring budget, and survive a set that changes while catching up

Background probes and load queries each spent the whole measuring budget of a daemon; they share one now. A set two changes ahead raised KeyError in a replica that caught up, which ended its set manager until the supervisor started it again; candidates and replies of replicas that are gone were kept for ever, and are forgotten after a minute.

Three scenarios; the two of the set manager fail before, the third needs the function that creates the prober.

--- a/burdocklead/process/daemon_components.py
+++ b/burdocklead/process/daemon_components.py
@@ -67,7 +67,7 @@
         self.load_socket = create_load_socket(
             self.executor, self.credentials.key, self.metrics
         )
-        selector = ProbingSelector(
+        self.selector = ProbingSelector(
             settings.daemon_id,
             self.router,
             self.load_socket,
@@ -79,7 +79,7 @@
             prefix,
             self.directory,
             RecordingRunner(self.directory, self.router, self.events),
-            Placement(self.directory, self.router, selector),
+            Placement(self.directory, self.router, self.selector),
             rng,
             self.metrics,
             self.executor.guard,
--- a/burdocklead/process/daemon_process.py
+++ b/burdocklead/process/daemon_process.py
@@ -26,7 +26,7 @@
 from burdocklead.process.supervision import Supervisor, watch_process
 from burdocklead.request.dialect import BurdockleadDialect
 from burdocklead.request.keyed_call import KeyedCalls
-from burdocklead.request.measuring import MeasuringBudget, ProbePlanner
+from burdocklead.request.measuring import ProbePlanner
 from burdocklead.request.pooled_upstream import (
     PooledUpstreamClient,
     answer_limits,
@@ -154,14 +154,7 @@
             self.components.clock,
             self.components.settings.heartbeat_interval,
         )
-        prober = Prober(
-            self.components.directory,
-            ProbePlanner(
-                self.components.router, self.components.settings.daemon_id
-            ),
-            MeasuringBudget(),
-            self.components.metrics,
-        )
+        prober = create_prober(self.components)
         return [
             supervisor.start('probes', prober.run_forever()),
             supervisor.start('heartbeats', agent.run_forever()),
@@ -218,6 +211,16 @@
         self.components.control.close()
 
 
+def create_prober(components: DaemonComponents) -> Prober:
+    """Return the prober of a daemon, which shares its measuring budget."""
+    return Prober(
+        components.directory,
+        ProbePlanner(components.router, components.settings.daemon_id),
+        components.selector.budget,
+        components.metrics,
+    )
+
+
 async def _expire_forever(local_member: LocalMember) -> None:
     loop = asyncio.get_running_loop()
     while True:
--- a/burdocklead/process/replica_exchange.py
+++ b/burdocklead/process/replica_exchange.py
@@ -20,6 +20,7 @@
 from burdocklead.process.control_replica import ControlReplica
 
 EXCHANGE_TIMEOUT_S = 1.0
+REPLY_MEMORY_S = 60.0
 CATCH_UP_INTERVAL_S = 0.1
 CATCH_UP_S = 5.0  # All daemons send a heartbeat again within this time.
 
@@ -92,7 +93,7 @@
         now = time.monotonic()
         self.replica.clock.observe(reply.time)
         # After losing its disk, a replica has a new name at the same address.
-        self.replica.last_reply_at[reply.cursor.replica_id] = now
+        self._record_reply(reply.cursor.replica_id, now)
         self.cursors[peer.name] = reply.cursor
         sender = reply.cursor.replica_id
         self.replica.members.merge(reply.updates, now, sender)
@@ -101,6 +102,15 @@
         if reply.file is not None:
             self.replica.learn_file(reply.file)
 
+    def _record_reply(self, replica_id: str, now: float) -> None:
+        """Record a reply; forget replicas that left the set long ago."""
+        last_reply_at = self.replica.last_reply_at
+        last_reply_at[replica_id] = now
+        oldest = now - REPLY_MEMORY_S
+        for name, at in tuple(last_reply_at.items()):
+            if at < oldest and name not in self.registers.clients:
+                last_reply_at.pop(name)
+
     async def _learn_identity(self, peer: ControlClient) -> None:
         request = InstallSet(self.registers.replica_set)
         reply = await peer.request(request, EXCHANGE_TIMEOUT_S)
--- a/burdocklead/process/replica_set_manager.py
+++ b/burdocklead/process/replica_set_manager.py
@@ -52,6 +52,7 @@
 INSTALL_TIMEOUT_S = 2.0
 REACHABLE_AGE_S = 2.0
 FIRST_EPOCH = 1
+CANDIDATE_MEMORY_S = 60
 STEP = 'replica set'
 SetUpdate = Callable[[ReplicaSet], ReplicaSet]
 
@@ -131,6 +132,9 @@
 
     async def _reconcile(self) -> None:
         replica_set = self.registers.replica_set
+        if replica_set.epoch:
+            self.discovered.clear()
+        _forget_silent(self.candidates)
         if not replica_set.epoch:
             await self._form_first_set(replica_set)
             return
@@ -231,13 +235,20 @@
         alone can no longer decide anything.
 
         Raises:
-            ControlError: If no majority could be read.
+            ControlError: If no majority could be read, or another set came
+                into force meanwhile.
         """
         if self.caught_up_epoch == replica_set.epoch:
             return
         read: set[str] = set()
         for replica in replica_set.replicas:
-            client = self.registers.clients[replica.replica_id]
+            client = self.registers.clients.get(replica.replica_id)
+            if client is None:
+                raise ControlError(
+                    'the set changed while this replica caught up',
+                    step=STEP,
+                    peer=replica.replica_id,
+                )
             try:
                 await self._read_all(client, replica_set.epoch)
             except ControlError as error:
@@ -307,3 +318,14 @@
         }
         reachable.add(self.settings.replica_id)
         return frozenset(reachable)
+
+
+def _forget_silent(candidates: dict[Replica, float]) -> None:
+    """Drop candidates that are silent for long.
+
+    A replica that loses its disk comes back as another candidate.
+    """
+    oldest = time.monotonic() - CANDIDATE_MEMORY_S
+    for replica, heard_at in tuple(candidates.items()):
+        if heard_at < oldest:
+            candidates.pop(replica)
--- a/tests/durable/set_policy.feature
+++ b/tests/durable/set_policy.feature
@@ -37,3 +37,11 @@
       | 0.5 | none             | nothing |
       | 9   | none             | cancel  |
       | 0.5 | d-wiped at d 0.1 | cancel  |
+
+  Scenario: A set that changes while a replica catches up is no fault of the process
+    Given a joining replica whose set changes while it catches up
+    Then its set manager goes on and catches up with the new set
+
+  Scenario: Replicas that are silent for long are forgotten
+    Given a set manager that heard 50 candidates long ago and 1 now
+    Then its set manager knows 1 candidate
--- a/tests/request/measuring.feature
+++ b/tests/request/measuring.feature
@@ -35,3 +35,7 @@
     And a new load report comes
     Then the dead signals are ""
     And the reported signal changes are "never came,"
+
+  Scenario: Background probes and load queries share one budget
+    Given a daemon whose load queries have used its measuring budget
+    Then its background probes may send nothing
--- a/tests/steps/measuring_steps.py
+++ b/tests/steps/measuring_steps.py
@@ -7,10 +7,14 @@
 import msgspec
 from behave import given, then, when
 
+from burdocklead.options import read_settings
+from burdocklead.process.daemon_components import DaemonComponents
+from burdocklead.process.daemon_process import create_prober
 from burdocklead.process.prober import BYTES_PER_PROBE, MESSAGES_PER_PROBE
 from burdocklead.request.load_signals import LoadSignalMonitor
 from burdocklead.request.measuring import MeasuringBudget, ProbePlanner
 from burdocklead.request.routing import Candidates, Router
+from burdocklead.settings import DaemonSettings
 from burdocklead.values import LoadReport
 from burdocklead.version.deployment import Measuring
 from tests.steps.routing_simulation import candidates_for, member
@@ -152,3 +156,25 @@
     assert ','.join(context.reported_reasons) == reasons, (
         context.reported_reasons
     )
+
+
+@given('a daemon whose load queries have used its measuring budget')
+def use_budget(context):
+    """Spend the budget of the component that sends load queries."""
+    settings = read_settings(
+        DaemonSettings,
+        {'zone': 'a', 'control': 'c=127.0.0.1:1', 'daemon_id': 'd'},
+        {},
+    )
+    context.components = DaemonComponents(settings)
+    context.add_cleanup(context.components.load_socket.close)
+    budget = context.components.selector.budget
+    budget.limits = Measuring(messages_per_second=2)
+    assert budget.try_spend(2, 0, 1)
+
+
+@then('its background probes may send nothing')
+def check_nothing_left(context):
+    """Check the budget of the prober."""
+    prober = create_prober(context.components)
+    assert not prober.budget.try_spend(1, 0, 1)
