Match routes for one port of a host, and explain lists

A host route whose host has a port never matched, as the port of each call was removed first. explain raised TypeError on a log line with a list.

--- a/burdocklead/timeline/call_trace.py
+++ b/burdocklead/timeline/call_trace.py
@@ -189,11 +189,15 @@
     return f'{peer} logged nothing about it: it was stopped or unreachable'
 
 
+def _is_empty(value: object) -> bool:
+    return value is None or value == ''
+
+
 def _trace_step(line: LogLine) -> TraceStep:
     hidden = frozenset(('call', 'attempt', 'level', 'channel', 'process'))
     shown_fields = ', '.join(
         f'{name} {value}'
         for name, value in line.fields.items()
-        if name not in hidden and value not in {None, ''}
+        if name not in hidden and not _is_empty(value)
     )
     return TraceStep(line.process, line.time, f'{line.message}: {shown_fields}')
--- a/burdocklead/version/route_table.py
+++ b/burdocklead/version/route_table.py
@@ -96,8 +96,18 @@
     def find_host_route(
         self, host: str, target: str
     ) -> HostRouteMatcher | None:
-        """Return the matcher of the host route with the longest prefix."""
-        prefixes = self.hosts.get(_normalized_host(host))
+        """Return the matcher of the host route with the longest prefix.
+
+        A route whose host has a port matches only calls to this port, and
+        goes before routes for all ports.
+        """
+        named = host.lower()
+        return self._find_prefix(named, target) or self._find_prefix(
+            _without_port(named), target
+        )
+
+    def _find_prefix(self, host: str, target: str) -> HostRouteMatcher | None:
+        prefixes = self.hosts.get(host)
         if prefixes is None:
             return None
         path = target.partition('?')[0]
@@ -192,10 +202,9 @@
     return max(target_ms * INITIAL_COST_RATIO, MIN_COST_MS)
 
 
-def _normalized_host(host: str) -> str:
-    """Return a host in lower case and without a port."""
-    name, separator, port = host.lower().rpartition(':')
-    return name if separator and port.isdigit() else host.lower()
+def _without_port(host: str) -> str:
+    name, separator, port = host.rpartition(':')
+    return name if separator and port.isdigit() else host
 
 
 def _has_prefix(prefix: str, path: str) -> bool:
--- a/tests/steps/timeline_steps.py
+++ b/tests/steps/timeline_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import time
 from html.parser import HTMLParser
 from unittest.mock import Mock
@@ -16,8 +17,10 @@
 from burdocklead.connection.frames import FrameBuffer, Ping, encode_frame
 from burdocklead.events import Event, EventKind, EventRing
 from burdocklead.request.headers import CALL_HEADER
+from burdocklead.timeline.call_trace import ATTEMPT_ENDED, trace_call
 from burdocklead.timeline.event_collection import ProcessEvents
 from burdocklead.timeline.html_page import render_page
+from burdocklead.timeline.log_lines import LogLine, ParsedLogs
 from burdocklead.timeline.merging import causal_key, merge_events
 from burdocklead.timeline.selection import (
     Selection,
@@ -374,3 +377,18 @@
     problems = {one: text for one, text in context.reported.items() if text}
     assert list(problems) == [name], problems
     assert problems[name].startswith('no connection to '), problems
+
+
+@when('a log line of call "{call}" has the list {values} in the field "{name}"')
+def trace_list(context, call, values, name):
+    """Trace a call one of whose log lines has a list."""
+    fields = {'call': call, 'attempt': 'a.1.1', name: json.loads(values)}
+    line = LogLine('a', '', ATTEMPT_ENDED, fields)
+    context.trace = trace_call(ParsedLogs((line,), frozenset('a'), 0), call)
+
+
+@then('the trace of the call shows "{text}"')
+def check_trace(context, text):
+    """Check the text of the step."""
+    texts = [step.text for step in context.trace.steps]
+    assert len(texts) == 1 and text in texts[0], texts
--- a/tests/timeline/timeline.feature
+++ b/tests/timeline/timeline.feature
@@ -117,3 +117,7 @@
     Then the page has a lane for each process of the deployment
     When the daemon "job-sheets-0" is killed and the timeline is requested
     Then the timeline reports that "job-sheets-0" was not reached
+
+  Scenario: A call is explained although a field of its log lines is a list
+    When a log line of call "c7" has the list ["u1", "u2"] in the field "peers"
+    Then the trace of the call shows "peers ['u1', 'u2']"
--- a/tests/version/host_routes.feature
+++ b/tests/version/host_routes.feature
@@ -12,6 +12,19 @@
       | sheets.example      | /viewer/1         | all   |
       | other.example       | /view/7           | none  |
 
+  Scenario Outline: A route may be for one port of a host
+    Given host routes "all" at "sheets.example/", "view" at "sheets.example:8080/view/" and "other" at "archive.example:90/"
+    Then a call to "<host>" at "<target>" matches the route "<route>"
+
+    Examples:
+      | host                 | target  | route |
+      | sheets.example:8080  | /view/7 | view  |
+      | sheets.example:8080  | /list/7 | all   |
+      | sheets.example:8081  | /view/7 | all   |
+      | sheets.example       | /view/7 | all   |
+      | Archive.example:90   | /7      | other |
+      | archive.example      | /7      | none  |
+
   Scenario: Calls are split by weight
     Given a host route split 90 to "orders" and 10 to "sheets"
     Then of 2000 calls a share of 0.87 to 0.93 goes to "orders"
