Keep members that a replica without memory has not heard of yet

Cause: replicas keep the membership in memory.

Change: a replica says in its replies that it is not settled until a lease after its start, or until it heard from a settled replica. A daemon keeps the members that an unsettled replica has not listed, and removes those still not listed once it is settled.

--- a/burdocklead/connection/control_messages.py
+++ b/burdocklead/connection/control_messages.py
@@ -128,6 +128,8 @@
         time: Hybrid time of the replica.
         replica_set: Replica set, None if it is not newer than the known epoch.
         drains: Daemons drained by operators.
+        is_settled: False if the replica started a short time ago and may not
+            have heard all daemons yet.
     """
 
     cursor: Cursor
@@ -138,6 +140,7 @@
     time: HybridTime
     replica_set: ReplicaSet | None = None
     drains: DrainList = NO_DRAINS
+    is_settled: bool = True
 
 
 class Exchange(msgspec.Struct, frozen=True, tag=True, array_like=True):
--- a/burdocklead/process/control_agent.py
+++ b/burdocklead/process/control_agent.py
@@ -112,7 +112,9 @@
     def _apply_reply(self, reply: HeartbeatReply) -> None:
         self.clock.observe(reply.time)
         self.directory.apply_updates(
-            reply.updates, is_snapshot=reply.is_snapshot
+            reply.updates,
+            is_snapshot=reply.is_snapshot,
+            is_settled=reply.is_settled,
         )
         self.cursor = reply.cursor
         if reply.file is not None:
--- a/burdocklead/process/control_replica.py
+++ b/burdocklead/process/control_replica.py
@@ -58,6 +58,8 @@
     Attributes:
         file: Newest configuration file known to be accepted.
         last_reply_at: Monotonic time in s of the last reply of each replica.
+        is_settled: True once this replica knows all daemons that run: a lease
+            after its start, or once it heard from a replica that does.
         exchange_requested: Set to run an exchange with the other replicas at
             once.
     """
@@ -76,6 +78,7 @@
         self.file = AcceptedFile()
         self.drains = OperatorDrains(self.registers, self.events)
         self.last_reply_at: dict[str, float] = {}
+        self.is_settled = False
         self.exchange_requested = asyncio.Event()
         self.set_manager = ReplicaSetManager(self.registers, self.last_reply_at)
         self.registers.proposer.all_reachable = self.all_peers_responsive
@@ -213,6 +216,7 @@
                 expire_from = now + self.settings.member_lease
             last = now
             if now >= expire_from:
+                self.is_settled = True
                 self._expire(now)
             await asyncio.sleep(self.settings.exchange_interval)
 
@@ -261,6 +265,7 @@
             time=self.clock.issue(),
             replica_set=replica_set if newer_set else None,
             drains=self.drains.current,
+            is_settled=self.is_settled,
         )
 
     async def _change_claim(
--- a/burdocklead/process/directory.py
+++ b/burdocklead/process/directory.py
@@ -40,6 +40,8 @@
         members: Current members by daemon ID.
         candidates_by_service: Upstreams that may receive new work by service.
         links: Links to other daemons by daemon ID.
+        unconfirmed: Members that replicas which started a short time ago have
+            not listed yet.
         table: Route table of the configuration in force, None without one.
     """
 
@@ -61,6 +63,7 @@
         self.router = router
         self.candidates_by_service: dict[str, Candidates] = {}
         self.members: dict[str, Member] = {}
+        self.unconfirmed: set[str] = set()
         self.links: dict[str, PeerLink] = {}
         self.table: RouteTable | None = None
 
@@ -118,20 +121,31 @@
                 link.send_nowait(notice)
 
     def apply_updates(
-        self, updates: Iterable[MemberUpdate], *, is_snapshot: bool
+        self,
+        updates: Iterable[MemberUpdate],
+        *,
+        is_snapshot: bool,
+        is_settled: bool = True,
     ) -> None:
         """Apply changes of the membership.
 
         Args:
             updates: Members that joined, changed or left.
-            is_snapshot: True if the updates list all members, so that others
-                are removed.
+            is_snapshot: True if the updates list all members that the sender
+                knows.
+            is_settled: True if the sender knows all members, so that those
+                it has not listed are removed.
         """
         updates = tuple(updates)
+        listed_ids = {update.member.daemon_id for update in updates}
         if is_snapshot:
-            listed_ids = {update.member.daemon_id for update in updates}
-            for daemon_id in self.members.keys() - listed_ids:
+            self.unconfirmed = set(self.members)
+        self.unconfirmed -= listed_ids
+        if is_settled:
+            for daemon_id in self.unconfirmed:
                 self._remove(daemon_id)
+                is_snapshot = True
+            self.unconfirmed.clear()
         for update in updates:
             if update.gone:
                 self._remove(update.member.daemon_id)
--- a/burdocklead/process/replica_exchange.py
+++ b/burdocklead/process/replica_exchange.py
@@ -98,6 +98,7 @@
         sender = reply.cursor.replica_id
         self.replica.members.merge(reply.updates, now, sender)
         self.replica.members.renew_leases(sender, now)
+        self.replica.is_settled |= reply.is_settled
         self.replica.drains.learn(reply.drains)
         if reply.file is not None:
             self.replica.learn_file(reply.file)
--- a/tests/process/heartbeats.feature
+++ b/tests/process/heartbeats.feature
@@ -22,3 +22,27 @@
     When the replica set "a, b" is in use with "a" first
     And the address of "a" in the settings is another one
     Then the control client tries "a, b, two" in this order
+
+  Scenario: A replica that has just started takes no member away
+    Given a daemon that knows the members "d1, d2, d3"
+    When a replica that has just started sends a snapshot with "d1"
+    Then the daemon knows the members "d1, d2, d3"
+    When the same replica reports "d2"
+    And the same replica is settled
+    Then the daemon knows the members "d1, d2"
+
+  Scenario: A replica that knows all daemons takes away those that left
+    Given a daemon that knows the members "d1, d2, d3"
+    When a settled replica sends a snapshot with "d1"
+    Then the daemon knows the members "d1"
+
+  Scenario Outline: A replica knows all daemons a lease after its start, or from another replica
+    Given a replica with leases of 0.3 s that has just started
+    Then it says in its heartbeat replies that it is not settled
+    When <event>
+    Then it says in its heartbeat replies that it is settled
+
+    Examples:
+      | event                           |
+      | a lease has passed              |
+      | it hears from a settled replica |
--- a/tests/steps/heartbeat_steps.py
+++ b/tests/steps/heartbeat_steps.py
@@ -3,16 +3,28 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from dataclasses import dataclass, field
 from types import SimpleNamespace
 
+import msgspec
 from behave import given, then, when
 
 from burdocklead.clock import NO_TIME, HybridClock
 from burdocklead.connection.control_client import FailoverControlClient
-from burdocklead.connection.control_messages import Cursor, HeartbeatReply
+from burdocklead.connection.control_messages import (
+    Cursor,
+    Heartbeat,
+    HeartbeatReply,
+    MemberUpdate,
+)
 from burdocklead.connection.peer_credentials import PeerCredentials
+from burdocklead.options import read_settings
 from burdocklead.process.control_agent import ControlAgent
+from burdocklead.process.control_replica import ControlReplica
+from burdocklead.process.daemon_components import DaemonComponents
+from burdocklead.process.replica_exchange import ReplicaExchange
+from burdocklead.settings import ControlSettings, DaemonSettings
 from burdocklead.values import Address, Member
 
 MS_PER_S = 1000
@@ -81,7 +93,7 @@
     async def run():
         local = ChangingMember()
         directory = SimpleNamespace(
-            version=1, apply_updates=lambda updates, is_snapshot: None
+            version=1, apply_updates=lambda updates, **flags: None
         )
         agent = ControlAgent(
             context.replica, local, directory, HybridClock(), context.interval
@@ -156,3 +168,122 @@
     """Check that the open client was kept."""
     assert context.client.client is context.known
     assert context.known.name == name
+
+
+def updates_of(names):
+    """Return an update for each daemon that is present."""
+    return [
+        MemberUpdate(
+            msgspec.structs.replace(MEMBER, daemon_id=name),
+            gone=False,
+            age_ms=0,
+        )
+        for name in names.split(', ')
+    ]
+
+
+@given('a daemon that knows the members "{names}"')
+def make_directory(context, names):
+    """Create the directory of a daemon."""
+    flags = {'zone': 'a', 'control': 'c=127.0.0.1:1', 'daemon_id': 'd1'}
+    components = DaemonComponents(read_settings(DaemonSettings, flags, {}))
+    context.add_cleanup(components.load_socket.close)
+    context.directory = components.directory
+    context.directory.apply_updates(updates_of(names), is_snapshot=True)
+
+
+@when('a replica that has just started sends a snapshot with "{names}"')
+def apply_early_snapshot(context, names):
+    """Apply what a replica knows soon after its start."""
+    context.directory.apply_updates(
+        updates_of(names), is_snapshot=True, is_settled=False
+    )
+
+
+@when('a settled replica sends a snapshot with "{names}"')
+def apply_snapshot(context, names):
+    """Apply all members."""
+    context.directory.apply_updates(updates_of(names), is_snapshot=True)
+
+
+@when('the same replica reports "{names}"')
+def apply_early_updates(context, names):
+    """Apply the members that announced themselves since."""
+    context.directory.apply_updates(
+        updates_of(names), is_snapshot=False, is_settled=False
+    )
+
+
+@when('the same replica is settled')
+def apply_settled(context):
+    """Apply a reply without changes."""
+    context.directory.apply_updates((), is_snapshot=False)
+
+
+@then('the daemon knows the members "{names}"')
+def check_members(context, names):
+    """Compare the members."""
+    members = sorted(context.directory.members)
+    assert members == names.split(', '), members
+
+
+@given('a replica with leases of {lease:g} s that has just started')
+def make_replica(context, lease):
+    """The next steps run the replica."""
+    flags = {
+        'replica_id': 'a',
+        'zone': 'a',
+        'replicas': 'a=127.0.0.1:1,b=127.0.0.1:2',
+        'data_folder': str(context.folder),
+        'member_lease': str(lease),
+        'exchange_interval': '0.05',
+    }
+    context.settings = read_settings(ControlSettings, flags, {})
+    context.replica = ControlReplica(context.settings)
+
+
+def is_settled(context):
+    """Return what the replica says in a heartbeat reply."""
+    message = Heartbeat(MEMBER, Cursor(), 0, NO_TIME)
+    return asyncio.run(context.replica.handle(message)).is_settled
+
+
+@then('it says in its heartbeat replies that it is not settled')
+def check_not_settled(context):
+    """Check the first reply."""
+    assert not is_settled(context)
+
+
+@then('it says in its heartbeat replies that it is settled')
+def check_settled(context):
+    """Check a later reply."""
+    assert is_settled(context)
+
+
+@when('a lease has passed')
+def pass_lease(context):
+    """Run the task that expires leases."""
+
+    async def run():
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(context.settings.member_lease * 1.5):
+                await context.replica.expire_forever()
+
+    asyncio.run(run())
+
+
+@when('it hears from a settled replica')
+def hear_settled(context):
+    """Run one exchange with a replica that answers."""
+
+    async def answer(message, timeout):
+        return HeartbeatReply(Cursor('b', 1, 1), True, (), None, 0, NO_TIME)
+
+    async def run():
+        registers = context.replica.registers
+        registers.clients = {'b': SimpleNamespace(name='b', request=answer)}
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(0.1):
+                await ReplicaExchange(context.replica).run_forever()
+
+    asyncio.run(run())
