Play the new faults of upstreams in the soak, and end its faults when healed

Upstreams of the soak now write earlier answers and refusals once more, headers without end, and heads a byte at a time.

--- a/devtools/soak/__main__.py
+++ b/devtools/soak/__main__.py
@@ -18,12 +18,13 @@
 from burdocklead.values import Outcome
 from devtools.processes import use_repository_sources
 from devtools.soak.cluster import SoakCluster
-from devtools.soak.faults import FaultInjector
+from devtools.soak.faults import REJOIN_S, FaultInjector
 from devtools.soak.mutations import MUTATIONS, mutated_sources
 from devtools.soak.records import (
     SoakRecord,
     count_executions,
     find_problems,
+    read_flood_bytes,
     summary_of,
 )
 from devtools.soak.traffic import Caller, Operator, watch_versions
@@ -64,10 +65,11 @@
     try:
         cluster.start()
         asyncio.run(_run_phases(plan, cluster, record))
-        executions = count_executions(cluster.executions())
+        lines = cluster.executions()
     finally:
         cluster.kill()
-    return record, find_problems(record, executions)
+    record.flood_bytes = read_flood_bytes(lines)
+    return record, find_problems(record, count_executions(lines))
 
 
 async def _run_phases(
@@ -95,6 +97,7 @@
         async with asyncio.timeout(plan.seconds):
             await injector.run(random.Random(plan.seed))
     await asyncio.to_thread(cluster.heal)
+    record.end_disruptions(asyncio.get_running_loop().time() + REJOIN_S)
     background[0].cancel()
     await _check_recovery(cluster, record, callers[0])
     for task in background:
--- a/devtools/soak/faults.py
+++ b/devtools/soak/faults.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import itertools
+import math
 import random
 import signal
 from collections.abc import AsyncIterator, Callable, Iterator
@@ -19,7 +20,6 @@
 PAUSE_S = (0.3, 3.0)
 DISRUPTION_S = (0.5, 4.0)
 DOWNTIME_S = (0, 1.5)
-HEAL_TIMEOUT_S = 12.0
 REJOIN_S = 1.5  # A restarted process first has to learn of the others.
 STOP_LIMIT_S = 12.0
 FULL_DISK_BYTES = 1
@@ -30,6 +30,9 @@
     {'slowdown': 20},
     {'shed_share': 0.6},
     {'long_share': 0.2, 'long_factor': 20},
+    {'shed_share': 0.4, 'repeat_share': 0.5},
+    {'endless_share': 0.4},
+    {'trickle_share': 0.2},
 )
 
 
@@ -234,12 +237,11 @@
     ) -> AsyncIterator[None]:
         """Record the period in which a process is disrupted.
 
-        A cancelled fault counts as ended `HEAL_TIMEOUT_S` after its start, by
-        when the cluster is healed.
+        A cancelled fault lasts until the cluster is healed.
         """
         loop = asyncio.get_running_loop()
         started = loop.time()
-        ended = started + HEAL_TIMEOUT_S
+        ended = math.inf
         self.disrupted.add(process.name)
         try:
             yield
--- a/devtools/soak/mutations.py
+++ b/devtools/soak/mutations.py
@@ -40,6 +40,20 @@
             '        record = encode_record(changes)\n',
         ),
     ),
+    'any-answer': (
+        Edit(
+            'burdocklead/connection/answer_reader.py',
+            'answer_id not in {None, self.request.answer_id}',
+            'False',
+        ),
+    ),
+    'no-bounds': (
+        Edit(
+            'burdocklead/connection/answer_reader.py',
+            'self.received.violation(self.limits) or self._slow_reason()',
+            "''",
+        ),
+    ),
     'stale-version': (
         Edit(
             'burdocklead/durable/configuration.py',
--- a/devtools/soak/records.py
+++ b/devtools/soak/records.py
@@ -2,13 +2,17 @@
 
 from __future__ import annotations
 
+import math
 from collections import Counter
 from collections.abc import Iterable, Iterator, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from burdocklead.values import Outcome
+from devtools.upstream import FLOOD_PREFIX
 
 NO_OUTCOME = ''
+# The kernel's buffers of both ends are full before a daemon reads anything.
+MAX_FLOOD_BYTES = 16 * 1048576
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,7 +49,8 @@
     Attributes:
         name: Name of the process.
         start: Monotonic time of its start in s.
-        end: Monotonic time in s by which the process has recovered.
+        end: Monotonic time in s by which the process has recovered, infinite
+            until the cluster is healed.
     """
 
     name: str
@@ -77,6 +82,7 @@
         disruptions: Periods in which processes were disrupted.
         accepted: Digests of the accepted files by version.
         served_versions: Versions that daemons reported, in request order.
+        flood_bytes: Bytes that were taken of each endless answer.
         problems: Violations that were found during the run.
     """
 
@@ -84,6 +90,7 @@
     disruptions: list[Disruption] = field(default_factory=list)
     accepted: dict[int, set[str]] = field(default_factory=dict)
     served_versions: list[ServedVersion] = field(default_factory=list)
+    flood_bytes: list[int] = field(default_factory=list)
     problems: list[str] = field(default_factory=list)
 
     def record_accepted(self, version: int, digest: str) -> None:
@@ -94,6 +101,13 @@
         """Return the newest version that control accepted, 0 if none."""
         return max(self.accepted, default=0)
 
+    def end_disruptions(self, healed_at: float) -> None:
+        """End the disruptions that lasted until the cluster was healed."""
+        self.disruptions = [
+            one if one.end < math.inf else replace(one, end=healed_at)
+            for one in self.disruptions
+        ]
+
     def was_disrupted(self, call: CallRecord) -> bool:
         """Return True if the entry daemon of a call was disrupted during it."""
         return any(
@@ -117,6 +131,7 @@
         *record.problems,
         *_call_problems(record, executions),
         *_version_problems(record),
+        *_flood_problems(record),
     ]
 
 
@@ -158,6 +173,12 @@
         highest[one.daemon, one.process] = max(known, one.version)
 
 
+def _flood_problems(record: SoakRecord) -> Iterator[str]:
+    for taken in record.flood_bytes:
+        if taken > MAX_FLOOD_BYTES:
+            yield f'a daemon took {taken} bytes of an endless answer'
+
+
 def summary_of(record: SoakRecord) -> str:
     """Return one line with the counts of a run."""
     outcomes = Counter(call.outcome or 'no outcome' for call in record.calls)
@@ -165,10 +186,23 @@
     return (
         f'{len(record.calls)} calls ({counts}), '
         f'{len(record.disruptions)} disruptions, '
-        f'{len(record.accepted)} versions accepted'
+        f'{len(record.accepted)} versions accepted, '
+        f'{len(record.flood_bytes)} endless answers'
     )
 
 
 def count_executions(lines: Iterable[str]) -> Counter[str]:
     """Return the number of executions by mark, from the lines of upstreams."""
-    return Counter(line.strip() for line in lines if line.strip())
+    marks = map(str.strip, lines)
+    return Counter(
+        mark for mark in marks if mark and not mark.startswith(FLOOD_PREFIX)
+    )
+
+
+def read_flood_bytes(lines: Iterable[str]) -> list[int]:
+    """Return the bytes taken of each endless answer, from the same lines."""
+    return [
+        int(line.removeprefix(FLOOD_PREFIX))
+        for line in lines
+        if line.startswith(FLOOD_PREFIX)
+    ]
--- a/devtools/upstream.py
+++ b/devtools/upstream.py
@@ -32,6 +32,11 @@
     NOT_RUN_HEADER,
 )
 from burdocklead.values import Address
+from devtools.faulty_answers import (
+    record_answer,
+    send_endless_headers,
+    trickle_headers,
+)
 
 MS_PER_S = 1000
 CRASH_HEADER = 'Crash-Upstream'
@@ -39,6 +44,7 @@
 WORK_HEADER = 'Work-Ms'
 MARK_HEADER = 'Mark'
 CRASH_EXIT_CODE = 70
+FLOOD_PREFIX = '#flood '
 
 
 class Behaviour(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -56,6 +62,11 @@
         reported_slots: Slots announced; 0 announces the actual number.
         draining: True if the upstream announces that it is draining.
         answer_bytes: Size of the answer's body.
+        repeat_share: Share of calls before whose answer the previous answer
+            on the connection is written once more; the answer itself is
+            written again later, too.
+        endless_share: Share of calls answered by headers without end.
+        trickle_share: Share of calls answered a byte at a time.
     """
 
     service_ms: float = 5
@@ -69,6 +80,9 @@
     reported_slots: int = 0
     draining: bool = False
     answer_bytes: int = 100
+    repeat_share: float = 0
+    endless_share: float = 0
+    trickle_share: float = 0
 
 
 class ScriptedAnswer(msgspec.Struct, frozen=True):
@@ -196,9 +210,11 @@
         """Serve one call."""
         if self.rng.random() < self.behaviour.shed_share:
             self.shed += 1
-            return web.Response(
+            refusal = web.Response(
                 status=503, headers={NOT_RUN_HEADER: 'true', **_echo(request)}
             )
+            self._repeat(request, refusal)
+            return refusal
         body = await request.read()
         self._count_execution(request)
         if CRASH_HEADER in request.headers:
@@ -212,7 +228,10 @@
             raise
         finally:
             self.busy -= 1
-        return self._make_response(request, body)
+        await self._send_garbage(request)
+        response = self._make_response(request, body)
+        self._repeat(request, response)
+        return response
 
     def announcement(self, address: Address) -> Announcement:
         """Return the announcement for the daemon."""
@@ -254,6 +273,28 @@
         while self.behaviour.stalled:
             await asyncio.sleep(0.01)
 
+    async def _send_garbage(self, request: web.Request) -> None:
+        """Send bytes that are no answer until the client closes."""
+        drawn = self.rng.random()
+        transport = request.transport
+        if transport is None:
+            return
+        if drawn < self.behaviour.endless_share:
+            await send_endless_headers(transport, self.write_flood_line)
+        elif drawn < self.behaviour.trickle_share:
+            await trickle_headers(transport)
+
+    def write_flood_line(self, sent_bytes: int) -> None:
+        """Append to the record how much of an endless answer was taken."""
+        if self.ran_file is not None:
+            self.ran_file.write(f'{FLOOD_PREFIX}{sent_bytes}\n'.encode())
+
+    def _repeat(self, request: web.Request, response: web.Response) -> None:
+        """Write some answers of the connection more than once."""
+        if request.transport is not None:
+            repeated = self.rng.random() < self.behaviour.repeat_share
+            record_answer(request.transport, response, repeated=repeated)
+
     def _make_response(self, request: web.Request, body: bytes) -> web.Response:
         scripted = request.headers.get(SCRIPTED_ANSWER_HEADER)
         if scripted is not None:
--- a/tests/devtools/soak.feature
+++ b/tests/devtools/soak.feature
@@ -19,6 +19,7 @@
       | a call through an undisrupted entry took 9 s       | m took 9.00 s at d                               |
       | two different files of one version were accepted   | two different files with version 4 were accepted |
       | a process served an older version than before      | d went from version 4 to 3                       |
+      | a daemon read an endless answer for long           | a daemon took 90000000 bytes                     |
 
   Scenario Outline: The soak's oracle accepts what is allowed
     Given a soak record in which <what>
@@ -30,3 +31,4 @@
       | a call through a killed entry got no outcome |
       | a restarted process served an older version  |
       | a call with unknown outcome ran once         |
+      | an entry was restarted long after its fault  |
--- a/tests/steps/soak_steps.py
+++ b/tests/steps/soak_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import replace
 
 from behave import given, then, when
@@ -30,6 +31,14 @@
     return SoakRecord(calls=[call], disruptions=list(disruptions)), ran
 
 
+def _healed(call, disruption, healed_at):
+    record, ran = _called(call, 0, disruption)
+    record.end_disruptions(healed_at)
+    later = replace(call, started=healed_at, ended=healed_at + 1)
+    assert not record.was_disrupted(later)
+    return record, ran
+
+
 RECORDS = {
     'a non-idempotent call ran twice': _called(CALL, 2),
     'a call reported as not run ran once': _called(
@@ -50,11 +59,20 @@
         0,
     ),
     'a process served an older version than before': _served((1, 4), (1, 3)),
+    'a daemon read an endless answer for long': (
+        SoakRecord(flood_bytes=[90000000]),
+        0,
+    ),
     'an idempotent call ran twice': _called(IDEMPOTENT_CALL, 2),
     'a call through a killed entry got no outcome': _called(
         replace(CALL, outcome=''), 1, Disruption('d', 10.5, 12)
     ),
     'a restarted process served an older version': _served((1, 4), (2, 3)),
+    'an entry was restarted long after its fault': _healed(
+        replace(CALL, outcome='', started=39, ended=40),
+        Disruption('d', 10, math.inf),
+        41,
+    ),
     'a call with unknown outcome ran once': _called(
         replace(CALL, outcome='unknown'), 1
     ),
