Let a slow replica answer a claim while the next one is asked

Cause: a request to control gave each of three replicas a third of the caller's time and gave up on the one before. With each replica slower than that, as beside a busy disk where a round waits for two syncs, none could answer: the red scenario "Calls of every kind are answered through any daemon" got 503, no-quorum, after exactly 3 s, the call before it took 0.7 s. This is inferred from the figures and shown with scripted replicas; the failure was not reproduced with processes.

Change: the next replica is asked after its part of the time, and the earlier requests go on; the first answer counts.

Two of the five scenarios fail before.

--- a/burdocklead/connection/control_client.py
+++ b/burdocklead/connection/control_client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Collection, Iterable
 
 import msgspec
 import pynng
@@ -202,18 +203,43 @@
     ) -> ControlReply:
         """Return the reply of the first replica that answers.
 
-        Each replica gets an equal part of the timeout.
+        Each replica gets an equal part of the timeout before the next one is
+        asked too. A slow replica may still answer first, as a request that
+        started again elsewhere has to wait for the same disks.
 
         Raises:
             ControlError: If no replica answered.
         """
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + timeout
         limit = timeout / len(self.clients)
-        for _ in self.clients[1:]:
-            try:
-                return await self.client.request(message, limit)
-            except ControlError:
-                self.switch_replica()
-        return await self.client.request(message, limit)
+        requests: dict[asyncio.Task[ControlReply], ControlClient] = {}
+        answered = None
+        try:
+            for client in self._failover_order():
+                left = max(deadline - loop.time(), 0)
+                request = loop.create_task(client.request(message, left))
+                requests[request] = client
+                is_last = len(requests) == len(self.clients)
+                answered = await _first_answered(
+                    requests, left if is_last else limit
+                )
+                if answered is not None:
+                    self._prefer(requests[answered])
+                    return answered.result()
+        finally:
+            for pending in requests:
+                pending.cancel()
+        raise _last_error(requests, type(message).__name__.lower())
+
+    def _failover_order(self) -> list[ControlClient]:
+        """Return the clients in the order in which they are tried."""
+        return self.clients[self.preferred :] + self.clients[: self.preferred]
+
+    def _prefer(self, client: ControlClient) -> None:
+        """Try a replica that answered first, unless the set changed."""
+        if client in self.clients:
+            self.preferred = self.clients.index(client)
 
     def close(self) -> None:
         """Close all sockets."""
@@ -221,6 +247,40 @@
             client.close()
 
 
+async def _first_answered(
+    requests: Collection[asyncio.Task[ControlReply]], timeout: float
+) -> asyncio.Task[ControlReply] | None:
+    """Return the first request with a reply.
+
+    Returns:
+        None if all requests failed or the timeout in s has passed.
+    """
+    loop = asyncio.get_running_loop()
+    deadline = loop.time() + timeout
+    pending = set(requests)
+    while pending and loop.time() < deadline:
+        done, pending = await asyncio.wait(
+            pending,
+            timeout=deadline - loop.time(),
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        answered = [one for one in done if one.exception() is None]
+        if answered:
+            return answered[0]
+    return None
+
+
+def _last_error(
+    requests: Iterable[asyncio.Task[ControlReply]], step: str
+) -> BaseException:
+    """Return the error of the request that was sent last, if it has one."""
+    error: BaseException = ControlError('no replica answered', step=step)
+    for request in requests:
+        if request.done() and not request.cancelled():
+            error = request.exception() or error
+    return error
+
+
 def _rotate(
     replicas: tuple[tuple[str, Address], ...], first: str
 ) -> tuple[tuple[str, Address], ...]:
--- a/tests/process/heartbeats.feature
+++ b/tests/process/heartbeats.feature
@@ -46,3 +46,21 @@
       | event                           |
       | a lease has passed              |
       | it hears from a settled replica |
+
+  Scenario Outline: A request is answered by the first replica that can
+    Given a control client for the seeds "one, two, three"
+    When its replicas answer <answers>
+    Then a request with 300 ms is answered by "<replica>" within <limit> ms
+    And the next request goes to "<replica>" first
+
+    Examples:
+      | answers                                        | replica | limit |
+      | after 10 ms, 10 ms and 10 ms                   | one     | 80    |
+      | after 150 ms, 150 ms and 150 ms                | one     | 220   |
+      | after 1000 ms, 10 ms and 10 ms                 | two     | 180   |
+      | with an error, an error and after 150 ms       | three   | 220   |
+
+  Scenario: A request that no replica answers fails with the error of a replica
+    Given a control client for the seeds "one, two, three"
+    When its replicas answer with an error, an error and an error
+    Then a request with 300 ms fails with "no quorum" within 50 ms
--- a/tests/steps/heartbeat_steps.py
+++ b/tests/steps/heartbeat_steps.py
@@ -19,6 +19,7 @@
     MemberUpdate,
 )
 from burdocklead.connection.peer_credentials import PeerCredentials
+from burdocklead.exceptions import ControlError, QuorumError
 from burdocklead.options import read_settings
 from burdocklead.process.control_agent import ControlAgent
 from burdocklead.process.control_replica import ControlReplica
@@ -287,3 +288,62 @@
                 await ReplicaExchange(context.replica).run_forever()
 
     asyncio.run(run())
+
+
+class ScriptedClient:
+    """A client whose replica answers after a time in s, or with an error."""
+
+    def __init__(self, name, behaviour):
+        """Parse ``150 ms`` or ``an error``."""
+        self.name = name
+        number = behaviour.removeprefix('after ').removesuffix(' ms')
+        self.delay = None if 'error' in behaviour else int(number) / MS_PER_S
+
+    async def request(self, message, timeout):
+        """Answer with the name of the replica."""
+        if self.delay is None:
+            raise QuorumError('no quorum', step='test')
+        try:
+            async with asyncio.timeout(timeout):
+                await asyncio.sleep(self.delay)
+        except TimeoutError:
+            raise ControlError('no answer in time', step='test') from None
+        return self.name
+
+
+@when('its replicas answer {one}, {two} and {three}')
+def script_replicas(context, one, two, three):
+    """Replace the clients of the replicas."""
+    names = [client.name for client in context.client.clients]
+    behaviours = (one.removeprefix('with '), two, three)
+    context.client.clients = [
+        ScriptedClient(name, behaviour)
+        for name, behaviour in zip(names, behaviours, strict=True)
+    ]
+
+
+async def _request(context, ms):
+    loop = asyncio.get_running_loop()
+    started = loop.time()
+    try:
+        answer = await context.client.request(
+            Heartbeat(MEMBER, Cursor(), 0, NO_TIME), ms / MS_PER_S
+        )
+    except ControlError as error:
+        answer = error.reason
+    return answer, (loop.time() - started) * MS_PER_S
+
+
+@then('a request with {ms:d} ms is answered by "{replica}" within {limit:d} ms')
+@then('a request with {ms:d} ms fails with "{replica}" within {limit:d} ms')
+def check_request(context, ms, replica, limit):
+    """Send a request and compare who answered, or the error."""
+    answer, elapsed_ms = asyncio.run(_request(context, ms))
+    assert answer == replica, answer
+    assert elapsed_ms < limit, elapsed_ms
+
+
+@then('the next request goes to "{replica}" first')
+def check_preferred(context, replica):
+    """Check which replica is preferred."""
+    assert context.client.client.name == replica
