--- a/tests/process/access.feature
+++ b/tests/process/access.feature
@@ -21,3 +21,13 @@
     Then the file is refused with the status 401
     When a peer without the key sends an exchange
     Then its request gets no answer and is counted
+
+  Scenario: A key and a token that were withdrawn are refused after a restart
+    Given a cluster key and an operator token protect 1 job-sheets
+    And the file "examples/cedarline.toml" is in force everywhere
+    When the key and the token are replaced and all processes restart
+    Then a client gets an answer from "/job-sheets/sheets/1" through "job-sheets-0"
+    When an operator sends a file with the withdrawn token
+    Then the file is refused with the status 401
+    When a peer with the withdrawn key sends an exchange
+    Then its request gets no answer and is counted
--- a/tests/steps/access_steps.py
+++ b/tests/steps/access_steps.py
@@ -21,10 +21,16 @@
 from burdocklead.exceptions import ControlError, SettingsError
 from burdocklead.options import SocketAddress
 from burdocklead.process.operator_credentials import load_operator_credentials
-from devtools.local_deployment import LocalDeployment
+from devtools.local_deployment import (
+    LocalDeployment,
+    upstream_process,
+    wait_until,
+)
 
 HTTP_TIMEOUT_S = 10
+SLOTS = 4
 SHARED_SECRET = 'a-secret-of-this-deployment'
+NEW_SECRET = 'another-secret-of-this-deployment'
 
 
 @when('a cluster key file holds "{text}"')
@@ -119,13 +125,53 @@
     context.deployment.start_daemons_with_upstreams({'job-sheets': count})
 
 
+@when('the key and the token are replaced and all processes restart')
+def replace_secret(context):
+    """Replace the file with the secret, then restart every process."""
+    (context.folder / 'secret').write_text(NEW_SECRET)
+    deployment = context.deployment
+    processes = (*deployment.controls.values(), *deployment.daemons.values())
+    for process in processes:
+        process.kill()
+    for process in processes:
+        process.start()
+        process.wait_ready()
+    for name, upstream in deployment.upstreams.items():
+        upstream.kill()
+        deployment.upstreams[name] = upstream_process(deployment, name, SLOTS)
+        deployment.upstreams[name].start()
+
+
+@then('a client gets an answer from "{target}" through "{daemon}"')
+def check_answered(context, target, daemon):
+    """Send calls until one is answered."""
+    process = context.deployment.daemons[daemon]
+    url = f'http://{process.addresses["http"]}{target}'
+    wait_until(lambda: requests.get(url, timeout=HTTP_TIMEOUT_S).ok, 'served')
+
+
+@when('an operator sends a file with the withdrawn token')
+def send_with_old_token(context):
+    """Send a file with the token that was replaced."""
+    send_without_token(context, {'Authorization': f'Bearer {SHARED_SECRET}'})
+
+
+@when('a peer with the withdrawn key sends an exchange')
+def send_with_old_key(context):
+    """Send an exchange sealed with the key that was replaced."""
+    path = context.folder / 'withdrawn'
+    path.write_text(SHARED_SECRET)
+    send_without_key(context, load_cluster_key(path))
+
+
 @when('an operator without the token sends a file')
-def send_without_token(context):
+def send_without_token(context, headers=None):
     """Send a file without the token."""
     admin = context.deployment.controls['control-0'].addresses['admin']
     context.response = requests.put(
         f'http://{admin}/v1/configuration',
         data=b'version = 2',
+        headers=headers,
         timeout=HTTP_TIMEOUT_S,
     )
 
@@ -137,13 +183,13 @@
 
 
 @when('a peer without the key sends an exchange')
-def send_without_key(context):
+def send_without_key(context, key=None):
     """Send an exchange sealed with another key."""
     address = context.deployment.controls['control-0'].addresses['control']
     client = ControlClient(
         'control-0',
         SocketAddress().parse(address),
-        PeerCredentials(ClusterKey(b'')),
+        PeerCredentials(key or ClusterKey(b'')),
     )
     message = Exchange('stranger', Cursor(), 0, HybridTime(0, 0))
     context.error = asyncio.run(error_of_request(client, message))
