--- a/tests/devtools/soak.feature
+++ b/tests/devtools/soak.feature
@@ -19,7 +19,7 @@
       | a call through an undisrupted entry took 9 s       | m took 9.00 s at d                               |
       | two different files of one version were accepted   | two different files with version 4 were accepted |
       | a process served an older version than before      | d went from version 4 to 3                       |
-      | a daemon read an endless answer for long           | a daemon took 90000000 bytes                     |
+      | a daemon read an endless answer for long           | a daemon took 90000000 bytes of an endless answer |
 
   Scenario Outline: The soak's oracle accepts what is allowed
     Given a soak record in which <what>
