Start control replicas without importing request handling

Two modules of shared functions imported the parts of a daemon: measurements.py and, for its constants, http_handlers.py.

--- a/burdocklead/process/daemon_admin_http.py
+++ b/burdocklead/process/daemon_admin_http.py
@@ -15,9 +15,9 @@
     add_common_routes,
 )
 from burdocklead.process.daemon_components import DaemonComponents
+from burdocklead.process.daemon_measurements import measure_daemon
 from burdocklead.process.json_responses import error_response, json_response
 from burdocklead.process.local_member import Announcement, LocalMember
-from burdocklead.process.measurements import measure_daemon
 from burdocklead.values import Address
 
 
--- a/burdocklead/process/host_routing_daemon.py
+++ b/burdocklead/process/host_routing_daemon.py
@@ -13,11 +13,11 @@
 from burdocklead.log_events import STOPPED_WITH_WORK
 from burdocklead.process.control_agent import ControlAgent
 from burdocklead.process.daemon_components import DaemonComponents
+from burdocklead.process.daemon_measurements import measure_daemon
 from burdocklead.process.host_routing_handler import HostRoutingHandler
 from burdocklead.process.host_routing_options import HostRoutingOptions
 from burdocklead.process.lifecycle import Lifecycle
 from burdocklead.process.local_member import LocalMember
-from burdocklead.process.measurements import measure_daemon
 from burdocklead.process.metrics_http import MetricsSource, start_metrics_server
 from burdocklead.process.supervision import Supervisor, watch_process
 from burdocklead.process.upstream_health import UpstreamHealth
--- a/tests/platform/whole_path.feature
+++ b/tests/platform/whole_path.feature
@@ -96,6 +96,15 @@
   Scenario: The folder "platform" does not shadow the standard module
     Then a program that runs in the folder imports the standard module "platform"
 
+  Scenario Outline: A program imports nothing that only the other role needs
+    Then the program "<program>" imports no module of "<package>"
+
+    Examples:
+      | program      | package                             |
+      | control_role | burdocklead.request                 |
+      | daemon_role  | burdocklead.process.control_replica |
+      | daemon_role  | burdocklead.durable.store           |
+
   Scenario Outline: A program with invalid settings exits with an error message
     Given a settings file that <problem>
     Then the daemon exits with the error "<reason>"
--- a/tests/steps/platform_steps.py
+++ b/tests/steps/platform_steps.py
@@ -471,6 +471,24 @@
     assert str(ROOT) not in output, output
 
 
+@then('the program "{program}" imports no module of "{package}"')
+def check_imports(context, program, package):
+    """Import a program and list the modules that it brings."""
+    code = (
+        'import sys; sys.path.insert(0, "platform"); sys.path.append("."); '
+        f'import {program}; print(*sys.modules)'
+    )
+    output = subprocess.run(
+        [sys.executable, '-c', code],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        check=True,
+    ).stdout
+    found = [name for name in output.split() if name.startswith(package)]
+    assert not found, found
+
+
 @given('a settings file that {problem}')
 def write_settings(context, problem):
     """Write a settings file that is not valid, or none."""
