Refuse a body that is too large before its client is told to send it

A request with Expect: 100-continue and too large a Content-Length was answered 100 first and 413 then, if Expect came before Content-Length. The scenario fails before.

--- a/burdocklead/connection/request_reader.py
+++ b/burdocklead/connection/request_reader.py
@@ -165,12 +165,15 @@
         if self.partial is None:
             return
         self.partial.body_started = self.loop.time()
+        expects_continue = False
         for name, text in self.partial.headers:
             lower_name = name.lower()
             if lower_name == 'expect':
-                self.sink.send_continue()
+                expects_continue = True
             elif lower_name == 'content-length' and text.isdigit():
                 self._check_body_size(int(text))
+        if expects_continue and self.partial is not None:
+            self.sink.send_continue()
 
     def on_body(self, chunk: bytes) -> None:
         """Add a chunk of the body."""
--- a/tests/connection/http_server.feature
+++ b/tests/connection/http_server.feature
@@ -29,6 +29,16 @@
       | 9000 bytes of trailers    | 431    |
       | 9000 bytes of empty lines | 400    |
 
+  Scenario Outline: A client that waits before it sends its body is told to only if it may
+    Given an HTTP server with limits of 1000 header bytes, 100 body bytes and 300 ms for headers
+    When a client asks whether to send a body of <size> bytes
+    Then it is answered <status>
+
+    Examples:
+      | size | status |
+      | 50   | 100    |
+      | 500  | 413    |
+
   Scenario: A body that arrives a byte at a time is rejected in time
     Given an HTTP server with limits of 1000 header bytes, 100 body bytes and 300 ms for headers
     And bodies have 500 ms and 1000 bytes/s
--- a/tests/steps/http_server_steps.py
+++ b/tests/steps/http_server_steps.py
@@ -425,3 +425,23 @@
     assert len(context.responses) == count
     for response in context.responses:
         assert response.endswith(b'/1'), context.responses
+
+
+@when('a client asks whether to send a body of {size:d} bytes')
+def ask_to_continue(context, size):
+    """Send the headers of a request and wait for the first response."""
+
+    async def run_client(server, reader, writer):
+        headers = f'Expect: 100-continue\r\nContent-Length: {size}\r\n'
+        writer.write(HEAD.format('/1', headers).encode())
+        return await reader.readuntil(b'\r\n\r\n')
+
+    context.received = asyncio.run(
+        _run_with_server(context, run_client)
+    ).decode()
+
+
+@then('it is answered {status:d}')
+def check_first_status(context, status):
+    """Check the first status line."""
+    assert context.received.startswith(f'HTTP/1.1 {status}'), context.received
