Know a daemon again that restarted after its clock was set back

Cause: incarnations are wall-clock times; a process that started after its clock was set back has a lower one than the process before, and its heartbeats were ignored until the old record was forgotten, 20 leases later.

Change: a lower incarnation counts if its heartbeat was sent later by the hybrid clock, which follows that of the replicas from the first reply on; a higher one counts at once.

One of the two scenarios fails before.

--- a/burdocklead/process/membership.py
+++ b/burdocklead/process/membership.py
@@ -99,8 +99,7 @@
             changed = True
             record.home = home
         record.last_seen = max(record.last_seen, last_seen)
-        if sent_at != NO_TIME:
-            record.sent_at = sent_at
+        record.sent_at = max(record.sent_at, sent_at)
         record.member = member
         record.gone = False
         if changed:
@@ -215,22 +214,23 @@
 ) -> bool:
     """Return True if a record has a newer heartbeat than a report.
 
-    A daemon that is gone returns only with a heartbeat sent since.
+    A daemon that is gone returns only with a heartbeat sent since. A process
+    has a lower incarnation than the one before if the clock of its VM was set
+    back; a later heartbeat shows it.
     """
-    if _order_of(member) < _order_of(record.member):
-        return True
-    if member.incarnation != record.member.incarnation:
-        return False
-    if not _both_known(sent_at, record.sent_at):
+    known = record.member
+    both_known = _both_known(sent_at, record.sent_at)
+    if member.incarnation > known.incarnation:
         return False
-    if record.gone:
-        return sent_at <= record.sent_at
-    return sent_at < record.sent_at
+    if member.incarnation < known.incarnation:
+        return not both_known or sent_at <= record.sent_at
+    if member.revision < known.revision:
+        return True
+    is_earlier = both_known and sent_at < record.sent_at
+    return is_earlier or (
+        record.gone and both_known and sent_at == record.sent_at
+    )
 
 
 def _both_known(sent_at: HybridTime, other: HybridTime) -> bool:
     return NO_TIME not in {sent_at, other}
-
-
-def _order_of(member: Member) -> tuple[int, int]:
-    return member.incarnation, member.revision
--- a/tests/durable/leases.feature
+++ b/tests/durable/leases.feature
@@ -92,6 +92,18 @@
     When replica "c" reports at 14 s that it got a heartbeat sent at 13.9 s
     Then the daemon is present
 
+  Scenario: A daemon that restarted after its clock was set back is known again
+    Given replica "a" with a lease of 3 s got a heartbeat at 10 s
+    When a heartbeat of a process with a lower incarnation, sent at 9.8 s, arrives at 11 s
+    Then the incarnation of the daemon is the first one
+    When a heartbeat of a process with a lower incarnation, sent at 11.1 s, arrives at 11.1 s
+    Then the incarnation of the daemon is the lower one
+
+  Scenario: A process that follows another is known at once, however far its clock is behind
+    Given replica "a" with a lease of 3 s got a heartbeat at 10 s
+    When a heartbeat of a process with a higher incarnation, sent at 8 s, arrives at 11 s
+    Then the incarnation of the daemon is the higher one
+
   Scenario: The quorum age follows the replica set
     Given the replica set a, b, c in epoch 4
     Then the quorum age for a 0, b 1, c 9 is 1 s
--- a/tests/steps/lease_steps.py
+++ b/tests/steps/lease_steps.py
@@ -14,6 +14,7 @@
 UNUSED_ADDRESS = Address('127.0.0.1', 1)
 MS_PER_S = 1000
 NS_PER_S = 1_000_000_000
+INCARNATIONS = {'lower': 0, 'first': 1, 'higher': 2}
 MEMBER = Member(
     daemon_id='d1',
     incarnation=1,
@@ -65,6 +66,23 @@
     context.view.observe(MEMBER, at, sent_at=sent(sent_at))
 
 
+@when(
+    'a heartbeat of a process with a {which} incarnation, sent at {sent_at:g} '
+    's, arrives at {at:g} s'
+)
+def receive_other_process(context, which, sent_at, at):
+    """Receive a heartbeat of another process of the same daemon."""
+    member = msgspec.structs.replace(MEMBER, incarnation=INCARNATIONS[which])
+    context.view.observe(member, at, sent_at=sent(sent_at))
+
+
+@then('the incarnation of the daemon is the {which} one')
+def check_incarnation(context, which):
+    """Compare the incarnation of the record."""
+    found = [member.incarnation for member in context.view.live()]
+    assert found == [INCARNATIONS[which]], found
+
+
 @when(
     'replica "{name}" reports at {at:g} s that it got a heartbeat sent at '
     '{sent_at:g} s'
