Read what clients have sent before a server that drains closes their connections

Cause: a drain closed idle connections at once; a request that the kernel had received and the event loop had not read was reset without an answer. On a busy VM the loop is behind by many requests.

Change: the event loop polls once between the last accept and the closing.

A request that is still on its way when the connection closes can't be told from none; its client gets no answer, and nothing ran.

--- a/burdocklead/connection/http_server.py
+++ b/burdocklead/connection/http_server.py
@@ -30,6 +30,9 @@
 SWEEP_INTERVAL_S = 0.25
 MAX_PIPELINED = 64  # Maximum number of pending requests per connection.
 LINGER_S = 1.0  # A client on the same VM closes within milliseconds.
+# The event loop polls for received bytes in the first iteration and has passed
+# them to the connections by the end of the second.
+ITERATIONS_TO_READ = 2
 LISTEN_BACKLOG = 1024  # A full accept queue delays clients by seconds.
 INTERNAL_ERROR = HttpResponse(500)
 CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
@@ -270,6 +273,8 @@
         self.start_draining()
         known = tuple(self.connections)
         await self.stop_listening()
+        for _ in range(ITERATIONS_TO_READ):
+            await asyncio.sleep(0)
         for connection in known:
             connection.close_if_idle()
 
--- a/tests/connection/http_server.feature
+++ b/tests/connection/http_server.feature
@@ -83,6 +83,16 @@
     When 5 clients connect and the server drains before it accepts them
     Then all 5 clients get a complete response
 
+  Scenario Outline: Requests that were received but not read when a server drains are answered
+    Given an HTTP server whose handler takes as many ms as the path says
+    When <count> clients send a request on idle connections and the server drains before it reads
+    Then all <count> clients get a complete response
+
+    Examples:
+      | count |
+      | 1     |
+      | 20    |
+
   Scenario: A request pipelined after one that closes the connection is not run
     Given an HTTP server whose handler takes as many ms as the path says
     When a client pipelines "/50" with "Connection: close" and "/1"
--- a/tests/steps/http_server_steps.py
+++ b/tests/steps/http_server_steps.py
@@ -445,3 +445,29 @@
 def check_first_status(context, status):
     """Check the first status line."""
     assert context.received.startswith(f'HTTP/1.1 {status}'), context.received
+
+
+@when(
+    '{count:d} clients send a request on idle connections and the server '
+    'drains before it reads'
+)
+def send_and_drain(context, count):
+    """Block the event loop while the clients send their second request."""
+
+    async def run_client(server, reader, writer):
+        loop = asyncio.get_running_loop()
+        address = writer.get_extra_info('peername')
+        request = HEAD.format('/1', '').encode()
+        clients = []
+        for _ in range(count):
+            client = socket.create_connection(address)
+            client.setblocking(False)
+            await loop.sock_sendall(client, request)
+            assert await loop.sock_recv(client, 65536)
+            clients.append(client)
+        for client in clients:
+            client.sendall(request)
+        await server.drain()
+        return [await loop.sock_recv(client, 65536) for client in clients]
+
+    context.responses = asyncio.run(_run_with_server(context, run_client))
