Bound the doublings of a proposer's wait

Found on reading: after 1024 preemptions in a row the doubled wait no longer fits a float, and the change raised OverflowError. The scenario fails without the bound.

--- a/burdocklead/durable/proposer.py
+++ b/burdocklead/durable/proposer.py
@@ -39,6 +39,7 @@
 MAX_BALLOT_LEAD = 1024
 PREEMPTION_WINDOW_S = 1.0
 MAX_YIELD_S = 0.5
+MAX_YIELD_DOUBLINGS = 10
 MAX_PREEMPTED_REGISTERS = 1024
 STEP = 'propose'
 
@@ -197,6 +198,7 @@
         last = self.preempted.pop(key, None)
         is_repeated = last and now - last.at < PREEMPTION_WINDOW_S
         count = last.count + 1 if last and is_repeated else 0
+        count = min(count, MAX_YIELD_DOUBLINGS)
         self.preempted[key] = Preemption(now, count)
         if len(self.preempted) > MAX_PREEMPTED_REGISTERS:
             self.preempted.popitem(last=False)
--- a/tests/steps/contention_steps.py
+++ b/tests/steps/contention_steps.py
@@ -10,7 +10,7 @@
 import msgspec
 from behave import given, then, when
 
-from burdocklead.durable.proposer import Proposer
+from burdocklead.durable.proposer import Preemption, Proposer
 from burdocklead.durable.register import EMPTY_REGISTER, handle_phase
 from burdocklead.durable.replica_set import Replica, ReplicaSet
 from burdocklead.exceptions import QuorumError
@@ -87,6 +87,12 @@
     context.proposers[name] = Proposer(name, 1, REPLICAS, acceptors, rng)
 
 
+@given('"{name}" was preempted {count:d} times in a row until now')
+def preempt(context, name, count):
+    """Let the next preemption follow in the same second."""
+    context.proposers[name].preempted[KEY] = Preemption(0, count)
+
+
 @when('"{name}" changes one register without a pause')
 def start_changes(context, name):
     """The next step runs both proposers in one event loop."""
@@ -114,6 +120,7 @@
                 context.errors.append(str(error))
             else:
                 context.decided[name] += 1
+        assert not task.done(), task.exception()
         task.cancel()
         context.value = await context.proposers[name].read(KEY)
 
