--- a/review/stand_ins/platform_stand_in.py
+++ b/review/stand_ins/platform_stand_in.py
@@ -25,6 +25,7 @@
 DEPLOY = tomllib.loads((ROOT / 'deploy' / 'system.toml').read_text())
 PORT_NAMES = ('inbound', 'outbound', 'readyAddr', 'control', 'app')
 PEER_PORT_COUNT = 16
+TIME_LIMIT_S = 100  # The case can't run on a machine that is slower.
 BOUNDS = (
     'seedLagS=3',
     'reuseAfterS=2',
@@ -581,10 +582,14 @@
     """Run a case; exit with 0 (held), 1 (broken) or 2 (could not run)."""
     record = Record(folder)
     trouble = os.environ.get('TROUBLE', '1') != '0'
+    # Lets the clean-up below run if this script is ended from outside.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     record.say(f'TROUBLE={int(trouble)}')
     platform = Platform(record)
     try:
-        broken = asyncio.run(main(platform, record, trouble))
+        broken = asyncio.run(
+            asyncio.wait_for(main(platform, record, trouble), TIME_LIMIT_S)
+        )
     except Exception as error:
         record.say(f'could not run: {type(error).__name__}: {error}')
         code = 2
