Take no request behind a pending one while a server drains

Cause: a drain closed idle connections, and others after the response after which nothing was pending. A connection that always has a request pending was read on until the time limit of the stop.

Change: from the start of the drain on, the last request that a connection has taken is its last. What is received behind it is not read, its response carries "Connection: close", and clients send the rest again.

--- a/burdocklead/connection/http_server.py
+++ b/burdocklead/connection/http_server.py
@@ -104,6 +104,7 @@
         """Start the handler of a complete request."""
         if self.stopped:
             return
+        last = last or self.server.draining
         exchange = Exchange(request.method, last=last)
         self.exchanges.append(exchange)
         self.stopped = last
@@ -164,8 +165,6 @@
         while self.transport and self.exchanges and self.exchanges[0].response:
             exchange = self.exchanges.popleft()
             closes = exchange.ends_connection()
-            if self.server.draining and not self.is_working():
-                closes = True
             self._write(exchange, closes=closes)
             if closes:
                 self._cancel_pending()
@@ -211,7 +210,8 @@
         listen_socket: Socket that accepts connections, None if there is none.
         limits: Limits on clients; may be replaced at any time.
         connections: Open connections.
-        draining: True if connections close after their last response.
+        draining: True if connections take no request behind a pending one
+            and close after their last response.
         bad_requests: Number of requests that could not be read.
         shed_connections: Number of connections closed because too many were
             open.
@@ -261,8 +261,13 @@
         longest_idle.abort()
 
     def start_draining(self) -> None:
-        """Make each connection close once its requests are answered."""
+        """Make each connection close once its pending requests are answered.
+
+        A connection without one takes one more request.
+        """
         self.draining = True
+        for connection in self.connections:
+            _finish_pending(connection)
 
     async def drain(self) -> None:
         """Stop accepting connections, and close open ones once idle.
@@ -315,3 +320,14 @@
             now = loop.time()
             for connection in tuple(self.connections):
                 connection.check_timeouts(now)
+
+
+def _finish_pending(connection: HttpConnection) -> None:
+    """Read no more requests if any are pending, and close after them.
+
+    The client may send again what it has pipelined behind them.
+    """
+    if connection.exchanges and not connection.stopped:
+        connection.exchanges[-1].last = True
+        connection.stopped = True
+        connection.reader.partial = None
--- a/tests/connection/http_server.feature
+++ b/tests/connection/http_server.feature
@@ -73,6 +73,19 @@
     When a client sends "/100" and the server starts to drain during the request
     Then the client gets the complete response with "Connection: close"
 
+  # Guards against a stop that cuts requests of a client that pipelines.
+  Scenario: A draining server takes no request behind a pending one
+    Given an HTTP server whose handler takes as many ms as the path says
+    When a client pipelines "/100" every 20 ms and the server drains after 150 ms
+    Then each request that was handled is answered, the last one with "Connection: close"
+    And no request was handled after the drain began
+
+  # Guards against a stop that waits for a request behind a pending one.
+  Scenario: A draining server does not wait for the rest of a request behind a pending one
+    Given an HTTP server whose handler takes as many ms as the path says
+    When a client pipelines "/100" and half of "/1" and the server drains
+    Then only "/100" was handled
+
   Scenario: A draining server refuses new connections and closes idle ones
     Given an HTTP server whose handler takes as many ms as the path says
     When a server with an idle connection drains
--- a/tests/steps/http_server_steps.py
+++ b/tests/steps/http_server_steps.py
@@ -219,6 +219,67 @@
     assert context.received.count('HTTP/1.1') == 1, context.received
 
 
+@when(
+    'a client pipelines "{path}" every {gap_ms:d} ms and the server drains '
+    'after {start_ms:d} ms'
+)
+def pipeline_while_draining(context, path, gap_ms, start_ms):
+    """Send requests without a pause until the connection is closed."""
+
+    async def run_client(server, reader, writer):
+        loop = asyncio.get_running_loop()
+        received = asyncio.create_task(reader.read())
+        drain_at = loop.time() + start_ms / MS_PER_S
+        drain = None
+        while not received.done():
+            writer.write(HEAD.format(path, '').encode())
+            await asyncio.sleep(gap_ms / MS_PER_S)
+            if drain is None and loop.time() >= drain_at:
+                context.handled_before = len(context.recorder.handled)
+                drain = asyncio.create_task(server.drain())
+        return received.result()
+
+    context.received = asyncio.run(
+        _run_with_server(context, run_client)
+    ).decode()
+
+
+@then('each request that was handled is answered, the last one with "{header}"')
+def check_all_answered(context, header):
+    """Check the number of complete responses and where the header is."""
+    responses = context.received.split('HTTP/1.1 200 OK')[1:]
+    handled = context.recorder.handled
+    assert len(responses) == len(handled), (len(responses), len(handled))
+    for response, target in zip(responses, handled, strict=True):
+        assert response.endswith(target), response
+    *earlier, last = [header in response for response in responses]
+    assert last and not any(earlier), (earlier, last)
+
+
+@then('no request was handled after the drain began')
+def check_handled_before(context):
+    """Check that the handler did not run again."""
+    handled = context.recorder.handled
+    assert len(handled) == context.handled_before, len(handled)
+
+
+@when('a client pipelines "{one}" and half of "{two}" and the server drains')
+def pipeline_half(context, one, two):
+    """Drain while a request is pending and the next one is half received."""
+
+    async def run_client(server, reader, writer):
+        half = HEAD.format(two, '')[:20]
+        writer.write((HEAD.format(one, '') + half).encode())
+        while not context.recorder.handled:
+            await asyncio.sleep(0.001)
+        await server.drain()
+        return await reader.read()
+
+    context.received = asyncio.run(
+        _run_with_server(context, run_client)
+    ).decode()
+
+
 @when('a server with an idle connection drains')
 def drain_server(context):
     """Drain the server, then try to open another connection."""
