Hold the first heartbeats after a start until a health check succeeds

Cause: the number of the latest heartbeat and the departures lived in the memory of the process, so to a new one any heartbeat was the first and counted. The log of the new process has "upstream found" in the moment in which the late heartbeat arrives. Ruled out: the health check, which answered 503 every 0.25 s, and the replicas, since the daemon announced the instance itself.

Before an instance was seen in service, heartbeats are held until a health check confirms it; draining ones bind at once. A heartbeat that seems older after a silence counted at once and is held now too. Weighed: departures kept by the replicas; an upstream that leaves while they can't be reached would get no acknowledgement.

--- a/burdocklead/log_events.py
+++ b/burdocklead/log_events.py
@@ -222,12 +222,12 @@
     'a heartbeat is invalid or belongs to another upstream',
     'instance cause',
 )
-HEARTBEAT_OLD = _declare(
-    'heartbeat is older than one taken',
+HEARTBEAT_NOT_USED = _declare(
+    'heartbeat not used',
     'upstream',
     Level.info,
-    'a heartbeat arrives late and is ignored',
-    'instance number started_ms',
+    'a heartbeat is ignored as late, or held until a health check',
+    'instance number started_ms cause',
 )
 MEMBER_JOINED = _declare(
     'member joined',
--- a/burdocklead/process/host_routing_daemon.py
+++ b/burdocklead/process/host_routing_daemon.py
@@ -4,9 +4,10 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
 from functools import partial
+from typing import Any
 
 from burdocklead.connection.http_server import HttpServer
 from burdocklead.connection.request_reader import ServerLimits
@@ -35,6 +36,8 @@
 DRAIN_POLL_INTERVAL_S = 0.02
 DRAIN_QUIET_S = 0.3
 
+ExtraTask = Callable[[], Coroutine[Any, Any, None]]
+
 
 @dataclass(slots=True)
 class HostRoutingDaemon:
@@ -48,6 +51,8 @@
         caller_server: HTTP server for callers, None before it listens.
         stopping: True once a graceful stop has started.
         extra_servers: Other servers and their listen addresses.
+        extra_tasks: Names and functions of other tasks that run until the
+            daemon stops.
     """
 
     options: HostRoutingOptions
@@ -59,6 +64,7 @@
     extra_servers: list[tuple[HttpServer, Address]] = field(
         default_factory=list
     )
+    extra_tasks: list[tuple[str, ExtraTask]] = field(default_factory=list)
 
     def not_ready(self) -> str:
         """Return why no calls are accepted, empty if they are."""
@@ -168,6 +174,7 @@
         tasks = [
             supervisor.start('lease', self._expire_forever()),
             supervisor.start('limits', self._refresh_limits()),
+            *(supervisor.start(name, run()) for name, run in self.extra_tasks),
         ]
         if self.agent is not None:
             tasks.append(
--- a/tests/platform/stand_in.py
+++ b/tests/platform/stand_in.py
@@ -231,11 +231,11 @@
         except requests.RequestException:
             return 0
 
-    def kill(self, name):
-        """Kill a process of this platform."""
+    def kill(self, name, signal_number=signal.SIGKILL):
+        """End a process of this platform by a signal."""
         process = self.processes.pop(name)
-        process.send_signal(signal.SIGKILL)
-        process.wait()
+        process.send_signal(signal_number)
+        process.wait(WAIT_TIMEOUT_S)
 
     def close(self):
         """Kill all processes and stop the upstreams."""
--- a/tests/platform/whole_path.feature
+++ b/tests/platform/whole_path.feature
@@ -62,6 +62,15 @@
     When upstream 20 starts again under its instance name
     Then a request to "/view/7" at daemon 21 is answered by "sheets"
 
+  # Guards against work for an upstream that deregistered before its daemon restarted.
+  Scenario: A late heartbeat after a restart does not bring a departed upstream back
+    Given a platform with the services "sheets", "orders"
+    When version 3 routes "/view/" to "sheets"
+    And upstream 20 deregisters and daemon 20 is stopped and started again
+    Then a late heartbeat of upstream 20 changes nothing
+    When upstream 20 starts again under its instance name
+    Then a request to "/view/7" at daemon 21 is answered by "sheets"
+
   Scenario: A replica that lost its disk rejoins as a new replica
     Given a platform with the services "sheets", "orders"
     When version 3 routes "/view/" to "sheets"
--- a/tests/steps/platform_steps.py
+++ b/tests/steps/platform_steps.py
@@ -4,6 +4,7 @@
 
 import json
 import os
+import signal
 import socket
 import subprocess
 import sys
@@ -294,6 +295,21 @@
     context.platform.start_daemon(daemon, upstream.service)
 
 
+@when(
+    'upstream {number:d} deregisters and daemon {daemon:d} is stopped and '
+    'started again'
+)
+def depart_and_restart_daemon(context, number, daemon):
+    """Stop the daemon of a leaving upstream as planned and start it again."""
+    platform = context.platform
+    upstream = platform.upstreams[f'daemon-{number}']
+    upstream.state = 'leaving'
+    deregister(context, number)
+    platform.kill(f'daemon-{daemon}', signal.SIGTERM)
+    platform.start_daemon(daemon, upstream.service)
+    wait_until(lambda: platform.ready_status(daemon) == 200, 'it is ready')
+
+
 @then(
     'a request to "{path}" at daemon {daemon:d} is answered 503 with '
     'Retry-After'
@@ -347,9 +363,9 @@
 
 @then('a late heartbeat of upstream {number:d} changes nothing')
 def check_late_heartbeat(context, number):
-    """Send a heartbeat of the process that left."""
+    """Send a heartbeat from before the process left."""
     upstream = context.platform.upstreams[f'daemon-{number}']
-    assert StandInUpstream.send_heartbeat(upstream) == 200
+    assert StandInUpstream.send_heartbeat(upstream, state='ready') == 200
     check_status_later(context, 1, '/view/7', FIRST_DAEMON + 1, 503)
 
 
@@ -358,6 +374,7 @@
     """Send the heartbeat of a new process."""
     upstream = context.platform.upstreams[f'daemon-{number}']
     started_ms = int(time.time() * MS_PER_S)
+    upstream.state = 'ready'
     assert StandInUpstream.send_heartbeat(upstream, born=started_ms) == 200
 
 
