Refuse calls that could outlast a stop once callers have gone

Cause: a half-read request is waited for, and nothing compared its deadline with the end of the stop.

Change: WorkLimit holds the time at which a stopping daemon ends. From the drain of callers on, a call with a later deadline is refused as not run (draining) with a short Retry-After; other daemons take it. Both daemons.

The scenario of real processes fails before (the connection ends with no bytes, an upstream at work) and passes now. A second scenario, which passed before, holds that a call which ends in time is served.

--- a/burdocklead/process/caller_handler.py
+++ b/burdocklead/process/caller_handler.py
@@ -145,13 +145,15 @@
         check_headers(headers)
         match = self._find_route(request)
         limit_ms = min(match.route.timeout_ms, read_deadline(headers))
+        deadline = started + limit_ms / MS_PER_S
+        self.dispatcher.work_limit.check_deadline(deadline)
         return Call(
             call_id=call_id,
             match=match,
             method=request.method,
             headers=forwarded_headers(headers),
             key=read_key(headers),
-            deadline=started + limit_ms / MS_PER_S,
+            deadline=deadline,
             body=await _read_body(request, limit_ms / MS_PER_S),
         )
 
--- a/burdocklead/process/daemon_process.py
+++ b/burdocklead/process/daemon_process.py
@@ -181,10 +181,12 @@
     ) -> None:
         """Wait for all work to finish, up to the limit for a graceful stop."""
         settings = self.components.settings
+        limit = asyncio.get_running_loop().time() + settings.drain_limit
         try:
-            async with asyncio.timeout(settings.drain_limit):
+            async with asyncio.timeout_at(limit):
                 await asyncio.sleep(settings.drain_notice)
                 await callers.stop_accepting()
+                self.components.dispatcher.work_limit.ends_at = limit
                 await self._wait_quiet(caller_handler)
         except TimeoutError:
             STOPPED_WITH_WORK.write(limit_s=settings.drain_limit)
--- a/burdocklead/process/host_routing_daemon.py
+++ b/burdocklead/process/host_routing_daemon.py
@@ -204,6 +204,8 @@
         loop = asyncio.get_running_loop()
         limit = loop.time() + self.options.stop_times.limit_s
         await asyncio.sleep(self.options.stop_times.unready_s)
+        # Callers have gone elsewhere by now; only stragglers follow.
+        self.components.dispatcher.work_limit.ends_at = limit
         if self.caller_server is not None:
             await self.caller_server.drain()
         quiet_since = loop.time()
--- a/burdocklead/process/host_routing_handler.py
+++ b/burdocklead/process/host_routing_handler.py
@@ -6,6 +6,7 @@
 import math
 import random
 from dataclasses import replace
+from types import MappingProxyType
 
 from burdocklead.connection.http_messages import HttpRequest, HttpResponse
 from burdocklead.log_events import CALL_FAILED, CALL_NOT_ANSWERED
@@ -31,6 +32,13 @@
 MS_PER_S = 1000
 OBJECTIVE_SHARE = 0.95  # The rest is for the response to reach the caller.
 NO_ROUTE_LABEL = 'none'
+# Other daemons take calls while this one stops.
+RETRY_WAITS_S = MappingProxyType(
+    {
+        RefusalCause.no_configuration: NOT_READY_RETRY_AFTER_S,
+        RefusalCause.draining: 0,
+    }
+)
 
 
 class HostRoutingHandler:
@@ -84,10 +92,11 @@
     ) -> CallResult:
         """Return the result of a call that was refused before its dispatch."""
         result = not_run(error.cause, error.reason)
-        if error.cause is not RefusalCause.no_configuration:
+        wait_s = RETRY_WAITS_S.get(error.cause)
+        if wait_s is None:
             return result
         retry_after_s = jittered_retry_after_s(
-            NOT_READY_RETRY_AFTER_S, options.wait_ms / MS_PER_S, self.rng
+            wait_s, options.wait_ms / MS_PER_S, self.rng
         )
         return replace(result, retry_after_s=retry_after_s)
 
@@ -96,6 +105,8 @@
     ) -> Call:
         match = self._find_route(request)
         wait_ms = min(options.wait_ms, match.route.timeout_ms)
+        deadline = request.arrived + wait_ms / MS_PER_S
+        self.dispatcher.work_limit.check_deadline(deadline)
         return Call(
             call_id=call_id,
             match=match,
@@ -103,7 +114,7 @@
             headers=options.headers,
             body=request.body,
             key='',
-            deadline=request.arrived + wait_ms / MS_PER_S,
+            deadline=deadline,
             objective=self._objective_of(request, match, options.wait_ms),
         )
 
--- a/burdocklead/request/dispatch.py
+++ b/burdocklead/request/dispatch.py
@@ -35,6 +35,7 @@
     with_retry_after,
 )
 from burdocklead.request.shared_budget import SharedRetryBudget
+from burdocklead.request.work_limit import WorkLimit
 from burdocklead.values import Member, RefusalCause
 
 MS_PER_S = 1000
@@ -57,6 +58,7 @@
         shared_budget: This daemon's part of the cluster-wide budget for
             hedges and for retries of attempts that may have reached an
             upstream, None if only ``budgets`` limits them.
+        work_limit: End of all calls while this daemon stops.
         numbers: Source of the numbers in new IDs.
     """
 
@@ -69,6 +71,7 @@
     guard: CrashGuard | None = None
     budgets: dict[str, RetryBudget] = field(default_factory=dict)
     shared_budget: SharedRetryBudget | None = None
+    work_limit: WorkLimit = field(default_factory=WorkLimit)
     numbers: itertools.count[int] = field(default_factory=itertools.count)
 
     def new_id(self) -> str:
--- a/tests/platform/stand_in.py
+++ b/tests/platform/stand_in.py
@@ -32,6 +32,7 @@
 HEARTBEAT_INTERVAL_S = 0.3
 WAIT_TIMEOUT_S = 20
 HTTP_TIMEOUT_S = 3
+MS_PER_S = 1000
 REPLICA_COUNT = 3
 SUBNET = 40 + os.getpid() % 200
 
@@ -54,6 +55,7 @@
         self.service = service
         self.instance = instance
         self.state = 'ready'
+        self.work_ms = 0
         self.number = 0
         self.requests_run = []
         self.last_request_at = 0
@@ -77,6 +79,7 @@
             return HttpResponse(421, (('X-Instance-Id', self.instance),))
         self.requests_run.append(request)
         self.last_request_at = time.monotonic()
+        await asyncio.sleep(self.work_ms / MS_PER_S)
         headers = (
             ('X-Attempt-Id', request.find('X-Attempt-Id')),
             ('X-Response-Signature', f'signed-{self.instance}'),
--- a/tests/steps/platform_steps.py
+++ b/tests/steps/platform_steps.py
@@ -29,7 +29,7 @@
 MS_PER_S = 1000
 
 
-def route_of(service, path):
+def route_of(service, path, timeout_ms=1000):
     """Return a route in the platform's JSON form."""
     return {
         'entryType': 'routes',
@@ -38,7 +38,7 @@
             'host': HOST,
             'pathPrefix': path,
             'routeType': 'safe',
-            'timeoutMs': 1000,
+            'timeoutMs': timeout_ms,
             'sloMs': 400,
             'priority': 0,
             'service': service,
@@ -47,9 +47,9 @@
     }
 
 
-def configuration_of(version, service, path, services):
+def configuration_of(version, service, path, services, timeout_ms=1000):
     """Return a complete configuration in the platform's JSON form."""
-    items = [route_of(service, path)]
+    items = [route_of(service, path, timeout_ms)]
     items.extend(
         {
             'entryType': 'services',
@@ -89,8 +89,15 @@
 
 @when('version {version:d} routes "{path}" to "{service}"')
 def apply_version(context, version, path, service):
-    """Apply the first configuration; wait until all daemons serve it."""
-    context.sent = configuration_of(version, service, path, context.services)
+    """Apply the first configuration."""
+    apply_configuration(context, version, path, service)
+
+
+def apply_configuration(context, version, path, service, timeout_ms=1000):
+    """Apply a configuration and wait until all daemons serve it."""
+    context.sent = configuration_of(
+        version, service, path, context.services, timeout_ms
+    )
     context.platform.apply(context.sent, 0)
     known = context.platform.services().count(service)
     for daemon in (FIRST_DAEMON, FIRST_DAEMON + 1):
