Tell the calls in progress at the end of a stop their outcomes

Callers see: at the end of a planned stop, the connections of all calls in progress close without an answer, also of those that wait for a slot and have not run.

Cause: the stop closed the connections, which cancels the handlers.

Change: WorkLimit ends the timeouts of all attempts when the stop ends, so that they are withdrawn like those whose deadline passes: not run if the daemon beside the upstream says so, else unknown. 0.3 s are left for the responses.

The scenario of real processes fails before (six connections end with no bytes) and passes now (four told 504, two 503).

--- a/burdocklead/log_events.py
+++ b/burdocklead/log_events.py
@@ -45,6 +45,7 @@
     'process': 'name of the process',
     'rank': 'priority rank of the call; 0 is shed last',
     'replicas': 'names or number of replicas',
+    'requests': 'requests of callers without a response',
     'route': 'name of the route',
     'running': 'calls that the upstream runs',
     'seeds': 'addresses of replicas in the settings',
@@ -409,7 +410,7 @@
     'lifecycle',
     Level.warning,
     'a graceful stop reached its time limit',
-    'limit_s',
+    'limit_s requests running',
 )
 UNEXPECTED_ERROR = _declare(
     'unexpected error',
--- a/burdocklead/process/daemon_components.py
+++ b/burdocklead/process/daemon_components.py
@@ -74,15 +74,17 @@
             self.measuring_limits,
             self.metrics,
         )
+        runner = RecordingRunner(self.directory, self.router, self.events)
         prefix = f'{settings.daemon_id}.{self.incarnation:x}'
         self.dispatcher = Dispatcher(
             prefix,
             self.directory,
-            RecordingRunner(self.directory, self.router, self.events),
+            runner,
             Placement(self.directory, self.router, self.selector),
             rng,
             self.metrics,
             self.executor.guard,
+            work_limit=runner.work_limit,
         )
         self.links = LinkServer(
             self.executor, identity, settings, self.metrics, self.events
--- a/burdocklead/process/daemon_process.py
+++ b/burdocklead/process/daemon_process.py
@@ -186,7 +186,7 @@
             async with asyncio.timeout_at(limit):
                 await asyncio.sleep(settings.drain_notice)
                 await callers.stop_accepting()
-                self.components.dispatcher.work_limit.ends_at = limit
+                self.components.dispatcher.work_limit.end_calls_at(limit)
                 await self._wait_quiet(caller_handler)
         except TimeoutError:
             STOPPED_WITH_WORK.write(limit_s=settings.drain_limit)
--- a/burdocklead/process/host_routing_daemon.py
+++ b/burdocklead/process/host_routing_daemon.py
@@ -35,6 +35,7 @@
 LIMITS_REFRESH_INTERVAL_S = 0.5
 DRAIN_POLL_INTERVAL_S = 0.02
 DRAIN_QUIET_S = 0.3
+LAST_RESPONSES_S = 0.3  # For the outcomes of the calls that a stop ends.
 
 ExtraTask = Callable[[], Coroutine[Any, Any, None]]
 
@@ -205,18 +206,28 @@
         limit = loop.time() + self.options.stop_times.limit_s
         await asyncio.sleep(self.options.stop_times.unready_s)
         # Callers have gone elsewhere by now; only stragglers follow.
-        self.components.dispatcher.work_limit.ends_at = limit
+        self.components.dispatcher.work_limit.end_calls_at(limit)
         if self.caller_server is not None:
             await self.caller_server.drain()
         quiet_since = loop.time()
-        while loop.time() < limit:
+        while loop.time() < limit + LAST_RESPONSES_S:
             if self._is_working():
                 quiet_since = loop.time()
             elif loop.time() - quiet_since > DRAIN_QUIET_S:
                 break
             await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
         if self._is_working():
-            STOPPED_WITH_WORK.write()
+            STOPPED_WITH_WORK.write(
+                limit_s=self.options.stop_times.limit_s,
+                requests=self._count_pending(),
+                running=len(self.components.executor.executions),
+            )
+
+    def _count_pending(self) -> int:
+        """Return the number of requests of callers without a response."""
+        if self.caller_server is None:
+            return 0
+        return sum(len(one.exchanges) for one in self.caller_server.connections)
 
     def _is_working(self) -> bool:
         busy = (
--- a/burdocklead/request/attempt_runner.py
+++ b/burdocklead/request/attempt_runner.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Protocol
 
 from burdocklead.connection.frames import (
@@ -19,6 +19,7 @@
 from burdocklead.exceptions import LinkError
 from burdocklead.request.call import Call
 from burdocklead.request.routing import Candidates, Router
+from burdocklead.request.work_limit import WorkLimit
 from burdocklead.values import LoadReport, Member, RefusalCause
 
 WITHDRAW_TIMEOUT_S = 0.25
@@ -86,10 +87,12 @@
     Attributes:
         directory: Upstreams and links.
         router: Receives attempt counts, latencies and load reports.
+        work_limit: End of all attempts while this daemon stops.
     """
 
     directory: Directory
     router: Router
+    work_limit: WorkLimit = field(default_factory=WorkLimit, kw_only=True)
 
     async def run(
         self, call: Call, member: Member, attempt: Attempt
@@ -154,7 +157,7 @@
     ) -> AttemptResult:
         link = self.directory.link_to(member)
         try:
-            async with asyncio.timeout_at(call.deadline):
+            async with self.work_limit.timeout_at(call.deadline):
                 await link.open(attempt.incarnation)
         except LinkError:
             return _refusal(attempt.attempt_id, RefusalCause.link_failed)
@@ -162,7 +165,7 @@
             return _refusal(attempt.attempt_id, RefusalCause.deadline)
         cancel = Cancel(attempt.attempt_id, attempt.incarnation)
         try:
-            async with asyncio.timeout_at(call.deadline):
+            async with self.work_limit.timeout_at(call.deadline):
                 return await self._run_opened(link, member, attempt)
         except TimeoutError:
             return await self._withdraw(link, cancel)
--- a/burdocklead/request/dispatch.py
+++ b/burdocklead/request/dispatch.py
@@ -222,7 +222,7 @@
             return False
         loop = asyncio.get_running_loop()
         pause = backoff_s(attempt_count, self.rng)
-        if loop.time() + pause >= call.deadline:
+        if loop.time() + pause >= min(call.deadline, self.work_limit.ends_at):
             return False
         if not self._spend(call, reached=reached_upstream(result)):
             self.metrics.count(RETRIES, 'over-budget')
--- a/tests/platform/stop.feature
+++ b/tests/platform/stop.feature
@@ -9,6 +9,15 @@
     Then the client is told 503 with "Retry-After:" and "Connection: close"
     And no upstream has run its request
 
+  # Guards against a stop that closes connections instead of telling outcomes.
+  Scenario: Calls that are in progress at the end of a stop are told their outcomes
+    Given a platform with the services "sheets", "orders"
+    When version 3 routes "/view/" to "sheets", whose upstream takes 9000 ms
+    And daemon 21 gets SIGTERM
+    And 6 clients of daemon 21 send a request 1 s later
+    Then all of them are answered before the daemon is killed
+    And 4 of them are told 504 and 2 of them 503
+
   Scenario: A request that ends before the stop does is served
     Given a platform with the services "sheets", "orders"
     When version 3 routes "/view/" to "sheets"
--- a/tests/steps/platform_stop_steps.py
+++ b/tests/steps/platform_stop_steps.py
@@ -5,6 +5,7 @@
 import signal
 import socket
 import time
+from collections import Counter
 
 from behave import then, when
 
@@ -12,6 +13,7 @@
 from tests.steps.platform_steps import HOST, apply_configuration
 
 READ_TIMEOUT_S = 6
+STOP_LIMIT_S = 6  # As in the settings of the stand-in platform.
 READ_BYTES = 65536
 LONG_TIMEOUT_MS = 10000
 CALL_ID = 'late-1'
@@ -84,3 +86,36 @@
     for upstream in context.platform.upstreams.values():
         ids = [one.find('X-Attempt-Id') for one in upstream.requests_run]
         assert CALL_ID not in ids, ids
+
+
+@when('{count:d} clients of daemon {number:d} send a request {at_s:g} s later')
+def send_requests(context, count, number, at_s):
+    """Send requests on connections of their own, and read to their ends."""
+    address = (context.platform.ip(number), PORTS['outbound'])
+    sleep_until(context.stopped_at + at_s)
+    clients = []
+    for call in range(count):
+        client = socket.create_connection(address, STOP_LIMIT_S)
+        request = REQUEST.format(HOST, f'late-{call}', LONG_TIMEOUT_MS)
+        client.sendall(request.encode())
+        clients.append(client)
+    context.responses = [read_to_end(client) for client in clients]
+    context.answered_at = time.monotonic()
+
+
+@then('all of them are answered before the daemon is killed')
+def check_answered_in_time(context):
+    """Check the time of the last response and that each is complete."""
+    assert context.answered_at < context.stopped_at + STOP_LIMIT_S
+    for response in context.responses:
+        assert response.startswith('HTTP/1.1 '), response
+        assert 'Connection: close' in response, response
+
+
+@then('{many:d} of them are told {one:d} and {few:d} of them {other:d}')
+def count_statuses(context, many, one, few, other):
+    """Count the responses by status."""
+    statuses = Counter(
+        int(response.split(' ')[1]) for response in context.responses
+    )
+    assert statuses == {one: many, other: few}, statuses
