--- a/burdocklead/log_events.py
+++ b/burdocklead/log_events.py
@@ -45,6 +45,7 @@
     'process': 'name of the process',
     'rank': 'priority rank of the call; 0 is shed last',
     'replicas': 'names or number of replicas',
+    'requests': 'requests of callers without a response',
     'route': 'name of the route',
     'running': 'calls that the upstream runs',
     'seeds': 'addresses of replicas in the settings',
@@ -222,12 +223,12 @@
     'a heartbeat is invalid or belongs to another upstream',
     'instance cause',
 )
-HEARTBEAT_OLD = _declare(
-    'heartbeat is older than one taken',
+HEARTBEAT_NOT_USED = _declare(
+    'heartbeat not used',
     'upstream',
     Level.info,
-    'a heartbeat arrives late and is ignored',
-    'instance number started_ms',
+    'a heartbeat is ignored as late, or held until a health check',
+    'instance number started_ms cause',
 )
 MEMBER_JOINED = _declare(
     'member joined',
@@ -409,7 +410,7 @@
     'lifecycle',
     Level.warning,
     'a graceful stop reached its time limit',
-    'limit_s',
+    'limit_s requests running',
 )
 UNEXPECTED_ERROR = _declare(
     'unexpected error',
--- a/burdocklead/process/host_routing_daemon.py
+++ b/burdocklead/process/host_routing_daemon.py
@@ -4,9 +4,10 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
 from functools import partial
+from typing import Any
 
 from burdocklead.connection.http_server import HttpServer
 from burdocklead.connection.request_reader import ServerLimits
@@ -34,6 +35,9 @@
 LIMITS_REFRESH_INTERVAL_S = 0.5
 DRAIN_POLL_INTERVAL_S = 0.02
 DRAIN_QUIET_S = 0.3
+LAST_RESPONSES_S = 0.3  # For the outcomes of the calls that a stop ends.
+
+ExtraTask = Callable[[], Coroutine[Any, Any, None]]
 
 
 @dataclass(slots=True)
@@ -48,6 +52,8 @@
         caller_server: HTTP server for callers, None before it listens.
         stopping: True once a graceful stop has started.
         extra_servers: Other servers and their listen addresses.
+        extra_tasks: Names and functions of other tasks that run until the
+            daemon stops.
     """
 
     options: HostRoutingOptions
@@ -59,6 +65,7 @@
     extra_servers: list[tuple[HttpServer, Address]] = field(
         default_factory=list
     )
+    extra_tasks: list[tuple[str, ExtraTask]] = field(default_factory=list)
 
     def not_ready(self) -> str:
         """Return why no calls are accepted, empty if they are."""
@@ -168,6 +175,7 @@
         tasks = [
             supervisor.start('lease', self._expire_forever()),
             supervisor.start('limits', self._refresh_limits()),
+            *(supervisor.start(name, run()) for name, run in self.extra_tasks),
         ]
         if self.agent is not None:
             tasks.append(
@@ -197,17 +205,29 @@
         loop = asyncio.get_running_loop()
         limit = loop.time() + self.options.stop_times.limit_s
         await asyncio.sleep(self.options.stop_times.unready_s)
+        # Callers have gone elsewhere by now; only stragglers follow.
+        self.components.dispatcher.work_limit.end_calls_at(limit)
         if self.caller_server is not None:
             await self.caller_server.drain()
         quiet_since = loop.time()
-        while loop.time() < limit:
+        while loop.time() < limit + LAST_RESPONSES_S:
             if self._is_working():
                 quiet_since = loop.time()
             elif loop.time() - quiet_since > DRAIN_QUIET_S:
                 break
             await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
         if self._is_working():
-            STOPPED_WITH_WORK.write()
+            STOPPED_WITH_WORK.write(
+                limit_s=self.options.stop_times.limit_s,
+                requests=self._count_pending(),
+                running=len(self.components.executor.executions),
+            )
+
+    def _count_pending(self) -> int:
+        """Return the number of requests of callers without a response."""
+        if self.caller_server is None:
+            return 0
+        return sum(len(one.exchanges) for one in self.caller_server.connections)
 
     def _is_working(self) -> bool:
         busy = (
--- a/tests/steps/platform_steps.py
+++ b/tests/steps/platform_steps.py
@@ -4,6 +4,7 @@
 
 import json
 import os
+import signal
 import socket
 import subprocess
 import sys
@@ -28,7 +29,7 @@
 MS_PER_S = 1000
 
 
-def route_of(service, path):
+def route_of(service, path, timeout_ms=1000):
     """Return a route in the platform's JSON form."""
     return {
         'entryType': 'routes',
@@ -37,7 +38,7 @@
             'host': HOST,
             'pathPrefix': path,
             'routeType': 'safe',
-            'timeoutMs': 1000,
+            'timeoutMs': timeout_ms,
             'sloMs': 400,
             'priority': 0,
             'service': service,
@@ -46,9 +47,9 @@
     }
 
 
-def configuration_of(version, service, path, services):
+def configuration_of(version, service, path, services, timeout_ms=1000):
     """Return a complete configuration in the platform's JSON form."""
-    items = [route_of(service, path)]
+    items = [route_of(service, path, timeout_ms)]
     items.extend(
         {
             'entryType': 'services',
@@ -88,8 +89,15 @@
 
 @when('version {version:d} routes "{path}" to "{service}"')
 def apply_version(context, version, path, service):
-    """Apply the first configuration; wait until all daemons serve it."""
-    context.sent = configuration_of(version, service, path, context.services)
+    """Apply the first configuration."""
+    apply_configuration(context, version, path, service)
+
+
+def apply_configuration(context, version, path, service, timeout_ms=1000):
+    """Apply a configuration and wait until all daemons serve it."""
+    context.sent = configuration_of(
+        version, service, path, context.services, timeout_ms
+    )
     context.platform.apply(context.sent, 0)
     known = context.platform.services().count(service)
     for daemon in (FIRST_DAEMON, FIRST_DAEMON + 1):
@@ -294,6 +302,21 @@
     context.platform.start_daemon(daemon, upstream.service)
 
 
+@when(
+    'upstream {number:d} deregisters and daemon {daemon:d} is stopped and '
+    'started again'
+)
+def depart_and_restart_daemon(context, number, daemon):
+    """Stop the daemon of a leaving upstream as planned and start it again."""
+    platform = context.platform
+    upstream = platform.upstreams[f'daemon-{number}']
+    upstream.state = 'leaving'
+    deregister(context, number)
+    platform.kill(f'daemon-{daemon}', signal.SIGTERM)
+    platform.start_daemon(daemon, upstream.service)
+    wait_until(lambda: platform.ready_status(daemon) == 200, 'it is ready')
+
+
 @then(
     'a request to "{path}" at daemon {daemon:d} is answered 503 with '
     'Retry-After'
@@ -347,9 +370,9 @@
 
 @then('a late heartbeat of upstream {number:d} changes nothing')
 def check_late_heartbeat(context, number):
-    """Send a heartbeat of the process that left."""
+    """Send a heartbeat from before the process left."""
     upstream = context.platform.upstreams[f'daemon-{number}']
-    assert StandInUpstream.send_heartbeat(upstream) == 200
+    assert StandInUpstream.send_heartbeat(upstream, state='ready') == 200
     check_status_later(context, 1, '/view/7', FIRST_DAEMON + 1, 503)
 
 
@@ -358,6 +381,7 @@
     """Send the heartbeat of a new process."""
     upstream = context.platform.upstreams[f'daemon-{number}']
     started_ms = int(time.time() * MS_PER_S)
+    upstream.state = 'ready'
     assert StandInUpstream.send_heartbeat(upstream, born=started_ms) == 200
 
 
