Refuse content that is nested too deeply like any other invalid one

Cause: decoders raise RecursionError for deep nesting, which no reader handles as invalid content. It ended the task of the control server that read the request, one of 256.

Change: decode_outside turns it into msgspec.DecodeError, which all of them handle.

Bodies whose types allow no unknown fields can't be nested; they stay as they were.

--- a/burdocklead/connection/control_client.py
+++ b/burdocklead/connection/control_client.py
@@ -17,6 +17,7 @@
 )
 from burdocklead.connection.peer_credentials import PeerCredentials
 from burdocklead.connection.sealing import open_reply, seal_request
+from burdocklead.decoding import decode_outside
 from burdocklead.exceptions import ControlError, QuorumError
 from burdocklead.values import Address
 
@@ -88,7 +89,7 @@
         self.bytes_received += len(received)
         payload = open_reply(self.credentials.key, nonce, received)
         try:
-            reply = reply_decoder.decode(payload)
+            reply = decode_outside(reply_decoder.decode, payload)
         except msgspec.DecodeError as error:
             raise ControlError(str(error), step=step, peer=self.name) from error
         if isinstance(reply, Failure):
--- a/burdocklead/connection/control_server.py
+++ b/burdocklead/connection/control_server.py
@@ -23,6 +23,7 @@
     open_request,
     seal_reply,
 )
+from burdocklead.decoding import decode_outside
 from burdocklead.exceptions import (
     BurdockleadError,
     ControlError,
@@ -101,7 +102,7 @@
 
     async def _reply_to(self, payload: bytes) -> ControlReply:
         try:
-            message = request_decoder.decode(payload)
+            message = decode_outside(request_decoder.decode, payload)
         except msgspec.DecodeError as error:
             self.metrics.count(CONTROL_BAD)
             return Failure('decode', str(error))
--- a/burdocklead/connection/frames.py
+++ b/burdocklead/connection/frames.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from burdocklead.clock import HybridTime
+from burdocklead.decoding import decode_outside
 from burdocklead.exceptions import LinkError
 from burdocklead.values import CrashReport, LoadReport, RefusalCause
 
@@ -262,6 +263,6 @@
 
 def _decode(payload: bytes) -> Frame:
     try:
-        return _decoder.decode(payload)
+        return decode_outside(_decoder.decode, payload)
     except msgspec.DecodeError as error:
         raise LinkError(str(error), step='receive') from None
--- a/burdocklead/connection/load_queries.py
+++ b/burdocklead/connection/load_queries.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from burdocklead.connection.cluster_key import ClusterKey
+from burdocklead.decoding import decode_outside
 from burdocklead.log_events import (
     LOAD_NOT_ASKED,
     LOAD_NOT_READ,
@@ -150,7 +151,7 @@
             self.metrics.count(CONTROL_UNPROVED)
             return
         try:
-            message = _decoder.decode(payload)
+            message = decode_outside(_decoder.decode, payload)
         except msgspec.DecodeError as error:
             self.metrics.count(CONTROL_BAD)
             LOAD_NOT_READ.write(peer=peer[0], cause=str(error))
--- a/burdocklead/version/configuration_file.py
+++ b/burdocklead/version/configuration_file.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from burdocklead.decoding import decode_outside
 from burdocklead.exceptions import ConfigurationError
 from burdocklead.version.deployment import Deployment, HostRoute, Route, Service
 from burdocklead.version.patch import PatchFile
@@ -16,6 +17,7 @@
 STEP = 'check'
 PATCH_KEY = 'base'  # Only a patch has a base version.
 JSON_START = b'{'
+TABLES_DECODER = msgspec.json.Decoder(dict[str, Any])
 
 
 TableT = TypeVar('TableT', bound=msgspec.Struct)
@@ -98,8 +100,8 @@
 def _parse(text: bytes, peer: str) -> dict[str, Any]:
     try:
         if text.startswith(JSON_START):
-            return msgspec.json.decode(text, type=dict[str, Any])
-        return tomllib.loads(text.decode())
+            return decode_outside(TABLES_DECODER.decode, text)
+        return decode_outside(tomllib.loads, text.decode())
     except (
         UnicodeDecodeError,
         tomllib.TOMLDecodeError,
--- a/tests/connection/load_queries.feature
+++ b/tests/connection/load_queries.feature
@@ -23,6 +23,7 @@
       | the same key   | an empty datagram                      | unproved |
       | the same key   | an authenticated text that is no array | bad      |
       | the same key   | an authenticated reply without a query | nothing  |
+      | the same key   | an authenticated query nested too deeply | bad    |
 
   Scenario: A daemon whose UDP port is in use sends no queries
     Given two load sockets with the same key
--- a/tests/steps/load_query_steps.py
+++ b/tests/steps/load_query_steps.py
@@ -117,6 +117,13 @@
     assert (reply.incarnation, reply.estimate) == (number, None), reply
 
 
+def append_nested(message, depth):
+    """Return a MessagePack array with one more, deeply nested element."""
+    first = bytes([message[0] + 1])
+    nested = b'\x91' * depth
+    return b''.join((first, message[1:], nested, b'\xc0'))
+
+
 def _with_proof(payload):
     proof = ClusterKey(KEYS[0]).prove(PROOF_PURPOSE, payload)
     return proof[:TRUNCATED_PROOF_BYTES] + payload
@@ -130,6 +137,9 @@
         'one byte': b'x',
         'an empty datagram': b'',
         'an authenticated text that is no array': _with_proof(b'text'),
+        'an authenticated query nested too deeply': _with_proof(
+            append_nested(msgspec.msgpack.encode(LoadQuery(1, ROUTE, 1)), 20000)
+        ),
         'an authenticated reply without a query': _with_proof(
             msgspec.msgpack.encode(LoadReply(9, 1, LoadReport(0, 0, 1)))
         ),
