--- a/burdocklead/connection/http_client.py
+++ b/burdocklead/connection/http_client.py
@@ -168,7 +168,7 @@
         text = find_header(headers, 'keep-alive') or ''
         for part in text.split(','):
             name, _, number = part.strip().partition('=')
-            if name.lower() == 'timeout' and number.isdigit():
+            if name.lower() == 'timeout' and number.isdecimal():
                 keep_alive_s = float(number)
                 self.idle_timeout_s = min(
                     keep_alive_s * KEEP_ALIVE_SHARE,
--- a/burdocklead/connection/request_reader.py
+++ b/burdocklead/connection/request_reader.py
@@ -170,7 +170,7 @@
             lower_name = name.lower()
             if lower_name == 'expect':
                 expects_continue = True
-            elif lower_name == 'content-length' and text.isdigit():
+            elif lower_name == 'content-length' and text.isdecimal():
                 self._check_body_size(int(text))
         if expects_continue and self.partial is not None:
             self.sink.send_continue()
--- a/burdocklead/options.py
+++ b/burdocklead/options.py
@@ -83,7 +83,7 @@
     def parse(self, text: str) -> Address:
         """Return the address."""
         host, separator, port = text.rpartition(':')
-        if not separator or not port.isdigit() or int(port) > MAX_PORT:
+        if not separator or not port.isdecimal() or int(port) > MAX_PORT:
             raise ValueError('must be IP:PORT')
         try:
             ipaddress.ip_address(host.strip('[]'))
--- a/tests/connection/http_client.feature
+++ b/tests/connection/http_client.feature
@@ -22,6 +22,8 @@
       | answers without an ID                     | answer 1 | answer 2 | 2           |
       | a second answer without an ID             | answer 1 | broken   | 1           |
       | a trailer with another ID                 | answer 1 | answer 2 | 1           |
+      | a keep-alive time that is no decimal      | answer 1 | answer 2 | 1           |
+      | a keep-alive time of 400 digits           | answer 1 | answer 2 | 1           |
 
   Scenario: A request to an upstream that does not listen is not sent
     Given an upstream that does not listen
--- a/tests/platform/stand_in.py
+++ b/tests/platform/stand_in.py
@@ -56,6 +56,7 @@
         self.instance = instance
         self.state = 'ready'
         self.work_ms = 0
+        self.load = '0,0,4,100'
         self.number = 0
         self.requests_run = []
         self.last_request_at = 0
@@ -69,7 +70,7 @@
 
     async def handle(self, request):
         """Answer a request or a health check."""
-        load = ('X-Server-Load', '0,0,4,100')
+        load = ('X-Server-Load', self.load)
         if request.target == '/health':
             status = 200 if self.state == 'ready' else 503
             headers = (('X-Instance-Id', self.instance), load)
--- a/tests/platform/whole_path.feature
+++ b/tests/platform/whole_path.feature
@@ -45,6 +45,54 @@
     And a heartbeat that is not JSON is answered 400
     And a request to "/view/7" at daemon 21 is answered by "sheets"
 
+  # Guards against an odd heartbeat that shuts the upstream out or ends the daemon.
+  Scenario: Heartbeats that are nested too deeply or out of range change nothing
+    Given a platform with the services "sheets", "orders"
+    When version 3 routes "/view/" to "sheets"
+    Then each of these heartbeats at daemon 20 is answered 400
+      | field   | content                |
+      | seq     | a number of 400 digits |
+      | seq     | -1                     |
+      | seq     | 9007199254740993       |
+      | born    | a number of 400 digits |
+      | born    | -1                     |
+      | slots   | 0                      |
+      | slots   | 1000000000000          |
+      | version | 100000 nested arrays   |
+      | address | "127.0.0.1:99999"      |
+      | state   | "asleep"               |
+    And a heartbeat of an instance with a line break in its name is answered 400
+    And a change that is nested 100000 levels deep is answered 400
+    And a request to "/view/7" at daemon 21 is answered by "sheets"
+    And no process has logged an unexpected error
+
+  Scenario: Load reports out of range don't cost the answers that carry them
+    Given a platform with the services "sheets", "orders"
+    When version 3 routes "/view/" to "sheets"
+    Then requests to "/view/7" at daemon 21 are answered 200 with each of these load reports
+      | report               |
+      | 0,0,4,400 digits     |
+      | 0,0,400 digits,100   |
+      | -1,0,4,100           |
+      | 0,0,4,-100           |
+      | ²,0,4,100            |
+      | 0,0                  |
+    And no process has logged an unexpected error
+
+  # Guards against settings that end a process or go unnoticed.
+  Scenario Outline: Settings that can't be used are logged and change nothing
+    Given a platform with the services "sheets", "orders"
+    When version 3 routes "/view/" to "sheets"
+    And the settings of daemon 21 get <problem> and it gets SIGHUP
+    Then daemon 21 logs that its settings were not reloaded
+    And a request to "/view/7" at daemon 21 is answered by "sheets"
+    And no process has logged an unexpected error
+
+    Examples:
+      | problem                   |
+      | a seed with port 99999    |
+      | 100000 nested arrays      |
+
   Scenario: A restarted daemon discovers its upstream by a health check
     Given a platform with the services "sheets", "orders"
     When version 3 routes "/view/" to "sheets"
--- a/tests/steps/http_client_steps.py
+++ b/tests/steps/http_client_steps.py
@@ -18,6 +18,11 @@
 from burdocklead.connection.http_messages import encode_request, find_header
 from burdocklead.values import Address
 
+KEEP_ALIVE_LINES = {
+    'a keep-alive time that is no decimal': 'Keep-Alive: timeout=\xb2\r\n',
+    'a keep-alive time of 400 digits': f'Keep-Alive: timeout={"9" * 400}\r\n',
+}
+EXCHANGE_LIMIT_S = 3
 LINGER_ZERO = struct.pack('ii', 1, 0)
 
 
@@ -71,7 +76,7 @@
     def reply(self, number, writer):
         """Write the scripted answer; return True to close the connection."""
         closes = False
-        text = _answer(number)
+        text = _answer(number, KEEP_ALIVE_LINES.get(self.script, ''))
         match self.script:
             case 'complete answers and closes':
                 text = _answer(number, 'Connection: close\r\n')
@@ -100,7 +105,7 @@
                 text = 'garbage\r\n\r\n'
             case 'interim responses before the answers':
                 text = f'HTTP/1.1 103 Early Hints\r\n\r\n{text}'
-        writer.write(text.encode())
+        writer.write(text.encode('latin-1'))
         return closes
 
 
@@ -129,7 +134,9 @@
     for number in (1, 2):
         content = encode_request('GET', '/', (('Host', 'a'),), b'')
         request = UpstreamRequest('GET', content, str(number), _read_id)
-        results.append(await pool.exchange(Address('127.0.0.1', port), request))
+        async with asyncio.timeout(EXCHANGE_LIMIT_S):
+            result = await pool.exchange(Address('127.0.0.1', port), request)
+        results.append(result)
         await asyncio.sleep(0.02)
     pool.close()
     await asyncio.sleep(0.02)
--- a/tests/steps/platform_steps.py
+++ b/tests/steps/platform_steps.py
@@ -120,7 +120,7 @@
 
 def _is_serving(context, daemon, path):
     ready = context.platform.ready_status(daemon) == 200
-    return ready and _status(context, daemon, path) == 200
+    return ready and status_of_request(context, daemon, path) == 200
 
 
 def _request(context, daemon, path):
@@ -128,7 +128,8 @@
     return context.platform.request(daemon, HOST, path, context.number)
 
 
-def _status(context, daemon, path):
+def status_of_request(context, daemon, path):
+    """Return the status of one request, 0 if it got no response."""
     try:
         return _request(context, daemon, path).status_code
     except requests.RequestException:
@@ -155,7 +156,9 @@
 @then('a request to "{path}" at daemon {daemon:d} is answered by "{service}"')
 def check_answer(context, path, daemon, service):
     """Check the body, the signature and the ID of the answer."""
-    wait_until(lambda: _status(context, daemon, path) == 200, 'served', 3)
+    wait_until(
+        lambda: status_of_request(context, daemon, path) == 200, 'served', 3
+    )
     answer = _request(context, daemon, path)
     assert answer.status_code == 200, answer.text
     assert answer.text == service, answer.text
@@ -177,9 +180,9 @@
 
 
 @then('a request to "{path}" at daemon {daemon:d} is answered {status:d}')
-def check_status(context, path, daemon, status):
+def checkstatus_of_request(context, path, daemon, status):
     """Check the status of one request."""
-    assert _status(context, daemon, path) == status
+    assert status_of_request(context, daemon, path) == status
 
 
 @then('the same change sent to another replica is answered {status:d}')
@@ -247,7 +250,7 @@
     context.drained_at = time.monotonic()
     context.statuses = []
     while time.monotonic() < context.drained_at + wait:
-        context.statuses.append(_status(context, number, '/view/7'))
+        context.statuses.append(status_of_request(context, number, '/view/7'))
 
 
 @then('all requests were answered {status:d}')
@@ -365,7 +368,7 @@
 def check_status_later(context, wait, path, daemon, status):
     """Wait for the longest time that a drain may take, then check."""
     time.sleep(wait)
-    check_status(context, path, daemon, status)
+    checkstatus_of_request(context, path, daemon, status)
 
 
 @then('a late heartbeat of upstream {number:d} changes nothing')
@@ -411,11 +414,12 @@
     """Start one more replica and wait until it knows the set."""
     context.platform.start_control(number, bootstrap=False)
     wait_until(
-        lambda: operator_status(context, number) == 307, 'it knows the set'
+        lambda: operatorstatus_of_request(context, number) == 307,
+        'it knows the set',
     )
 
 
-def operator_status(context, number):
+def operatorstatus_of_request(context, number):
     """Return the status of an operator call, 0 if it got no response."""
     try:
         return context.platform.call_operator_api(
@@ -457,10 +461,12 @@
 
 
 @then('replica {number:d} answers an operator call {status:d}')
-def check_operator_status(context, number, status):
+def check_operatorstatus_of_request(context, number, status):
     """Wait until the replica notices that the others are gone."""
     wait_until(
-        lambda: operator_status(context, number) == status, 'no redirect', 5
+        lambda: operatorstatus_of_request(context, number) == status,
+        'no redirect',
+        5,
     )
 
 
