Fuzz the order of an upstream's reports against the life of its processes

The fuzzer draws orders of reports that arrive late or twice, drains, departures, ends and starts of the upstream, restarts of the daemon and health checks on their way. A process that leaves must get no new work; one in service must be in use within 7.5 s.

--- a/tests/process/upstream_reports.feature
+++ b/tests/process/upstream_reports.feature
@@ -90,3 +90,20 @@
     When "i-1" of start 1000 sends report 5 at 0 s
     And "i-1" of start 1000 sends report 5 at 61 s
     Then the report is held
+
+  Scenario: No order of late reports, departures, restarts and health checks brings one back
+    When the fuzzer of upstream reports runs 500 examples with seed 1
+    Then the fuzzer found no invariant violation
+
+  Scenario Outline: The fuzzer of upstream reports detects a filter without <part>
+    Given upstream reports without <part>
+    When the fuzzer of upstream reports runs 2000 examples with seed 1
+    Then the fuzzer found an invariant violation
+
+    Examples:
+      | part                                 |
+      | the holding of first reports         |
+      | departures                           |
+      | the order of reports                 |
+      | departures during a health check     |
+      | health checks                        |
--- a/tests/steps/fuzz_steps.py
+++ b/tests/steps/fuzz_steps.py
@@ -8,6 +8,7 @@
 from behave import given, then, when
 
 from burdocklead.connection.frames import Answer, AttemptState, Refusal
+from burdocklead.process.upstream_reports import UpstreamReports
 from burdocklead.request import attempt_runner, dispatch
 from burdocklead.request.attempt_table import (
     AttemptRecord,
@@ -17,7 +18,7 @@
 from burdocklead.request.execution import AttemptExecutor
 from burdocklead.request.keyed_call import KeyedCalls
 from burdocklead.values import RefusalCause
-from devtools.fuzz import attempt_table, request_path
+from devtools.fuzz import attempt_table, request_path, upstream_reports
 from devtools.fuzz.request_network import FaultRates
 
 original_result_of_verdict = attempt_runner.result_of_verdict
@@ -88,6 +89,35 @@
 }
 
 
+def count_first_report(reports, report, now):
+    """Count a report that should be held."""
+    reports.confirmed = report.instance
+    return reports._count(report, now)
+
+
+def confirm_any(reports, instance, now):
+    """Confirm an instance even if it departed meanwhile."""
+    reports.confirmed = instance
+    return True
+
+
+REPORT_PATCHES = {
+    'the holding of first reports': ('_hold', count_first_report),
+    'departures': ('depart', lambda reports, instance, now, wall_ms: None),
+    'the order of reports': ('_is_older', lambda reports, report: False),
+    'departures during a health check': ('confirm', confirm_any),
+    'health checks': ('needs_health_check', lambda reports: False),
+}
+
+
+@given('upstream reports without {part}')
+def patch_upstream_reports(context, part):
+    """Replace a part of the order of reports until the scenario ends."""
+    patch = mock.patch.object(UpstreamReports, *REPORT_PATCHES[part])
+    patch.start()
+    context.add_cleanup(patch.stop)
+
+
 SEND_CALLS = tuple(
     request_path.SendCall(entry, idempotent=False) for entry in (0, 1, 2)
 )
@@ -148,6 +178,14 @@
     context.violation = first_violation(attempt_table, count, seed)
 
 
+@when(
+    'the fuzzer of upstream reports runs {count:d} examples with seed {seed:d}'
+)
+def run_upstream_report_fuzzer(context, count, seed):
+    """Run the fuzzer and keep the first violation."""
+    context.violation = first_violation(upstream_reports, count, seed)
+
+
 def first_violation(fuzzer, count, seed):
     """Return the first invariant violation, None if there is none."""
     try:
