Let restarts of the soak's processes wait for each other

A fault that is cancelled leaves its thread; the restart of a daemon in that thread replaced the upstream that the healing had just started.

Change: restarts and the healing hold a lock, and what runs already isn't started again. The product is not involved.

--- a/devtools/processes.py
+++ b/devtools/processes.py
@@ -112,12 +112,18 @@
         deadline = time.monotonic() + START_TIMEOUT_S
         while not self.ready_file.exists():
             if time.monotonic() > deadline or not self.is_running():
-                raise RuntimeError(f'{self.name}: {self.log_text()}')
+                raise RuntimeError(self._describe_failure())
             time.sleep(POLL_INTERVAL_S)
         self.addresses = msgspec.json.decode(
             self.ready_file.read_bytes(), type=dict[str, str]
         )
 
+    def _describe_failure(self) -> str:
+        """Return why the process is not ready, with its output."""
+        code = self.popen.returncode if self.popen else None
+        state = 'not ready in time' if code is None else f'exit code {code}'
+        return f'{self.name}: {state}: {self.log_text()}'
+
     def is_running(self) -> bool:
         """Return True if the process has started and not exited."""
         return self.popen is not None and self.popen.poll() is None
--- a/devtools/soak/cluster.py
+++ b/devtools/soak/cluster.py
@@ -4,6 +4,7 @@
 
 import resource
 import signal
+import threading
 from dataclasses import dataclass, field
 from functools import partial
 from pathlib import Path
@@ -36,6 +37,8 @@
         deployment: Daemons, control replicas, upstreams and link forwarders.
         control_forwarders: Forwarders in front of control replicas, by name.
         stopping: Daemons that got SIGTERM and weren't restarted yet.
+        restarting: Held while processes are started. A fault that is cancelled
+            leaves its thread, which may still be starting one.
     """
 
     folder: Path
@@ -45,6 +48,7 @@
         default_factory=dict
     )
     stopping: set[str] = field(default_factory=set)
+    restarting: threading.RLock = field(default_factory=threading.RLock)
     deployment: LocalDeployment = field(init=False)
 
     def __post_init__(self) -> None:
@@ -58,10 +62,6 @@
             for index in range(self.daemons_per_service):
                 self._start_daemon_with_upstream(f'{service}-{index}', index)
 
-    def names(self) -> tuple[str, ...]:
-        """Return the names of the daemons."""
-        return tuple(self.deployment.daemons)
-
     def processes(self) -> list[ManagedProcess]:
         """Return every process that this cluster started."""
         forwarder_processes = [
@@ -71,16 +71,25 @@
 
     def restart(self, process: ManagedProcess) -> None:
         """Start a process that ended, and point its forwarder to it."""
-        process.start()
-        process.wait_ready()
-        name = process.name
-        control_forwarder = self.control_forwarders.get(name)
-        if control_forwarder is not None:
-            control_forwarder.set_target(process.addresses['control'])
-        link_forwarder = self.deployment.forwarders.get(name)
-        if link_forwarder is not None:
-            link_forwarder.forward_to(process)
-            self._restart_upstream(name)
+        with self.restarting:
+            if process.is_running():
+                return
+            process.start()
+            process.wait_ready()
+            name = process.name
+            control_forwarder = self.control_forwarders.get(name)
+            if control_forwarder is not None:
+                control_forwarder.set_target(process.addresses['control'])
+            link_forwarder = self.deployment.forwarders.get(name)
+            if link_forwarder is not None:
+                link_forwarder.forward_to(process)
+                self._replace_upstream(name)
+
+    def restart_upstream(self, name: str) -> None:
+        """Start the upstream of a daemon if it ended."""
+        with self.restarting:
+            if not self.deployment.upstreams[name].is_running():
+                self._replace_upstream(name)
 
     def limit_file_size(self, name: str, max_bytes: int) -> None:
         """Fail the writes of a replica beyond a file size."""
@@ -105,14 +114,14 @@
         for name in self.stopping:
             self.deployment.daemons[name].wait_stopped()
         self.stopping.clear()
-        for process in (
-            *self.deployment.controls.values(),
-            *self.deployment.daemons.values(),
-        ):
-            if not process.is_running():
+        with self.restarting:
+            for process in (
+                *self.deployment.controls.values(),
+                *self.deployment.daemons.values(),
+            ):
                 self.restart(process)
-        for name in self.deployment.upstreams:
-            self._restart_upstream(name)
+            for name in self.deployment.upstreams:
+                self._replace_upstream(name)
 
     def executions(self) -> list[str]:
         """Return the mark of each execution that an upstream started."""
@@ -162,9 +171,9 @@
         daemon.start()
         daemon.wait_ready()
         forwarder.forward_to(daemon)
-        self._restart_upstream(name)
+        self._replace_upstream(name)
 
-    def _restart_upstream(self, name: str) -> None:
+    def _replace_upstream(self, name: str) -> None:
         """Start the upstream of a daemon, with its current admin address."""
         previous = self.deployment.upstreams.get(name)
         if previous is not None:
--- a/devtools/soak/faults.py
+++ b/devtools/soak/faults.py
@@ -354,8 +354,7 @@
         self.disrupted.add(name)
         if fault.behaviour is None:
             upstream.kill()
-            await asyncio.to_thread(upstream.start)
-            await asyncio.to_thread(upstream.wait_ready)
+            await asyncio.to_thread(self.cluster.restart_upstream, name)
         else:
             behaviour = BEHAVIOURS[fault.behaviour]
             await asyncio.to_thread(
--- a/devtools/soak/traffic.py
+++ b/devtools/soak/traffic.py
@@ -99,7 +99,7 @@
 
     async def call_once(self, session: aiohttp.ClientSession) -> CallRecord:
         """Send one call and record its outcome."""
-        entry = self.rng.choice(self.cluster.names())
+        entry = self.rng.choice(tuple(self.cluster.deployment.daemons))
         idempotent = self.rng.choice((True, False))
         mark = f'{self.name}.{next(self.numbers)}'
         loop = asyncio.get_running_loop()
