Accept teams, large bodies and cold upstreams in the configuration

Deployments with teams or with routes for uploads and downloads could not be served: the adapter refused their first configuration as a whole.

Routes tell which bodies are large and whether an API key is needed, services how long an upstream is cold and what it takes then, and a configuration has teams. Fields that the adapter doesn't know are kept and returned when the configuration is read.

--- a/burdocklead/connection/frames.py
+++ b/burdocklead/connection/frames.py
@@ -81,6 +81,8 @@
             it is missed, None if the call has no objective.
         may_queue: False to refuse the attempt instead of queueing it when no
             slot is free, as the entry daemon can try other upstreams.
+        team: Team of the caller, empty if none.
+        nested: True for a call that an upstream makes while it runs a call.
     """
 
     attempt_id: str
@@ -100,6 +102,8 @@
     queue_limit: int
     objective_ms: float | None = None
     may_queue: bool = True
+    team: str = ''
+    nested: bool = False
 
 
 class Answer(msgspec.Struct, frozen=True, tag='answer', array_like=True):
--- a/burdocklead/request/call.py
+++ b/burdocklead/request/call.py
@@ -33,6 +33,8 @@
     RefusalCause.key_required: 400,
     RefusalCause.key_reused: 422,
     RefusalCause.key_in_progress: 409,
+    RefusalCause.unknown_api_key: 401,
+    RefusalCause.team_limit: 429,
 }
 UNAVAILABLE = 503
 SERVER_ERROR = 500
@@ -53,6 +55,8 @@
         deadline: Monotonic time of the deadline in s.
         objective: Monotonic time of the latency objective in s, 0 if there
             is none.
+        team: Team of the caller, empty if none.
+        nested: True for a call that an upstream makes while it runs a call.
     """
 
     call_id: str
@@ -63,6 +67,8 @@
     key: str
     deadline: float
     objective: float = 0
+    team: str = ''
+    nested: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/burdocklead/request/dispatch.py
+++ b/burdocklead/request/dispatch.py
@@ -265,6 +265,8 @@
             queue_limit=rules.service.queue_limit,
             objective_ms=_remaining_ms(call.objective, now),
             may_queue=self.placement.may_queue(call, member, number),
+            team=call.team,
+            nested=call.nested,
         )
 
 
--- a/burdocklead/values.py
+++ b/burdocklead/values.py
@@ -66,6 +66,11 @@
     suspect_elsewhere = 'suspect-elsewhere'
     overloaded = 'overloaded'
     not_at_once = 'not-at-once'
+    unknown_api_key = 'unknown-api-key'
+    team_limit = 'team-limit'
+    cold_upstream = 'cold-upstream'
+    zone_evacuated = 'zone-evacuated'
+    memory_budget = 'memory-budget'
 
 
 class LoadReport(msgspec.Struct, frozen=True, array_like=True):
--- a/burdocklead/version/configuration_file.py
+++ b/burdocklead/version/configuration_file.py
@@ -119,9 +119,20 @@
             problems.append(f'{location}.routes: must name at least one route')
         problems.extend(_service_problems(location, service))
     problems.extend(_host_route_problems(deployment))
+    problems.extend(_team_problems(deployment))
     return tuple(problems)
 
 
+def _team_problems(deployment: Deployment) -> Iterator[str]:
+    """Yield a problem for each key of two teams, without the key."""
+    owners: dict[str, str] = {}
+    for name, team in deployment.teams.items():
+        for key in team.keys:
+            first = owners.setdefault(key, name)
+            if first != name:
+                yield f'teams.{name}.keys: shares a key with {first}'
+
+
 def _host_route_problems(deployment: Deployment) -> Iterator[str]:
     route_names: dict[tuple[str, str], str] = {}
     for name, route in deployment.host_routes.items():
--- a/burdocklead/version/deployment.py
+++ b/burdocklead/version/deployment.py
@@ -7,13 +7,19 @@
 from __future__ import annotations
 
 import enum
-from typing import Annotated
+from typing import Annotated, Any
 
 from msgspec import Meta, Struct, field
 
 Name = Annotated[str, Meta(pattern='^[a-z][a-z0-9-]{0,62}$')]
 Label = Annotated[str, Meta(min_length=1, max_length=253)]
 Prefix = Annotated[str, Meta(pattern='^/([^ ?#]*/)?$')]
+ApiKey = Annotated[str, Meta(pattern='^[!-~]{1,256}$')]
+CallRate = Annotated[float, Meta(ge=0, le=1000000)]
+Extensions = Annotated[
+    dict[str, Any],
+    Meta(description='Keys of other tools, kept and not used.'),
+]
 
 
 class Priority(enum.StrEnum):
@@ -24,6 +30,14 @@
     low = 'low'
 
 
+class LargeBodies(enum.StrEnum):
+    """Which bodies of a route are usually large."""
+
+    none = 'none'
+    requests = 'requests'
+    responses = 'responses'
+
+
 RANKS = {Priority.high: 0, Priority.normal: 1, Priority.low: 2}
 
 
@@ -64,7 +78,7 @@
     ] = 2000
 
 
-class Service(ConfigTable, frozen=True, kw_only=True):
+class Service(ConfigTable, frozen=True, kw_only=True, omit_defaults=True):
     """A service with its routes and limits."""
 
     routes: Annotated[
@@ -115,9 +129,18 @@
     tls: Annotated[
         bool, Meta(description='True if the upstreams expect TLS.')
     ] = False
-
-
-class Share(ConfigTable, frozen=True, kw_only=True):
+    cold_start_s: Annotated[
+        Annotated[float, Meta(ge=0, le=3600)] | None,
+        Meta(description='Time for which a start is cold in s.'),
+    ] = None
+    cold_rate: Annotated[
+        CallRate | None,
+        Meta(description='Calls per s to a cold upstream; 0 is no limit.'),
+    ] = None
+    extensions: Extensions = field(default_factory=dict)
+
+
+class Share(ConfigTable, frozen=True, kw_only=True, omit_defaults=True):
     """A service that gets a weighted share of the calls of a host route."""
 
     service: Annotated[Label, Meta(description='Service that runs the calls.')]
@@ -129,12 +152,14 @@
             description='Share of the calls, relative to the other weights.',
         ),
     ]
+    extensions: Extensions = field(default_factory=dict)
 
 
-class HostRoute(ConfigTable, frozen=True, kw_only=True):
+class HostRoute(ConfigTable, frozen=True, kw_only=True, omit_defaults=True):
     """A route for calls to one host below one path prefix.
 
-    Exactly one of ``service`` and ``split`` is given.
+    Exactly one of ``service`` and ``split`` is given. Encoding omits defaults,
+    as a configuration may have thousands of routes.
     """
 
     host: Annotated[Label, Meta(description='Host in the requests of callers.')]
@@ -165,6 +190,14 @@
         tuple[Share, ...],
         Meta(description='Services among which calls are split.'),
     ] = ()
+    large_bodies: Annotated[
+        LargeBodies, Meta(description='Which bodies are usually large.')
+    ] = LargeBodies.none
+    anonymous: Annotated[
+        bool | None,
+        Meta(description='True to accept calls without an API key.'),
+    ] = None
+    extensions: Extensions = field(default_factory=dict)
 
     def shares(self) -> tuple[Share, ...]:
         """Return the services of the route with their weights."""
@@ -173,7 +206,28 @@
         return self.split
 
 
-class CallerLimits(ConfigTable, frozen=True, kw_only=True):
+class Team(ConfigTable, frozen=True, kw_only=True, omit_defaults=True):
+    """A team whose callers send one of its API keys."""
+
+    keys: Annotated[
+        tuple[ApiKey, ...], Meta(description='API keys, unique to the team.')
+    ] = ()
+    rank: Annotated[
+        Annotated[int, Meta(ge=0, le=1000)] | None,
+        Meta(description='Rank of its calls instead of the rank of the route.'),
+    ] = None
+    rate: Annotated[
+        CallRate | None,
+        Meta(description='Calls per s at all daemons together; 0 is no limit.'),
+    ] = None
+    burst: Annotated[
+        CallRate | None,
+        Meta(description='Calls at once in addition to the rate.'),
+    ] = None
+    extensions: Extensions = field(default_factory=dict)
+
+
+class CallerLimits(ConfigTable, frozen=True, kw_only=True, omit_defaults=True):
     """Limits on what a caller may send and on how long it may take."""
 
     max_header_bytes: Annotated[
@@ -189,6 +243,7 @@
         float,
         Meta(gt=0, le=86400000, description='Idle time of connections in ms.'),
     ] = 60000
+    extensions: Extensions = field(default_factory=dict)
 
 
 class Measuring(ConfigTable, frozen=True, kw_only=True):
@@ -247,7 +302,7 @@
     ] = 16384
 
 
-class Deployment(ConfigTable, frozen=True, kw_only=True):
+class Deployment(ConfigTable, frozen=True, kw_only=True, omit_defaults=True):
     """A whole configuration file."""
 
     version: Annotated[
@@ -266,7 +321,12 @@
         dict[Label, HostRoute],
         Meta(description='Routes by host and path prefix, by name.'),
     ] = field(default_factory=dict)
+    teams: Annotated[
+        dict[Label, Team],
+        Meta(description='Teams by name; with any, callers send an API key.'),
+    ] = field(default_factory=dict)
     limits: CallerLimits = CallerLimits()
     measuring: Measuring = Measuring()
     crashes: Crashes = Crashes()
     claims: Claims = Claims()
+    extensions: Extensions = field(default_factory=dict)
--- a/devtools/reference_pages.py
+++ b/devtools/reference_pages.py
@@ -11,6 +11,7 @@
 import tomllib
 from collections.abc import Callable, Iterator, Sequence
 from pathlib import Path
+from types import NoneType
 from typing import Annotated, Any, get_args, get_origin
 
 import msgspec
@@ -59,8 +60,19 @@
     'max_connections': 'connections',
     'rank': 'rank',
     'weight': 'weight',
+    'cold_start_s': 's',
+    'cold_rate': 'calls/s',
+    'rate': 'calls/s',
+    'burst': 'calls',
+}
+TYPE_NAMES = {
+    str: 'text',
+    bool: 'true or false',
+    int: 'whole',
+    float: 'number',
+    dict: 'table',
+    tuple: 'list',
 }
-TYPE_NAMES = {str: 'text', bool: 'true or false', int: 'whole', float: 'number'}
 VALUE_FORMATS = {
     SocketAddress: 'IP:PORT',
     OptionalAddress: 'IP:PORT',
@@ -208,7 +220,7 @@
     table: type[msgspec.Struct], prefix: str, example: Any
 ) -> Iterator[tuple[str, ...]]:
     for field in msgspec.structs.fields(table):
-        inner, meta = _split_annotated(field.type)
+        inner, meta = _split_field_type(field.type)
         key = f'{prefix}.{field.name}'.lstrip('.')
         example_value = (
             example.get(field.name) if isinstance(example, dict) else None
@@ -230,6 +242,16 @@
     return kind, ()
 
 
+def _split_field_type(kind: Any) -> tuple[Any, tuple[Any, ...]]:
+    """Return the type of a value and its annotations, also if optional."""
+    inner, meta = _split_annotated(kind)
+    declared = [one for one in get_args(inner) if one is not NoneType]
+    if NoneType not in get_args(inner):
+        return inner, meta
+    value_type, value_meta = _split_annotated(declared[0])
+    return value_type, (*value_meta, *meta)
+
+
 def _nested_table(kind: Any) -> type[msgspec.Struct] | None:
     for candidate in (kind, *get_args(kind)):
         inner = _split_annotated(candidate)[0]
@@ -257,7 +279,7 @@
     meta: Sequence[msgspec.Meta],
     example_value: Any,
 ) -> tuple[str, ...]:
-    required = field.default is msgspec.NODEFAULT
+    required = field.required
     default = 'required' if required else _as_json_code(field.default)
     example = default if example_value is None else _as_json_code(example_value)
     if required and example_value is None:
@@ -274,7 +296,7 @@
 def _type_name(inner: Any) -> str:
     if isinstance(inner, type) and issubclass(inner, enum.Enum):
         return ', '.join(f'`{one.value}`' for one in inner)
-    return TYPE_NAMES[inner]
+    return TYPE_NAMES[get_origin(inner) or inner]
 
 
 def _unit_of(name: str, inner: Any) -> str:
@@ -297,6 +319,8 @@
 
 
 def _as_json_code(entry: Any) -> str:
+    if entry is None or entry is msgspec.NODEFAULT:
+        return 'unset'
     return f'`{msgspec.json.encode(entry).decode()}`'
 
 
