Treat an answer with an undefined status as lost

A faulty upstream sent an answer with the status 000. It was read as an interim response, so that the caller waited until its deadline and an answer behind it was believed; statuses from 600 on were passed to the caller.

A status outside of 100 to 599 now ends the exchange at once: the outcome is unknown and the connection is closed.

--- a/burdocklead/connection/answer_reader.py
+++ b/burdocklead/connection/answer_reader.py
@@ -23,6 +23,9 @@
 
 # A chunk of one byte takes five bytes of framing.
 FRAMING_BYTES_PER_BODY_BYTE = 8
+# RFC 9110, section 15: a status outside of this range is invalid.
+FIRST_STATUS = 100
+LAST_STATUS = 599
 
 AnswerIdReader = Callable[[Headers], str | None]
 
@@ -246,6 +249,9 @@
         partial.in_body = True
         partial.started = self.loop.time()
         partial.status = self.parser.get_status_code()
+        if not FIRST_STATUS <= partial.status <= LAST_STATUS:
+            self.fail(f'status {partial.status:03} is not defined')
+            return
         if partial.status < FIRST_FINAL_STATUS:
             return
         answer_id = self.request.read_answer_id(tuple(partial.headers))
--- a/tests/request/upstream_answers.feature
+++ b/tests/request/upstream_answers.feature
@@ -59,3 +59,24 @@
     Given an upstream of the own dialect that refuses every request
     When more attempts are refused than the pool remembers
     Then a request that was refused first is sent on a new connection
+
+  # Guards against a status outside of 100 to 599 that is passed on to a caller,
+  # and against a caller that waits for another answer behind it.
+  Scenario Outline: A status that HTTP does not define
+    Given an upstream of the <dialect> dialect that answers with the status text <status>
+    When two non-idempotent attempts are sent
+    Then both results are lost without waiting for the deadline
+    And 2 connections were used
+
+    Examples:
+      | dialect  | status |
+      | own      | 000    |
+      | own      | 600    |
+      | platform | 000    |
+      | platform | 001    |
+      | platform | 099    |
+      | platform | 600    |
+      | platform | 999    |
+      | platform | 20     |
+      | platform | 2000   |
+      | platform | 101    |
--- a/tests/steps/upstream_answer_steps.py
+++ b/tests/steps/upstream_answer_steps.py
@@ -24,6 +24,7 @@
 
 REMAINING_MS = 1000
 REMEMBERED = 8
+MS_PER_S = 1000
 
 
 def _platform_dialect():
@@ -78,7 +79,9 @@
             earlier = self.earlier
             self.earlier = answer
             return earlier + self._message(200, answer_id, b'second')
-        status = int(self.script.rpartition(' ')[2])
+        status = self.script.rpartition(' ')[2]
+        if 'status text' not in self.script:
+            status = int(status)
         return self._message(status, answer_id, b'')
 
     def _refuses(self, repeated):
@@ -132,16 +135,24 @@
     )
 
 
+async def _exchange(client, address, number):
+    """Return the result of an attempt, also if there is no answer in time."""
+    exchange = client.exchange(
+        Upstream(address, ''), _attempt(number), REMAINING_MS
+    )
+    try:
+        return await asyncio.wait_for(exchange, REMAINING_MS / MS_PER_S)
+    except TimeoutError:
+        return UpstreamLost('no answer within the deadline', False)
+
+
 async def _send(context, numbers):
     upstream = context.forgetful
     server = await asyncio.start_server(upstream.serve, '127.0.0.1', 0)
     address = Address(*server.sockets[0].getsockname())
     client = PooledUpstreamClient(context.dialect, AnswerLimits())
     context.results = [
-        await client.exchange(
-            Upstream(address, ''), _attempt(number), REMAINING_MS
-        )
-        for number in numbers
+        await _exchange(client, address, number) for number in numbers
     ]
     await client.close()
     await asyncio.sleep(0.02)
@@ -219,6 +230,14 @@
     assert isinstance(context.results[1], UpstreamLost), context.results
 
 
+@then('both results are lost without waiting for the deadline')
+def check_both_lost(context):
+    """Check that no status was passed on and that the answer ended the wait."""
+    for result in context.results:
+        assert isinstance(result, UpstreamLost), result
+        assert 'no answer within' not in result.reason, result
+
+
 @then('the second result is its own answer')
 def check_own_answer(context):
     """Check that no other answer was taken."""
