Check the API keys of teams and forward the name of the team

A configuration with teams was accepted, but calls were not checked against the keys, and keys were forwarded to upstreams like any other header.

The keys of a configuration are indexed by digest when it comes into force. With teams in force, a call with an unknown key, or without one on a route that isn't anonymous, is refused as not run (401). The entry drops the key and the team that the client names; the daemon of the upstream writes the team of the attempt. Without teams, nothing changes.

--- a/burdocklead/process/caller_handler.py
+++ b/burdocklead/process/caller_handler.py
@@ -25,13 +25,16 @@
     read_deadline,
     read_key,
 )
+from burdocklead.request.dialect import BurdockleadDialect
 from burdocklead.request.dispatch import Dispatcher
 from burdocklead.request.headers import forwarded_headers
 from burdocklead.request.keyed_call import KeyedCalls
+from burdocklead.teams.authentication import IdentifiedCall, identify_call
 from burdocklead.values import Outcome, RefusalCause
 from burdocklead.version.route_table import RouteMatch
 
 MS_PER_S = 1000
+DIALECT = BurdockleadDialect()
 CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 EVENT_BY_OUTCOME = {
     Outcome.answered: EventKind.call_answered,
@@ -143,7 +146,15 @@
         headers = [(name, text) for name, text in request.headers.items()]
         check_target(request.raw_path)
         check_headers(headers)
-        match = self._find_route(request)
+        identified = identify_call(
+            self.directory.keys.index,
+            DIALECT,
+            tuple(headers),
+            IdentifiedCall(
+                self._find_route(request), forwarded_headers(headers)
+            ),
+        )
+        match = identified.match
         limit_ms = min(match.route.timeout_ms, read_deadline(headers))
         deadline = started + limit_ms / MS_PER_S
         self.dispatcher.work_limit.check_deadline(deadline)
@@ -151,10 +162,12 @@
             call_id=call_id,
             match=match,
             method=request.method,
-            headers=forwarded_headers(headers),
+            headers=identified.headers,
             key=read_key(headers),
             deadline=deadline,
             body=await _read_body(request, limit_ms / MS_PER_S),
+            team=identified.team,
+            key_proof=identified.key_proof,
         )
 
     def _find_route(self, request: web.BaseRequest) -> RouteMatch:
--- a/burdocklead/process/directory.py
+++ b/burdocklead/process/directory.py
@@ -25,6 +25,8 @@
 from burdocklead.request.local_link import LocalLink
 from burdocklead.request.routing import Candidates, Router
 from burdocklead.settings import DaemonSettings
+from burdocklead.teams.current_keys import CurrentKeys
+from burdocklead.teams.key_index import KeyIndex
 from burdocklead.values import LoadReport, Member
 from burdocklead.version.configuration_file import decode_deployment
 from burdocklead.version.deployment import Deployment
@@ -43,6 +45,7 @@
         unconfirmed: Members that replicas which started a short time ago have
             not listed yet.
         table: Route table of the configuration in force, None without one.
+        keys: API keys of the configuration in force.
     """
 
     def __init__(
@@ -66,6 +69,7 @@
         self.unconfirmed: set[str] = set()
         self.links: dict[str, PeerLink] = {}
         self.table: RouteTable | None = None
+        self.keys = CurrentKeys()
 
     @property
     def version(self) -> int:
@@ -158,7 +162,10 @@
         """Put a configuration file in force if it is newer."""
         if file.version <= self.version:
             return
-        self.table = RouteTable(decode_deployment(file.text))
+        deployment = decode_deployment(file.text)
+        table, index = RouteTable(deployment), KeyIndex(deployment)
+        self.table = table
+        self.keys.index = index
         self.events.record(
             EventKind.version_in_force, detail=f'version {file.version}'
         )
--- a/burdocklead/process/host_routing_handler.py
+++ b/burdocklead/process/host_routing_handler.py
@@ -26,6 +26,7 @@
     NOT_READY_RETRY_AFTER_S,
     jittered_retry_after_s,
 )
+from burdocklead.teams.authentication import IdentifiedCall, identify_call
 from burdocklead.values import Outcome, RefusalCause
 from burdocklead.version.route_table import RouteMatch
 
@@ -103,7 +104,13 @@
     def _read_call(
         self, request: HttpRequest, options: CallOptions, call_id: str
     ) -> Call:
-        match = self._find_route(request)
+        identified = identify_call(
+            self.directory.keys.index,
+            self.dialect,
+            request.headers,
+            IdentifiedCall(self._find_route(request), options.headers),
+        )
+        match = identified.match
         wait_ms = min(options.wait_ms, match.route.timeout_ms)
         deadline = request.arrived + wait_ms / MS_PER_S
         self.dispatcher.work_limit.check_deadline(deadline)
@@ -111,11 +118,13 @@
             call_id=call_id,
             match=match,
             method=request.method,
-            headers=options.headers,
+            headers=identified.headers,
             body=request.body,
             key='',
             deadline=deadline,
             objective=self._objective_of(request, match, options.wait_ms),
+            team=identified.team,
+            key_proof=identified.key_proof,
         )
 
     def _objective_of(
--- a/burdocklead/request/call.py
+++ b/burdocklead/request/call.py
@@ -16,6 +16,7 @@
 )
 from burdocklead.durable.claims import StoredAnswer
 from burdocklead.request.headers import ANSWER_HEADER
+from burdocklead.teams.key_index import KeyProof
 from burdocklead.values import Outcome, RefusalCause
 from burdocklead.version.route_table import RouteMatch
 
@@ -57,6 +58,7 @@
             is none.
         team: Team of the caller, empty if none.
         nested: True for a call that an upstream makes while it runs a call.
+        key_proof: Proof of the caller's API key, None without one.
     """
 
     call_id: str
@@ -69,6 +71,7 @@
     objective: float = 0
     team: str = ''
     nested: bool = False
+    key_proof: KeyProof | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/burdocklead/request/caller_input.py
+++ b/burdocklead/request/caller_input.py
@@ -7,7 +7,11 @@
 from collections.abc import Iterable
 
 from burdocklead.exceptions import BurdockleadError
-from burdocklead.request.headers import DEADLINE_HEADER, KEY_HEADER
+from burdocklead.request.headers import (
+    DEADLINE_HEADER,
+    KEY_HEADER,
+    header_values,
+)
 from burdocklead.values import RefusalCause
 
 MAX_KEY_LENGTH = 255
@@ -85,7 +89,7 @@
     Raises:
         CallerInputError: If it isn't one positive number.
     """
-    values = _values_of(headers, DEADLINE_HEADER)
+    values = header_values(headers, DEADLINE_HEADER)
     if not values:
         return math.inf
     try:
@@ -106,7 +110,7 @@
             long, starts or ends with a space, or has characters other than
             printable ASCII.
     """
-    values = _values_of(headers, KEY_HEADER)
+    values = header_values(headers, KEY_HEADER)
     if not values:
         return ''
     key = values[0]
@@ -121,7 +125,3 @@
         )
         raise CallerInputError(RefusalCause.bad_key, reason)
     return key
-
-
-def _values_of(headers: Iterable[tuple[str, str]], wanted: str) -> list[str]:
-    return [value for name, value in headers if name.lower() == wanted.lower()]
--- a/burdocklead/request/dialect.py
+++ b/burdocklead/request/dialect.py
@@ -21,6 +21,7 @@
 from burdocklead.request.call import CallResult, explanation
 from burdocklead.request.caller_input import read_deadline
 from burdocklead.request.headers import (
+    API_KEY_HEADER,
     ATTEMPT_HEADER,
     ATTEMPT_NUMBER_HEADER,
     CALL_HEADER,
@@ -29,7 +30,11 @@
     LENGTH_HEADER,
     NOT_RUN_HEADER,
     OUTCOME_HEADER,
+    TEAM_HEADER,
+    as_header_text,
     forwarded_headers,
+    header_values,
+    without_headers,
 )
 from burdocklead.request.upstream_client import (
     Upstream,
@@ -43,6 +48,7 @@
 JSON_TYPE = ('Content-Type', 'application/json')
 RETRY_AFTER_HEADER = 'Retry-After'
 HOST_HEADER = 'Host'
+TEAM_HEADERS = frozenset((API_KEY_HEADER.lower(), TEAM_HEADER.lower()))
 
 
 @dataclass(frozen=True, slots=True)
@@ -70,6 +76,12 @@
             CallerInputError: If the request is invalid.
         """
 
+    def read_api_keys(self, headers: Headers) -> list[str]:
+        """Return the values of the header for API keys."""
+
+    def without_team_headers(self, headers: Headers) -> Headers:
+        """Return the headers without the API key and the name of a team."""
+
     def respond(self, result: CallResult, call_id: str) -> HttpResponse:
         """Return the response for the result of a call."""
 
@@ -112,6 +124,14 @@
             _with_host(request, forwarded_headers(request.headers)),
         )
 
+    def read_api_keys(self, headers: Headers) -> list[str]:
+        """Return the values of the header for API keys."""
+        return header_values(headers, API_KEY_HEADER)
+
+    def without_team_headers(self, headers: Headers) -> Headers:
+        """Return the headers without the API key and the name of a team."""
+        return without_headers(headers, TEAM_HEADERS)
+
     def respond(self, result: CallResult, call_id: str) -> HttpResponse:
         """Return the response with the outcome in its headers."""
         headers = [
@@ -135,9 +155,10 @@
         """Return the headers of an attempt."""
         has_host = find_header(attempt.headers, HOST_HEADER) is not None
         host = () if has_host else ((HOST_HEADER, str(upstream.address)),)
+        from_caller = (*host, *attempt.headers)
         return (
-            *host,
-            *attempt.headers,
+            *from_caller,
+            *team_headers(TEAM_HEADER, attempt.team),
             (DEADLINE_HEADER, f'{remaining_ms:.0f}'),
             (ATTEMPT_HEADER, attempt.attempt_id),
             (ATTEMPT_NUMBER_HEADER, str(attempt.number)),
@@ -168,6 +189,11 @@
         """Return None; no ``Burdocklead-*`` header reports a load."""
 
 
+def team_headers(name: str, team: str) -> Headers:
+    """Return the header that names the team of a call, none without a team."""
+    return ((name, as_header_text(team)),) if team else ()
+
+
 def _with_host(request: HttpRequest, headers: Headers) -> Headers:
     host = request.find(HOST_HEADER)
     return headers if host is None else ((HOST_HEADER, host), *headers)
--- a/burdocklead/request/headers.py
+++ b/burdocklead/request/headers.py
@@ -13,6 +13,8 @@
 ATTEMPT_NUMBER_HEADER = 'Burdocklead-Attempt'
 NOT_RUN_HEADER = 'Burdocklead-Not-Run'
 KEY_HEADER = 'Idempotency-Key'
+API_KEY_HEADER = 'Burdocklead-Api-Key'
+TEAM_HEADER = 'Burdocklead-Team'
 LENGTH_HEADER = 'Content-Length'
 
 PRODUCT_HEADERS = frozenset(
@@ -76,3 +78,27 @@
     if value.isascii():
         return value
     return value.encode('utf-8', 'surrogateescape').decode('utf-8', 'replace')
+
+
+def without_headers(
+    headers: Iterable[tuple[str, str]], dropped: frozenset[str]
+) -> tuple[tuple[str, str], ...]:
+    """Return the headers without some.
+
+    Args:
+        headers: The headers.
+        dropped: Names of headers to drop, in lower case.
+    """
+    return tuple(
+        (name, text) for name, text in headers if name.lower() not in dropped
+    )
+
+
+def header_values(headers: Iterable[tuple[str, str]], wanted: str) -> list[str]:
+    """Return all values of a header in order."""
+    return [text for name, text in headers if name.lower() == wanted.lower()]
+
+
+def as_header_text(text: str) -> str:
+    """Return a text whose encoding as Latin-1 is the text as UTF-8."""
+    return text.encode().decode('latin-1')
--- /dev/null
+++ b/burdocklead/teams/__init__.py
@@ -0,0 +1,1 @@
+"""Teams of callers and their API keys."""
--- /dev/null
+++ b/burdocklead/teams/current_keys.py
@@ -0,0 +1,28 @@
+"""API keys of the configuration in force in one process."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from burdocklead.teams.key_index import KeyIndex, KeyProof
+
+
+@dataclass(slots=True)
+class CurrentKeys:
+    """API keys of the configuration in force.
+
+    Attributes:
+        index: The keys, None without a configuration.
+    """
+
+    index: KeyIndex | None = None
+
+    def is_revoked(self, proof: KeyProof | None) -> bool:
+        """Return True if the key of a call was removed after it was checked.
+
+        Args:
+            proof: Proof of the key, None for a call without one.
+        """
+        if proof is None or self.index is None:
+            return False
+        return self.index.revokes(proof)
--- a/burdocklead/version/deployment.py
+++ b/burdocklead/version/deployment.py
@@ -9,7 +9,7 @@
 import enum
 from typing import Annotated, Any
 
-from msgspec import Meta, Struct, field
+from msgspec import UNSET, Meta, Struct, UnsetType, field
 
 Name = Annotated[str, Meta(pattern='^[a-z][a-z0-9-]{0,62}$')]
 Label = Annotated[str, Meta(min_length=1, max_length=253)]
@@ -76,6 +76,11 @@
         float,
         Meta(ge=1, le=600000, description='Longest wait of a caller in ms.'),
     ] = 2000
+    # Encoded only if it is given, as older daemons refuse unknown keys.
+    anonymous: Annotated[
+        bool | UnsetType,
+        Meta(description='True to accept calls without an API key.'),
+    ] = UNSET
 
 
 class Service(ConfigTable, frozen=True, kw_only=True, omit_defaults=True):
--- a/burdocklead/version/route_table.py
+++ b/burdocklead/version/route_table.py
@@ -189,6 +189,7 @@
             idempotent=route.idempotent,
             cost_ms=_initial_cost_ms(route),
             timeout_ms=route.timeout_ms,
+            anonymous=route.anonymous is True,
         ),
         route.path_prefix,
         route.rank,
--- a/devtools/reference_pages.py
+++ b/devtools/reference_pages.py
@@ -41,6 +41,8 @@
 from devtools.processes import source_root
 
 EXAMPLE_FILE = 'examples/cedarline.toml'
+ABSENT_TYPES = frozenset((NoneType, msgspec.UnsetType))
+NO_DEFAULTS = (None, msgspec.NODEFAULT, msgspec.UNSET)
 NO_UNIT = '-'
 ESCAPED_BAR = '&#124;'
 UNIT_BY_SUFFIX = (
@@ -245,8 +247,8 @@
 def _split_field_type(kind: Any) -> tuple[Any, tuple[Any, ...]]:
     """Return the type of a value and its annotations, also if optional."""
     inner, meta = _split_annotated(kind)
-    declared = [one for one in get_args(inner) if one is not NoneType]
-    if NoneType not in get_args(inner):
+    declared = [one for one in get_args(inner) if one not in ABSENT_TYPES]
+    if ABSENT_TYPES.isdisjoint(get_args(inner)):
         return inner, meta
     value_type, value_meta = _split_annotated(declared[0])
     return value_type, (*value_meta, *meta)
@@ -319,7 +321,7 @@
 
 
 def _as_json_code(entry: Any) -> str:
-    if entry is None or entry is msgspec.NODEFAULT:
+    if any(entry is one for one in NO_DEFAULTS):
         return 'unset'
     return f'`{msgspec.json.encode(entry).decode()}`'
 
--- a/tests/steps/upstream_answer_steps.py
+++ b/tests/steps/upstream_answer_steps.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import sys
 
 from behave import given, then, when
 
@@ -20,20 +19,14 @@
     UpstreamRefused,
 )
 from burdocklead.values import Address
-from tests.platform.stand_in import ROOT
+from tests.steps.platform_modules import import_platform_module
 
 REMAINING_MS = 1000
 REMEMBERED = 8
 
 
 def _platform_dialect():
-    folder = str(ROOT / 'platform')
-    sys.path.append(folder)
-    try:
-        from platform_dialect import PlatformDialect
-    finally:
-        sys.path.remove(folder)
-    return PlatformDialect('orders')
+    return import_platform_module('platform_dialect').PlatformDialect('orders')
 
 
 class ForgetfulUpstream:
