Let operators evacuate availability zones

Cause: the platform orders that no call is sent to the upstreams of a zone. Drains know only single daemons, and a daemon that joins a zone later would not be drained.

Change: a register holds the evacuated zones. The platform's calls evacuations.start and evacuations.finish change it at any replica and are acknowledged once a quorum has synced it. The accepting replica tells the others at once; replies to heartbeats carry the list to the daemons. Entries leave out the upstreams of these zones. The daemon beside such an upstream refuses attempts after a notice of 0.6 s, those that wait as well; an entry then tries another upstream without a backoff. A replica sends no configuration before it knows the list, so a restarted daemon never serves without it. A replica whose own register holds a newer list than the one it serves reads it through a quorum, which covers a replica that stops right after its acknowledgement.

--- a/burdocklead/connection/control_messages.py
+++ b/burdocklead/connection/control_messages.py
@@ -10,6 +10,7 @@
 from burdocklead.durable.drains import NO_DRAINS, DrainList
 from burdocklead.durable.register import Phase, PhaseReply, Register
 from burdocklead.durable.replica_set import Replica, ReplicaSet
+from burdocklead.evacuation.zone_list import EvacuatedZones
 from burdocklead.values import Member
 
 
@@ -130,6 +131,7 @@
         drains: Daemons drained by operators.
         is_settled: False if the replica started a short time ago and may not
             have heard all daemons yet.
+        evacuations: Evacuated zones, None if the replica doesn't know them.
     """
 
     cursor: Cursor
@@ -141,6 +143,7 @@
     replica_set: ReplicaSet | None = None
     drains: DrainList = NO_DRAINS
     is_settled: bool = True
+    evacuations: EvacuatedZones | None = None
 
 
 class Exchange(msgspec.Struct, frozen=True, tag=True, array_like=True):
@@ -150,6 +153,8 @@
         known_digest: Digest of the configuration known to the sender.
         sender: The sending replica with its address and the identity of its
             data folder.
+        evacuations: Evacuated zones known to the sender, None if it knows
+            none yet.
     """
 
     replica_id: str
@@ -159,6 +164,7 @@
     known_epoch: int = 0
     known_digest: str = ''
     sender: Replica | None = None
+    evacuations: EvacuatedZones | None = None
 
 
 class Failure(msgspec.Struct, frozen=True, tag=True, array_like=True):
--- /dev/null
+++ b/burdocklead/evacuation/__init__.py
@@ -0,0 +1,1 @@
+"""Availability zones that operators evacuate."""
--- a/burdocklead/events.py
+++ b/burdocklead/events.py
@@ -44,6 +44,7 @@
     signal_dead = 'signal-dead'
     request_blocked = 'request-blocked'
     drains_changed = 'drains-changed'
+    evacuations_changed = 'evacuations-changed'
     replica_changed = 'replica-changed'
     quorum_lost = 'quorum-lost'
     unexpected_error = 'unexpected-error'
--- a/burdocklead/log_events.py
+++ b/burdocklead/log_events.py
@@ -27,6 +27,7 @@
     'cause': 'reason in a few words',
     'daemons': 'names of daemons',
     'elapsed_ms': 'time from the start to the end in ms',
+    'evacuated': 'true if the evacuation was started, false if it was ended',
     'epoch': 'epoch of the replica set',
     'in_flight': 'attempts from this entry to the upstream, with this one',
     'in_force': 'configuration version in force after a decision',
@@ -36,7 +37,7 @@
     'leaving': 'replica that leaves the set, empty if none',
     'limit_s': 'time limit in s',
     'load_age_ms': 'age of the last load report of the upstream in ms',
-    'number': 'number of a heartbeat',
+    'number': 'number of a heartbeat or of a list of evacuated zones',
     'operation': 'operation that an operator requested',
     'outcome': 'answered, not-run, unknown; of attempts answer, refusal, lost',
     'pace': 'service time at the upstream as a multiple of the usual one',
@@ -61,6 +62,7 @@
     'waited_ms': 'time in the queue in ms',
     'waiting': 'calls queued for the upstream',
     'zone': 'availability zone',
+    'zones': 'names of availability zones',
 }
 LOGGERS: dict[str, logbook.Logger] = {}
 DECLARED: list[LogEvent] = []
@@ -300,6 +302,27 @@
     'a replica learns which daemons are drained by operators',
     'daemons',
 )
+EVACUATION_DECIDED = _declare(
+    'evacuation decided',
+    'evacuation',
+    Level.info,
+    'a quorum decided on an order of an operator to evacuate or restore a zone',
+    'zone evacuated number',
+)
+EVACUATIONS_CHANGED = _declare(
+    'evacuated zones changed',
+    'evacuation',
+    Level.info,
+    'a replica learns which zones are evacuated',
+    'zones',
+)
+ZONES_EVACUATED = _declare(
+    'evacuated zones in force',
+    'evacuation',
+    Level.info,
+    'a daemon starts to use another list of evacuated zones',
+    'zones',
+)
 CONTROL_REACHED = _declare(
     'control reached',
     'control-agent',
--- a/burdocklead/process/control_agent.py
+++ b/burdocklead/process/control_agent.py
@@ -104,6 +104,8 @@
             return
         if reply.replica_set is not None:
             self._use_set(reply.replica_set)
+        # A list was accepted even if the replica was cut off since.
+        self.directory.evacuations.learn(reply.evacuations)
         if reply.quorum_age_ms > QUORUM_AGE_LIMIT_MS:
             self._leave_replica(client.name, 'cut off from its quorum')
             return
--- a/burdocklead/process/control_replica.py
+++ b/burdocklead/process/control_replica.py
@@ -37,6 +37,7 @@
     without_history,
 )
 from burdocklead.durable.replica_set import NO_QUORUM_AGE_S, Replica
+from burdocklead.evacuation.operator_evacuations import OperatorEvacuations
 from burdocklead.events import EventKind, EventRing
 from burdocklead.exceptions import ControlError
 from burdocklead.log_events import LEASE_RAN_OUT, VERSION_ACCEPTED
@@ -77,9 +78,16 @@
         )
         self.file = AcceptedFile()
         self.drains = OperatorDrains(self.registers, self.events)
+        self.exchange_requested = asyncio.Event()
+        self.evacuations = OperatorEvacuations(
+            self.registers,
+            self.members,
+            self.events,
+            is_settled=lambda: self.is_settled,
+            on_accepted=self.exchange_requested.set,
+        )
         self.last_reply_at: dict[str, float] = {}
         self.is_settled = False
-        self.exchange_requested = asyncio.Event()
         self.set_manager = ReplicaSetManager(self.registers, self.last_reply_at)
         self.registers.proposer.all_reachable = self.all_peers_responsive
 
@@ -100,6 +108,7 @@
                 return self._heartbeat_reply(message)
             case Exchange():
                 self._note_candidate(message)
+                self.evacuations.learn(message.evacuations)
                 self._learn_newer_file(message)
                 return self._heartbeat_reply(message)
             case ClaimStart() | ClaimFinish():
@@ -192,9 +201,10 @@
         )
 
     async def recover_state(self) -> None:
-        """Read the configuration and the drains; retry until both succeed."""
+        """Read the evacuations, configuration and drains; retry on failure."""
         while True:
             try:
+                await self.evacuations.recover()
                 await self.read_file()
                 await self.drains.recover()
             except ControlError:
@@ -254,6 +264,8 @@
             message.cursor, time.monotonic()
         )
         newer = self.file.version > message.known_version
+        # A daemon that has just started must not serve without the list.
+        newer = newer and self.evacuations.current is not None
         replica_set = self.registers.replica_set
         newer_set = replica_set.epoch > message.known_epoch
         return HeartbeatReply(
@@ -266,6 +278,7 @@
             replica_set=replica_set if newer_set else None,
             drains=self.drains.current,
             is_settled=self.is_settled,
+            evacuations=self.evacuations.current,
         )
 
     async def _change_claim(
--- a/burdocklead/process/daemon_measurements.py
+++ b/burdocklead/process/daemon_measurements.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from burdocklead.metrics import (
+    EVACUATED_ZONES,
     RETRY_BUDGET,
     UPSTREAM_CALLS,
     UPSTREAM_LIMIT,
@@ -36,6 +37,8 @@
     """Update the metrics of a daemon in its role as entry daemon."""
     metrics.set(VERSION, directory.version)
     measure_members(metrics, directory.members.values())
+    evacuated = directory.evacuations.known
+    metrics.set(EVACUATED_ZONES, len(evacuated.zones) if evacuated else 0)
     deployment = directory.deployment()
     for name in deployment.services if deployment else ():
         metrics.set(UPSTREAMS, len(directory.candidates(name).members), name)
--- a/burdocklead/process/directory.py
+++ b/burdocklead/process/directory.py
@@ -12,6 +12,7 @@
 from burdocklead.connection.link_identity import LinkIdentity
 from burdocklead.connection.peer_link import PeerLink
 from burdocklead.durable.configuration import AcceptedFile
+from burdocklead.evacuation.daemon_evacuations import DaemonEvacuations
 from burdocklead.events import EventKind, EventRing
 from burdocklead.exceptions import LinkError
 from burdocklead.log_events import (
@@ -42,6 +43,7 @@
         links: Links to other daemons by daemon ID.
         unconfirmed: Members that replicas which started a short time ago have
             not listed yet.
+        evacuations: Evacuated zones, whose upstreams get no new work.
         table: Route table of the configuration in force, None without one.
     """
 
@@ -66,6 +68,13 @@
         self.unconfirmed: set[str] = set()
         self.links: dict[str, PeerLink] = {}
         self.table: RouteTable | None = None
+        self.evacuations = DaemonEvacuations(
+            settings.zone,
+            local_link.executor,
+            events,
+            settings.evacuation_notice,
+            self._update_candidates,
+        )
 
     @property
     def version(self) -> int:
@@ -178,7 +187,9 @@
         """Group the members that may receive new work by service."""
         by_service: dict[str, list[Member]] = {}
         for member in self.members.values():
-            if member.service and not member.draining:
+            if member.draining or self.evacuations.is_evacuated(member.zone):
+                continue
+            if member.service:
                 by_service.setdefault(member.service, []).append(member)
         self.candidates_by_service = {
             service: Candidates(
--- a/burdocklead/process/replica_exchange.py
+++ b/burdocklead/process/replica_exchange.py
@@ -82,6 +82,7 @@
             self.registers.replica_set.epoch,
             self.replica.file.digest,
             self.registers.own_replica,
+            self.replica.evacuations.current,
         )
         reply = await peer.request(message, EXCHANGE_TIMEOUT_S)
         if not isinstance(reply, HeartbeatReply):
@@ -100,6 +101,7 @@
         self.replica.members.renew_leases(sender, now)
         self.replica.is_settled |= reply.is_settled
         self.replica.drains.learn(reply.drains)
+        self.replica.evacuations.learn(reply.evacuations)
         if reply.file is not None:
             self.replica.learn_file(reply.file)
 
--- a/burdocklead/process/replica_measurements.py
+++ b/burdocklead/process/replica_measurements.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from burdocklead.metrics import (
+    EVACUATED_ZONES,
     QUORUM_AGE,
     STORE_BYTES,
     STORE_SYNCS,
@@ -21,6 +22,8 @@
 def measure_replica(metrics: MetricSet, replica: ControlReplica) -> None:
     """Update all metrics of a control replica."""
     metrics.set(VERSION, replica.file.version)
+    evacuated = replica.evacuations.current
+    metrics.set(EVACUATED_ZONES, len(evacuated.zones) if evacuated else 0)
     metrics.set(QUORUM_AGE, min(replica.quorum_age(), MAX_QUORUM_AGE_S))
     measure_members(metrics, replica.members.live())
     measure_control_traffic(metrics, replica.registers.clients.values())
--- a/burdocklead/process/replica_process.py
+++ b/burdocklead/process/replica_process.py
@@ -107,6 +107,7 @@
     return [
         supervisor.start('expire', replica.expire_forever()),
         supervisor.start('recover', replica.recover_state()),
+        supervisor.start('evacuations', replica.evacuations.run_forever()),
         supervisor.start('exchange', ReplicaExchange(replica).run_forever()),
         supervisor.start('replica set', replica.set_manager.run_forever()),
     ]
--- a/burdocklead/request/dispatch.py
+++ b/burdocklead/request/dispatch.py
@@ -189,7 +189,7 @@
             members
         ):
             return False
-        if progress.last_refused_not_at_once():
+        if progress.should_go_elsewhere():
             return progress.reached < call.match.service.max_attempts
         return await self.wait_for_retry(
             call, progress.results[-1], progress.reached
--- a/burdocklead/request/execution.py
+++ b/burdocklead/request/execution.py
@@ -20,6 +20,7 @@
     Refusal,
     Verdict,
 )
+from burdocklead.evacuation.upstream_access import UpstreamAccess
 from burdocklead.log_events import ATTEMPT_FAILED
 from burdocklead.request.admission import (
     AdmissionQueue,
@@ -80,6 +81,7 @@
         service: Service of the upstream, empty while there is none.
         upstream: The upstream, None while there is none.
         draining: Whether new attempts are refused.
+        access: Other reasons to refuse attempts.
         gate: Queues attempts until the upstream has a free slot.
         table: Recent attempts and their results.
         client: HTTP client for the upstream, None until it is set.
@@ -104,6 +106,7 @@
         self.service = ''
         self.upstream: Upstream | None = None
         self.draining = False
+        self.access = UpstreamAccess()
         self.gate = SlotGate(admission_for(0))
         self.table = AttemptTable(
             settings.remembered_attempts, settings.remembered_bytes
@@ -225,6 +228,9 @@
         arrived = loop.time()
         if self.pace_guard is not None:
             await self.pace_guard.refresh(self.gate.median_service_ms(attempt))
+        cause = self.access.refusal_cause()
+        if cause is not None:
+            return self._refusal(attempt, cause)
         verdict = await self.gate.admit(_ticket_of(execution))
         if isinstance(verdict, Refused):
             return self._refusal(attempt, verdict.cause)
@@ -255,10 +261,9 @@
 
     async def _send(self, execution: Execution) -> AttemptResult:
         attempt = execution.attempt
-        if execution.withdrawn:
-            return self._refusal(attempt, RefusalCause.cancelled)
-        if self.draining:
-            return self._refusal(attempt, RefusalCause.draining)
+        cause = _late_refusal_cause(self, execution)
+        if cause is not None:
+            return self._refusal(attempt, cause)
         remaining = execution.deadline - asyncio.get_running_loop().time()
         if remaining <= 0:
             return self._refusal(attempt, RefusalCause.deadline)
@@ -304,6 +309,17 @@
         return Lost(attempt.attempt_id, reason, crash_suspected, self.load())
 
 
+def _late_refusal_cause(
+    executor: AttemptExecutor, execution: Execution
+) -> RefusalCause | None:
+    """Return why an attempt that has a slot may no longer be sent, if so."""
+    if execution.withdrawn:
+        return RefusalCause.cancelled
+    if executor.draining:
+        return RefusalCause.draining
+    return executor.access.refusal_cause()
+
+
 def _ticket_of(execution: Execution) -> Ticket:
     attempt = execution.attempt
     return Ticket(
--- a/burdocklead/request/local_load.py
+++ b/burdocklead/request/local_load.py
@@ -32,7 +32,10 @@
 
     def estimate(self, route: str, cost_ms: float) -> Estimate | None:
         """Return the estimate for a new call, None if none is accepted."""
-        if self.executor.draining or self.executor.upstream is None:
+        executor = self.executor
+        if executor.draining or executor.upstream is None:
+            return None
+        if executor.access.refusal_cause() is not None:
             return None
         return self.executor.gate.estimate(route, cost_ms)
 
--- a/burdocklead/request/progress.py
+++ b/burdocklead/request/progress.py
@@ -6,8 +6,7 @@
 
 from burdocklead.connection.frames import AttemptResult, Refusal
 from burdocklead.request.hedging import HedgeResult
-from burdocklead.request.retries import reached_upstream
-from burdocklead.values import RefusalCause
+from burdocklead.request.retries import ELSEWHERE_CAUSES, reached_upstream
 
 
 @dataclass(slots=True)
@@ -35,10 +34,10 @@
         self.reached += hedge_result.cancelled
         self.reached += sum(map(reached_upstream, hedge_result.results))
 
-    def last_refused_not_at_once(self) -> bool:
-        """Return True if the last attempt was refused instead of queued."""
+    def should_go_elsewhere(self) -> bool:
+        """Return True if another upstream should be tried at once."""
         match self.results[-1]:
-            case Refusal(cause=RefusalCause.not_at_once):
-                return True
+            case Refusal(cause=cause):
+                return cause in ELSEWHERE_CAUSES
             case _:
                 return False
--- a/burdocklead/request/retries.py
+++ b/burdocklead/request/retries.py
@@ -24,12 +24,26 @@
         RefusalCause.overloaded,
         RefusalCause.upstream_refused,
         RefusalCause.not_at_once,
+        RefusalCause.cold_upstream,
+        RefusalCause.zone_evacuated,
+    )
+)
+# The call goes to another upstream at once, without a backoff.
+ELSEWHERE_CAUSES = frozenset(
+    (
+        RefusalCause.not_at_once,
+        RefusalCause.cold_upstream,
+        RefusalCause.zone_evacuated,
     )
 )
 REACHED_CAUSES = frozenset((RefusalCause.upstream_refused,))
 MIN_RETRY_AFTER_S = 0.05  # Queues change little within a shorter time.
 NOT_READY_CAUSES = frozenset(
-    (RefusalCause.no_upstream.value, RefusalCause.no_configuration.value)
+    (
+        RefusalCause.no_upstream.value,
+        RefusalCause.no_configuration.value,
+        RefusalCause.zone_evacuated.value,
+    )
 )
 NOT_READY_RETRY_AFTER_S = 0.3  # A new daemon knows the others within 0.4 s.
 MAX_RETRY_AFTER_SHARE = 1 / 3  # Of the time until the caller's deadline.
--- a/burdocklead/request/routing.py
+++ b/burdocklead/request/routing.py
@@ -37,6 +37,7 @@
 UNAVAILABLE_CAUSES = frozenset(
     (
         RefusalCause.draining,
+        RefusalCause.zone_evacuated,
         RefusalCause.no_upstream,
         RefusalCause.wrong_incarnation,
         RefusalCause.upstream_unreachable,
--- a/burdocklead/request/slot_gate.py
+++ b/burdocklead/request/slot_gate.py
@@ -60,6 +60,13 @@
         if waiter is not None and not waiter.done():
             waiter.set_result(Refused(RefusalCause.cancelled))
 
+    def refuse_waiting(self, cause: RefusalCause) -> None:
+        """Refuse all attempts that wait for a slot."""
+        for attempt_id, waiter in self.waiters.items():
+            self.queue.withdraw(attempt_id)
+            if not waiter.done():
+                waiter.set_result(Refused(cause))
+
     def release(
         self,
         attempt_id: str,
--- a/burdocklead/settings.py
+++ b/burdocklead/settings.py
@@ -156,6 +156,12 @@
         '1.2',
         'time in s between the announcement and the start of a drain',
     )
+    evacuation_notice: float = option(
+        Number(0, 60),
+        '0.6',
+        'time in s between hearing of the evacuation of the own zone and '
+        'refusing calls',
+    )
     drain_limit: float = option(
         Number(0, 3600), '60', 'time limit of a graceful stop in s'
     )
--- a/tests/platform/stand_in.py
+++ b/tests/platform/stand_in.py
@@ -33,6 +33,7 @@
 WAIT_TIMEOUT_S = 20
 HTTP_TIMEOUT_S = 3
 MS_PER_S = 1000
+DEFAULT_ZONE = 'vancouver'
 REPLICA_COUNT = 3
 SUBNET = 40 + os.getpid() % 200
 
@@ -130,6 +131,7 @@
     folder: Path
     processes: dict[str, subprocess.Popen] = field(default_factory=dict)
     upstreams: dict[str, StandInUpstream] = field(default_factory=dict)
+    zones: dict[int, str] = field(default_factory=dict)
     stopping: threading.Event = field(default_factory=threading.Event)
     loop: asyncio.AbstractEventLoop | None = None
 
@@ -168,7 +170,11 @@
     def start_daemon(self, number, service):
         """Start a daemon."""
         ip = self.ip(number)
-        extra_settings = {'service': service, 'appAddr': f'{ip}:{APP_PORT}'}
+        extra_settings = {
+            'service': service,
+            'appAddr': f'{ip}:{APP_PORT}',
+            'zone': self.zones.get(number, DEFAULT_ZONE),
+        }
         self._start(
             f'daemon-{number}', 'daemon_role.py', ip, extra_settings, PORTS
         )
@@ -262,7 +268,7 @@
         settings = {
             'nodeName': name,
             'ip': ip,
-            'zone': 'vancouver',
+            'zone': DEFAULT_ZONE,
             'peerPortRange': PEER_PORTS,
             'seeds': self.seeds(),
             'heartbeatIntervalMs': 1500,
--- a/tests/steps/heartbeat_steps.py
+++ b/tests/steps/heartbeat_steps.py
@@ -94,7 +94,9 @@
     async def run():
         local = ChangingMember()
         directory = SimpleNamespace(
-            version=1, apply_updates=lambda updates, **flags: None
+            version=1,
+            apply_updates=lambda updates, **flags: None,
+            evacuations=SimpleNamespace(learn=lambda update: None),
         )
         agent = ControlAgent(
             context.replica, local, directory, HybridClock(), context.interval
