Stop calls that wait when a new version removes their API key

A key was checked only when its call arrived. A call that waited between attempts, for a claim or for a slot of an upstream went on after a new version had removed the key.

A call and its attempts carry the digest of the key and the version that it was checked by. The entry checks it again before each attempt, the daemon of the upstream when the attempt gets a slot, both only if a newer version is in force; an older one may not know the key yet. The call is refused as not run (401) unless an earlier attempt may have run. Claims of calls with an idempotency key are separate for each team, since a claim may hold an answer.

Calls are counted by team with at most 128 label values, and the log line of a call without an answer names the team, if there is one.

--- a/burdocklead/connection/frames.py
+++ b/burdocklead/connection/frames.py
@@ -10,6 +10,7 @@
 from burdocklead.clock import HybridTime
 from burdocklead.decoding import decode_outside
 from burdocklead.exceptions import LinkError
+from burdocklead.teams.key_proof import KeyProof
 from burdocklead.values import CrashReport, LoadReport, RefusalCause
 
 # Length of the payload in bytes, then the sender's hybrid time.
@@ -83,6 +84,7 @@
             slot is free, as the entry daemon can try other upstreams.
         team: Team of the caller, empty if none.
         nested: True for a call that an upstream makes while it runs a call.
+        key_proof: Proof of the caller's API key, None without one.
     """
 
     attempt_id: str
@@ -104,6 +106,7 @@
     may_queue: bool = True
     team: str = ''
     nested: bool = False
+    key_proof: KeyProof | None = None
 
 
 class Answer(msgspec.Struct, frozen=True, tag='answer', array_like=True):
--- a/burdocklead/durable/claims.py
+++ b/burdocklead/durable/claims.py
@@ -87,9 +87,17 @@
     claim: Claim
 
 
-def claim_key(service: str, key: str) -> str:
-    """Return the register key of an idempotency key of one service."""
-    digest = hashlib.sha256(f'{service}\n{key}'.encode()).hexdigest()
+def claim_key(service: str, key: str, team: str = '') -> str:
+    """Return the register key of an idempotency key of one service.
+
+    Args:
+        service: Name of the service.
+        key: The idempotency key.
+        team: Team of the caller, empty if none. Teams never share a claim, as
+            it may hold an answer.
+    """
+    owner = f'{service}\n{team}' if team else service
+    digest = hashlib.sha256(f'{owner}\n{key}'.encode()).hexdigest()
     return f'{CLAIM_PREFIX}{digest[:32]}'
 
 
--- a/burdocklead/log_events.py
+++ b/burdocklead/log_events.py
@@ -56,6 +56,7 @@
     'status': 'HTTP status',
     'step': 'step that failed',
     'target': 'path and query of the request',
+    'team': 'team of the call; left out if there is none',
     'told_ms': 'latency last reported by the daemon of the upstream in ms',
     'version': 'configuration version',
     'waited_ms': 'time in the queue in ms',
@@ -115,7 +116,7 @@
     'calls',
     Level.info,
     'an entry ends a call without an answer from an upstream',
-    'call target service version outcome cause status elapsed_ms',
+    'call target service version team outcome cause status elapsed_ms',
 )
 CALL_FAILED = _declare(
     'call failed',
--- a/burdocklead/metrics.py
+++ b/burdocklead/metrics.py
@@ -82,6 +82,12 @@
 
 CALLS = _counter('calls', 'Calls of clients.', 'service', 'outcome')
 CALL_SECONDS = _seconds('call', 'Time of calls.', 'service', 'outcome')
+TEAM_CALLS = _counter(
+    'team_calls',
+    'Calls of teams; from the 128th name on, the team is other.',
+    'team',
+    'outcome',
+)
 REFUSALS = _counter('refusals', 'Calls refused to clients.', 'cause')
 ATTEMPTS = _counter('attempts', 'Attempts by result.', 'result')
 QUEUE_SECONDS = _seconds('queue', 'Time attempts waited for a slot.')
--- a/burdocklead/process/caller_handler.py
+++ b/burdocklead/process/caller_handler.py
@@ -30,6 +30,7 @@
 from burdocklead.request.headers import forwarded_headers
 from burdocklead.request.keyed_call import KeyedCalls
 from burdocklead.teams.authentication import IdentifiedCall, identify_call
+from burdocklead.teams.team_metrics import TeamMetrics
 from burdocklead.values import Outcome, RefusalCause
 from burdocklead.version.route_table import RouteMatch
 
@@ -64,6 +65,7 @@
         self.keyed_calls = keyed_calls
         self.events = events
         self.metrics = metrics
+        self.team_metrics = TeamMetrics(metrics)
         self.in_progress = 0
         self.draining = False
 
@@ -123,7 +125,9 @@
         call: Call | None = None
         try:
             call = await self._read_call(request, call_id)
-            return await self._run_call(call)
+            result = await self._run_call(call)
+            self.team_metrics.count(call.team, result.outcome)
+            return result
         except CallerInputError as error:
             return not_run(error.cause, error.reason)
         except Exception:
--- a/burdocklead/process/daemon_components.py
+++ b/burdocklead/process/daemon_components.py
@@ -63,6 +63,7 @@
             self.router,
         )
         self.executor.guard.peers = self.directory
+        self.executor.keys = self.directory.keys
         self.executor.guard.limits = self.crash_limits
         self.load_socket = create_load_socket(
             self.executor, self.credentials.key, self.metrics
@@ -85,6 +86,7 @@
             self.metrics,
             self.executor.guard,
             work_limit=runner.work_limit,
+            keys=self.directory.keys,
         )
         self.links = LinkServer(
             self.executor, identity, settings, self.metrics, self.events
--- a/burdocklead/process/host_routing_handler.py
+++ b/burdocklead/process/host_routing_handler.py
@@ -27,6 +27,7 @@
     jittered_retry_after_s,
 )
 from burdocklead.teams.authentication import IdentifiedCall, identify_call
+from burdocklead.teams.team_metrics import TeamMetrics
 from burdocklead.values import Outcome, RefusalCause
 from burdocklead.version.route_table import RouteMatch
 
@@ -51,6 +52,7 @@
         dialect: Reads and writes the headers of callers.
         metrics: Counts calls by outcome.
         rng: Random source for weighted splits and retry times.
+        team_metrics: Counts calls by team.
         max_waits_ms: Longest caller timeout seen on each route, in ms.
     """
 
@@ -67,6 +69,7 @@
         self.dialect = dialect
         self.metrics = metrics
         self.rng = rng
+        self.team_metrics = TeamMetrics(metrics)
         self.max_waits_ms: dict[str, float] = {}
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
@@ -171,6 +174,8 @@
         self.metrics.observe(
             CALL_SECONDS, elapsed, service, result.outcome.value
         )
+        team = call.team if call else ''
+        self.team_metrics.count(team, result.outcome)
         if result.outcome is Outcome.answered:
             return
         self.metrics.count(REFUSALS, result.cause)
@@ -179,6 +184,7 @@
             target=request.target,
             service=service,
             version=self.directory.version,
+            **({'team': team} if team else {}),
             outcome=result.outcome.value,
             cause=result.cause,
             status=result.status,
--- a/burdocklead/request/call.py
+++ b/burdocklead/request/call.py
@@ -16,7 +16,7 @@
 )
 from burdocklead.durable.claims import StoredAnswer
 from burdocklead.request.headers import ANSWER_HEADER
-from burdocklead.teams.key_index import KeyProof
+from burdocklead.teams.key_proof import KeyProof
 from burdocklead.values import Outcome, RefusalCause
 from burdocklead.version.route_table import RouteMatch
 
@@ -156,3 +156,15 @@
         if isinstance(refusal, Refusal):
             return not_run(refusal.cause)
     return not_run(RefusalCause.no_upstream)
+
+
+def result_after_revocation(results: Sequence[AttemptResult]) -> CallResult:
+    """Return the result of a call whose API key was removed meanwhile.
+
+    Args:
+        results: Results of the attempts before that, in order.
+    """
+    result = result_of_attempts(results)
+    if result.outcome is Outcome.not_run:
+        return not_run(RefusalCause.unknown_api_key)
+    return result
--- a/burdocklead/request/dispatch.py
+++ b/burdocklead/request/dispatch.py
@@ -19,6 +19,7 @@
     Call,
     CallResult,
     not_run,
+    result_after_revocation,
     result_of_attempts,
 )
 from burdocklead.request.crash_guard import CrashGuard
@@ -36,6 +37,7 @@
 )
 from burdocklead.request.shared_budget import SharedRetryBudget
 from burdocklead.request.work_limit import WorkLimit
+from burdocklead.teams.current_keys import CurrentKeys
 from burdocklead.values import Member, RefusalCause
 
 MS_PER_S = 1000
@@ -60,6 +62,7 @@
             upstream, None if only ``budgets`` limits them.
         work_limit: End of all calls while this daemon stops.
         numbers: Source of the numbers in new IDs.
+        keys: API keys of the configuration in force.
     """
 
     prefix: str
@@ -73,6 +76,7 @@
     shared_budget: SharedRetryBudget | None = None
     work_limit: WorkLimit = field(default_factory=WorkLimit)
     numbers: itertools.count[int] = field(default_factory=itertools.count)
+    keys: CurrentKeys = field(default_factory=CurrentKeys)
 
     def new_id(self) -> str:
         """Return an ID that is unique over all processes."""
@@ -93,6 +97,8 @@
         progress = CallProgress()
         while True:
             member = await self.choose(call, progress.tried)
+            if self.keys.is_revoked(call.key_proof):
+                return result_after_revocation(progress.results)
             if member is None:
                 return with_retry_after(call, progress.results, self.rng)
             progress.record(await self._run_or_hedge(call, member, progress))
@@ -114,6 +120,8 @@
             other = await self.choose(call, progress.tried)
             if other is None or other.daemon_id in progress.tried:
                 return None
+            if self.keys.is_revoked(call.key_proof):
+                return None
             if not self._spend(call, reached=True):
                 self.metrics.count(HEDGES, 'over-budget')
                 return None
@@ -267,6 +275,7 @@
             may_queue=self.placement.may_queue(call, member, number),
             team=call.team,
             nested=call.nested,
+            key_proof=call.key_proof,
         )
 
 
--- a/burdocklead/request/execution.py
+++ b/burdocklead/request/execution.py
@@ -44,6 +44,7 @@
     UpstreamResult,
 )
 from burdocklead.settings import DaemonSettings
+from burdocklead.teams.current_keys import CurrentKeys
 from burdocklead.values import LoadReport, RefusalCause
 
 MS_PER_S = 1000
@@ -87,6 +88,7 @@
         guard: Isolates requests that are suspected of crashing upstreams.
         pace_guard: Refreshes the upstream's reported pace, None if the
             upstream doesn't report one.
+        keys: API keys of the configuration in force.
         queue_factory: Creates the admission queue of a new upstream from its
             number of slots.
     """
@@ -112,6 +114,7 @@
         self.pace_guard: PaceGuard | None = None
         self.queue_factory: Callable[[int], AdmissionQueue] = admission_for
         self.executions: dict[str, Execution] = {}
+        self.keys = CurrentKeys()
         self.guard = CrashGuard(
             BlockList(settings.daemon_id), telemetry.events, telemetry.metrics
         )
@@ -255,10 +258,13 @@
 
     async def _send(self, execution: Execution) -> AttemptResult:
         attempt = execution.attempt
-        if execution.withdrawn:
-            return self._refusal(attempt, RefusalCause.cancelled)
-        if self.draining:
-            return self._refusal(attempt, RefusalCause.draining)
+        cause = _cause_after_wait(
+            execution,
+            draining=self.draining,
+            revoked=self.keys.is_revoked(attempt.key_proof),
+        )
+        if cause is not None:
+            return self._refusal(attempt, cause)
         remaining = execution.deadline - asyncio.get_running_loop().time()
         if remaining <= 0:
             return self._refusal(attempt, RefusalCause.deadline)
@@ -304,6 +310,17 @@
         return Lost(attempt.attempt_id, reason, crash_suspected, self.load())
 
 
+def _cause_after_wait(
+    execution: Execution, *, draining: bool, revoked: bool
+) -> RefusalCause | None:
+    """Return why an attempt that waited for a slot must not be sent."""
+    if execution.withdrawn:
+        return RefusalCause.cancelled
+    if draining:
+        return RefusalCause.draining
+    return RefusalCause.unknown_api_key if revoked else None
+
+
 def _ticket_of(execution: Execution) -> Ticket:
     attempt = execution.attempt
     return Ticket(
--- a/burdocklead/request/keyed_call.py
+++ b/burdocklead/request/keyed_call.py
@@ -136,7 +136,7 @@
     async def _send_start(
         self, call: Call, claim: Claim, replaces: str
     ) -> Claim:
-        key = claim_key(call.match.service_name, call.key)
+        key = _claim_key_of(call)
         remaining = call.deadline - asyncio.get_running_loop().time()
         request = ClaimStart(key, claim, replaces)
         reply = await self.request_claim(request, max(remaining, 0))
@@ -145,6 +145,9 @@
     async def _run_attempt(
         self, call: Call, member: Member, claim: Claim, number: int
     ) -> AttemptResult:
+        if self.dispatcher.keys.is_revoked(call.key_proof):
+            cause = RefusalCause.unknown_api_key
+            return Refusal(claim.attempt_id, cause, NO_LOAD)
         attempt = self.dispatcher.attempt_of(
             call, member, claim.attempt_id, number
         )
@@ -161,7 +164,7 @@
         final_claim = self._final_claim(claim, result)
         if final_claim is None:
             return
-        key = claim_key(call.match.service_name, call.key)
+        key = _claim_key_of(call)
         task = asyncio.create_task(
             self._send_finish(ClaimFinish(key, final_claim))
         )
@@ -245,6 +248,10 @@
     return hashlib.sha256(head.encode() + call.body).hexdigest()
 
 
+def _claim_key_of(call: Call) -> str:
+    return claim_key(call.match.service_name, call.key, call.team)
+
+
 def _lost(existing: Claim, reason: str, *, final: bool = False) -> Lost:
     return Lost(existing.attempt_id, reason, False, NO_LOAD, final)
 
--- a/burdocklead/request/retries.py
+++ b/burdocklead/request/retries.py
@@ -33,7 +33,9 @@
 )
 NOT_READY_RETRY_AFTER_S = 0.3  # A new daemon knows the others within 0.4 s.
 MAX_RETRY_AFTER_SHARE = 1 / 3  # Of the time until the caller's deadline.
-NON_RETRYABLE_CAUSES = frozenset((RefusalCause.crash_suspect,))
+NON_RETRYABLE_CAUSES = frozenset(
+    (RefusalCause.crash_suspect, RefusalCause.unknown_api_key)
+)
 
 
 @dataclass(slots=True)
@@ -134,6 +136,8 @@
     result = result_of_attempts(results)
     if result.outcome is not Outcome.not_run:
         return result
+    if result.cause == RefusalCause.unknown_api_key.value:
+        return result
     left_s = call.deadline - asyncio.get_running_loop().time()
     if result.cause in NOT_READY_CAUSES:
         return replace(
--- a/burdocklead/teams/authentication.py
+++ b/burdocklead/teams/authentication.py
@@ -8,7 +8,8 @@
 from burdocklead.connection.frames import Headers
 from burdocklead.request.caller_input import CallerInputError
 from burdocklead.request.dialect import CallerDialect
-from burdocklead.teams.key_index import KeyIndex, KeyOwner, KeyProof
+from burdocklead.teams.key_index import KeyIndex, KeyOwner
+from burdocklead.teams.key_proof import KeyProof
 from burdocklead.values import RefusalCause
 from burdocklead.version.route_table import RouteMatch
 
--- a/burdocklead/teams/current_keys.py
+++ b/burdocklead/teams/current_keys.py
@@ -4,7 +4,8 @@
 
 from dataclasses import dataclass
 
-from burdocklead.teams.key_index import KeyIndex, KeyProof
+from burdocklead.teams.key_index import KeyIndex
+from burdocklead.teams.key_proof import KeyProof
 
 
 @dataclass(slots=True)
--- a/burdocklead/teams/key_index.py
+++ b/burdocklead/teams/key_index.py
@@ -5,23 +5,10 @@
 import hashlib
 from dataclasses import dataclass
 
-import msgspec
-
+from burdocklead.teams.key_proof import KeyProof
 from burdocklead.version.deployment import Deployment
 
 
-class KeyProof(msgspec.Struct, frozen=True, array_like=True):
-    """Proof that a configuration version had the key of a call.
-
-    Attributes:
-        digest: Digest of the key.
-        version: The configuration version.
-    """
-
-    digest: bytes
-    version: int
-
-
 @dataclass(frozen=True, slots=True)
 class KeyOwner:
     """The team that an API key belongs to.
