--- a/burdocklead/request/execution.py
+++ b/burdocklead/request/execution.py
@@ -45,6 +45,7 @@
     UpstreamResult,
 )
 from burdocklead.settings import DaemonSettings
+from burdocklead.teams.current_keys import CurrentKeys
 from burdocklead.values import LoadReport, RefusalCause
 
 MS_PER_S = 1000
@@ -89,6 +90,7 @@
         guard: Isolates requests that are suspected of crashing upstreams.
         pace_guard: Refreshes the upstream's reported pace, None if the
             upstream doesn't report one.
+        keys: API keys of the configuration in force.
         queue_factory: Creates the admission queue of a new upstream from its
             number of slots.
     """
@@ -115,6 +117,7 @@
         self.pace_guard: PaceGuard | None = None
         self.queue_factory: Callable[[int], AdmissionQueue] = admission_for
         self.executions: dict[str, Execution] = {}
+        self.keys = CurrentKeys()
         self.guard = CrashGuard(
             BlockList(settings.daemon_id), telemetry.events, telemetry.metrics
         )
@@ -317,6 +320,8 @@
         return RefusalCause.cancelled
     if executor.draining:
         return RefusalCause.draining
+    if executor.keys.is_revoked(execution.attempt.key_proof):
+        return RefusalCause.unknown_api_key
     return executor.access.refusal_cause()
 
 
