Serve the calls that upstreams make before new ones

In the queue these calls counted like new ones, and past their objective of 199 ms they went behind all others and were shed first.

The daemon that receives a call named PARENT.REST, where PARENT runs at its upstream, sends it as nested, for at most 16 calls of a parent. Tickets and the order of the queue move from request/admission to the new package fairness.

--- a/burdocklead/process/host_routing_daemon.py
+++ b/burdocklead/process/host_routing_daemon.py
@@ -96,6 +96,7 @@
             self.options.caller_dialect,
             self.components.metrics,
             random.Random(self.components.incarnation),
+            self.components.executor.parents,
         )
         self.caller_server = HttpServer(handler.handle)
         callers = await self.caller_server.start(settings.listen)
--- a/burdocklead/process/host_routing_handler.py
+++ b/burdocklead/process/host_routing_handler.py
@@ -9,6 +9,7 @@
 from types import MappingProxyType
 
 from burdocklead.connection.http_messages import HttpRequest, HttpResponse
+from burdocklead.fairness.nested_calls import ParentCalls
 from burdocklead.log_events import CALL_FAILED, CALL_NOT_ANSWERED
 from burdocklead.metrics import (
     CALL_SECONDS,
@@ -50,6 +51,7 @@
         dialect: Reads and writes the headers of callers.
         metrics: Counts calls by outcome.
         rng: Random source for weighted splits and retry times.
+        parents: Calls of the local upstream, to recognize nested ones.
         max_waits_ms: Longest caller timeout seen on each route, in ms.
     """
 
@@ -60,12 +62,14 @@
         dialect: CallerDialect,
         metrics: MetricSet,
         rng: random.Random,
+        parents: ParentCalls,
     ) -> None:
         self.directory = directory
         self.dispatcher = dispatcher
         self.dialect = dialect
         self.metrics = metrics
         self.rng = rng
+        self.parents = parents
         self.max_waits_ms: dict[str, float] = {}
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
@@ -116,6 +120,7 @@
             key='',
             deadline=deadline,
             objective=self._objective_of(request, match, options.wait_ms),
+            nested=self.parents.recognize(call_id),
         )
 
     def _objective_of(
--- a/burdocklead/request/admission.py
+++ b/burdocklead/request/admission.py
@@ -2,14 +2,30 @@
 
 A call is long or short by the learned cost of its route. Long calls may hold
 only a share of the slots while both classes have been seen recently. Within
-a class, calls wait by priority and then by their latest possible start.
+a class, calls wait by priority, nested calls before new ones, and then by
+their latest possible start.
 """
 
 from __future__ import annotations
 
-from collections.abc import Sequence
-from dataclasses import dataclass, field, replace
-
+from dataclasses import dataclass, field
+
+from burdocklead.fairness.nested_reserve import NestedReserve
+from burdocklead.fairness.queue_order import (
+    call_to_shed,
+    demote_late,
+    should_hold,
+    sort_key_of,
+    waits_behind,
+)
+from burdocklead.fairness.tickets import (
+    Admitted,
+    Decision,
+    OfferResult,
+    Queued,
+    Refused,
+    Ticket,
+)
 from burdocklead.request.concurrency_limit import ContentionLimit
 from burdocklead.request.route_costs import RouteCost
 from burdocklead.request.slot_table import SlotTable
@@ -20,70 +36,6 @@
 MS_PER_S = 1000
 
 
-@dataclass(frozen=True, slots=True)
-class Ticket:
-    """A call's request for a slot.
-
-    Attributes:
-        attempt_id: Attempt that needs the slot.
-        route: Route key for learned costs, ``service/route``.
-        rank: Priority rank of the call; 0 is shed last.
-        cost_ms: Declared service time in ms.
-        deadline: Monotonic time of the deadline in s.
-        queue_limit: Maximum number of waiting calls.
-        objective: Monotonic time in s by which the call should end; 0 if it
-            has only a deadline.
-        may_queue: False if the call is refused unless it can start at once.
-    """
-
-    attempt_id: str
-    route: str
-    rank: int
-    cost_ms: float
-    deadline: float
-    queue_limit: int
-    objective: float = 0
-    may_queue: bool = True
-
-
-@dataclass(frozen=True, slots=True)
-class Admitted:
-    """The call has been given a slot."""
-
-
-@dataclass(frozen=True, slots=True)
-class Queued:
-    """The call waits for a slot."""
-
-
-@dataclass(frozen=True, slots=True)
-class Refused:
-    """The call is rejected."""
-
-    cause: RefusalCause
-
-
-@dataclass(frozen=True, slots=True)
-class Decision:
-    """A decision on a call that was waiting."""
-
-    ticket: Ticket
-    verdict: Admitted | Refused
-
-
-@dataclass(frozen=True, slots=True)
-class OfferResult:
-    """The decision on a new call.
-
-    Attributes:
-        verdict: Whether it runs, waits or is refused.
-        displaced: Decisions on calls that were shed from the queue for it.
-    """
-
-    verdict: Admitted | Queued | Refused
-    displaced: tuple[Decision, ...] = ()
-
-
 @dataclass(slots=True)
 class AdmissionQueue:
     """The slots of one upstream and the calls that wait for them.
@@ -93,12 +45,14 @@
         short: Waiting calls of short routes.
         long: Waiting calls of long routes.
         pace: Pace that the upstream reports.
+        reserve: Slots kept for nested calls.
     """
 
     table: SlotTable
     short: WaitingCalls[Ticket] = field(default_factory=WaitingCalls)
     long: WaitingCalls[Ticket] = field(default_factory=WaitingCalls)
     pace: PaceView = field(default_factory=PaceView)
+    reserve: NestedReserve = field(default_factory=NestedReserve)
 
     def set_pace(self, pace: PaceView, now: float) -> list[Decision]:
         """Replace the pace and return the decisions on waiting calls."""
@@ -114,9 +68,10 @@
             return OfferResult(Refused(RefusalCause.queue_full))
         if self._misses_deadline(ticket, now):
             return OfferResult(Refused(RefusalCause.deadline))
+        self.reserve.observe(ticket, cost, now)
         latest_start = ticket.deadline - cost.conservative_ms() / MS_PER_S
         waiting = WaitingCall(
-            sort_key=_sort_key_of(ticket, cost, latest_start, now),
+            sort_key=sort_key_of(ticket, cost, latest_start, now),
             latest_start=latest_start,
             cost_ms=cost.median.estimate,
             since=now,
@@ -193,14 +148,20 @@
         low_ms = self._cost_of(ticket).low.estimate
         return bool(self.table.running) and low_ms > remaining_ms
 
+    def _free_for(self, ticket: Ticket, now: float) -> int:
+        """Return the number of free slots that a call may take."""
+        cost = self._cost_of(ticket)
+        kept = self.reserve.slots_for(ticket, cost, self.table, now)
+        return self.table.free(now) - kept
+
     def _may_start(self, ticket: Ticket, now: float) -> bool:
-        if self.table.free(now) <= 0:
+        if self._free_for(ticket, now) <= 0:
             return False
         if self.pace.is_worth_waiting(
             self._cost_of(ticket).median.estimate, now
         ):
             return False
-        if self.short and not self.pace.is_slow():
+        if waits_behind(self.short, ticket) and not self.pace.is_slow():
             return False
         if not self.table.costs.is_long(self._cost_of(ticket)):
             return True
@@ -215,7 +176,7 @@
             return OfferResult(Refused(RefusalCause.deadline))
         displaced = []
         if len(self.short) + len(self.long) >= waiting.payload.queue_limit:
-            victim = _call_to_shed((self.long, self.short), waiting)
+            victim = call_to_shed((self.long, self.short), waiting)
             if victim is None:
                 return OfferResult(Refused(RefusalCause.queue_full))
             self.withdraw(victim.call_id)
@@ -268,6 +229,8 @@
         """
         if waiting.latest_start > now:
             return False
+        if waiting.payload.nested:
+            return self._misses_deadline(waiting.payload, now)
         if self.pace.is_worth_waiting(waiting.cost_ms, now):
             return True
         others_wait = bool(self.short or self.long)
@@ -280,23 +243,15 @@
             queue = self.long
         if not queue:
             return None
-        _demote_late(queue, now)
+        demote_late(queue, now)
         for waiting in queue.calls:
-            if not self._should_hold(waiting, now):
+            if self._free_for(waiting.payload, now) <= 0:
+                continue
+            if not should_hold(waiting, self.pace, now):
                 queue.remove(waiting.call_id)
                 return waiting
         return None
 
-    def _should_hold(self, waiting: WaitingCall[Ticket], now: float) -> bool:
-        """Return True if a call should wait for a better pace.
-
-        A call is held no longer than its latest start, from which it can
-        still meet its deadline at the usual pace.
-        """
-        if waiting.latest_start <= now:
-            return False
-        return self.pace.is_worth_waiting(waiting.cost_ms, now)
-
     def _long_is_next(self, now: float) -> bool:
         """Return True if a long call is next.
 
@@ -311,44 +266,6 @@
         return waited_ms >= first.cost_ms and self.table.below_long_floor(now)
 
 
-def _sort_key_of(
-    ticket: Ticket, cost: RouteCost, latest_start: float, now: float
-) -> tuple[bool, int, float]:
-    """Return the sort key of a waiting call.
-
-    Calls that can still meet their objective go first: a late answer is
-    worth little, and the slot that it uses delays other calls.
-    """
-    if not ticket.objective:
-        return False, ticket.rank, latest_start
-    wanted_start = ticket.objective - cost.median.estimate / MS_PER_S
-    if wanted_start < now:
-        return True, ticket.rank, latest_start
-    return False, ticket.rank, min(wanted_start, latest_start)
-
-
-def _call_to_shed(
-    queues: Sequence[WaitingCalls[Ticket]], new_call: WaitingCall[Ticket]
-) -> WaitingCall[Ticket] | None:
-    """Return the waiting call to shed for a new call, if any."""
-    lasts = [queue.last() for queue in queues if queue]
-    lower = [
-        call for call in lasts if call.sort_key[:2] > new_call.sort_key[:2]
-    ]
-    return max(lower, key=lambda call: call.sort_key, default=None)
-
-
-def _demote_late(queue: WaitingCalls[Ticket], now: float) -> None:
-    """Move late calls behind those that can still meet their objective."""
-    while not queue.first().sort_key[0] and queue.first().payload.objective:
-        first = queue.first()
-        if first.sort_key[-1] >= now:
-            return
-        queue.pop_first()
-        sort_key = (True, first.payload.rank, first.latest_start)
-        queue.add(replace(first, sort_key=sort_key))
-
-
 def admission_for(slots: int) -> AdmissionQueue:
     """Return the empty queue of a new upstream."""
     return AdmissionQueue(SlotTable(slots))
--- a/burdocklead/request/execution.py
+++ b/burdocklead/request/execution.py
@@ -20,13 +20,10 @@
     Refusal,
     Verdict,
 )
+from burdocklead.fairness.nested_calls import ParentCalls
+from burdocklead.fairness.tickets import Refused, Ticket
 from burdocklead.log_events import ATTEMPT_FAILED
-from burdocklead.request.admission import (
-    AdmissionQueue,
-    Refused,
-    Ticket,
-    admission_for,
-)
+from burdocklead.request.admission import AdmissionQueue, admission_for
 from burdocklead.request.attempt_table import AttemptRecord, AttemptTable
 from burdocklead.request.attempt_telemetry import AttemptTelemetry
 from burdocklead.request.block_list import BlockList
@@ -84,6 +81,7 @@
         table: Recent attempts and their results.
         client: HTTP client for the upstream, None until it is set.
         executions: Attempts in progress by ID.
+        parents: Calls that the upstream runs, to recognize nested ones.
         guard: Isolates requests that are suspected of crashing upstreams.
         pace_guard: Refreshes the upstream's reported pace, None if the
             upstream doesn't report one.
@@ -112,6 +110,7 @@
         self.pace_guard: PaceGuard | None = None
         self.queue_factory: Callable[[int], AdmissionQueue] = admission_for
         self.executions: dict[str, Execution] = {}
+        self.parents = ParentCalls()
         self.guard = CrashGuard(
             BlockList(settings.daemon_id), telemetry.events, telemetry.metrics
         )
@@ -233,7 +232,8 @@
         self.telemetry.admit(attempt, started - arrived, pace)
         finished = False
         try:
-            result = await self._send(execution)
+            with self.parents.track(attempt.call_id):
+                result = await self._send(execution)
             finished = isinstance(result, Answer)
         finally:
             service_ms = (loop.time() - started) * MS_PER_S
@@ -315,6 +315,7 @@
         queue_limit=attempt.queue_limit,
         objective=_objective_of(execution),
         may_queue=attempt.may_queue,
+        nested=attempt.nested,
     )
 
 
--- a/burdocklead/request/placement.py
+++ b/burdocklead/request/placement.py
@@ -55,8 +55,11 @@
 
         With probing enabled, the first attempts in the daemon's zone move on
         to another upstream there instead of queueing. Later ones may queue,
-        since all upstreams may be busy.
+        since all upstreams may be busy. A nested call always may, since it
+        goes before new calls.
         """
+        if call.nested:
+            return True
         if not self._probing_enabled() or number > NO_QUEUE_ATTEMPTS:
             return True
         same_zone = self.directory.candidates(call.match.service_name).same_zone
--- a/burdocklead/request/slot_gate.py
+++ b/burdocklead/request/slot_gate.py
@@ -6,14 +6,14 @@
 from collections.abc import Sequence
 
 from burdocklead.connection.frames import Attempt
-from burdocklead.request.admission import (
-    AdmissionQueue,
+from burdocklead.fairness.tickets import (
     Admitted,
     Decision,
     Queued,
     Refused,
     Ticket,
 )
+from burdocklead.request.admission import AdmissionQueue
 from burdocklead.request.latency_estimate import estimate_latency
 from burdocklead.request.upstream_load import PaceView
 from burdocklead.values import Estimate, LoadReport, RefusalCause
--- a/burdocklead/request/waiting_calls.py
+++ b/burdocklead/request/waiting_calls.py
@@ -7,7 +7,7 @@
 from typing import Generic, TypeVar
 
 Payload = TypeVar('Payload')
-SortKey = tuple[bool, int, float]
+SortKey = tuple[bool, int, bool, float]
 
 
 @dataclass(frozen=True, slots=True)
@@ -15,8 +15,9 @@
     """One call that waits for a slot.
 
     Attributes:
-        sort_key: Whether it will miss its objective; its rank, 0 first; the
-            latest start in s that meets its objective, or else its deadline.
+        sort_key: Whether it will miss its objective; its rank, 0 first;
+            whether it is a new call rather than a nested one; the latest start
+            in s that meets its objective, or else its deadline.
         latest_start: Latest start in s that meets its deadline.
         cost_ms: Median service time in ms at its arrival.
         since: Monotonic time of its arrival in s.
--- a/tests/steps/admission_simulation.py
+++ b/tests/steps/admission_simulation.py
@@ -8,7 +8,7 @@
 from collections import deque
 from dataclasses import dataclass, field, replace
 
-from burdocklead.request.admission import (
+from burdocklead.fairness.tickets import (
     Admitted,
     Decision,
     OfferResult,
--- a/tests/steps/admission_steps.py
+++ b/tests/steps/admission_steps.py
@@ -4,13 +4,8 @@
 
 from behave import given, then, when
 
-from burdocklead.request.admission import (
-    AdmissionQueue,
-    Admitted,
-    Queued,
-    Ticket,
-    admission_for,
-)
+from burdocklead.fairness.tickets import Admitted, Queued, Ticket
+from burdocklead.request.admission import AdmissionQueue, admission_for
 from burdocklead.request.route_costs import RouteCosts
 from burdocklead.version.deployment import RANKS, Priority
 from tests.steps.admission_simulation import (
--- a/tests/steps/load_query_steps.py
+++ b/tests/steps/load_query_steps.py
@@ -16,8 +16,9 @@
     LoadReply,
     LoadSocket,
 )
+from burdocklead.fairness.tickets import Ticket
 from burdocklead.metrics import CONTROL_BAD, CONTROL_UNPROVED, MetricSet
-from burdocklead.request.admission import Ticket, paced_admission_for
+from burdocklead.request.admission import paced_admission_for
 from burdocklead.request.latency_estimate import estimate_latency
 from burdocklead.request.upstream_load import UpstreamLoad
 from burdocklead.values import Address, Estimate, LoadReport
--- a/tests/steps/pace_steps.py
+++ b/tests/steps/pace_steps.py
@@ -8,13 +8,8 @@
 
 from behave import given, then, when
 
-from burdocklead.request.admission import (
-    Admitted,
-    Queued,
-    Refused,
-    Ticket,
-    paced_admission_for,
-)
+from burdocklead.fairness.tickets import Admitted, Queued, Refused, Ticket
+from burdocklead.request.admission import paced_admission_for
 from burdocklead.request.upstream_load import PaceView, UpstreamLoad
 from burdocklead.values import RefusalCause
 
--- a/tests/steps/probing_simulation.py
+++ b/tests/steps/probing_simulation.py
@@ -13,12 +13,9 @@
 from burdocklead.connection.frames import Answer, Lost, Refusal
 from burdocklead.connection.load_queries import LoadReply
 from burdocklead.exceptions import LinkError
+from burdocklead.fairness.tickets import Refused, Ticket
 from burdocklead.metrics import MetricSet
-from burdocklead.request.admission import (
-    Refused,
-    Ticket,
-    paced_admission_for,
-)
+from burdocklead.request.admission import paced_admission_for
 from burdocklead.request.attempt_runner import NO_LOAD, AttemptRunner
 from burdocklead.request.call import Call
 from burdocklead.request.dispatch import Dispatcher
--- a/tests/steps/routing_simulation.py
+++ b/tests/steps/routing_simulation.py
@@ -9,12 +9,8 @@
 from dataclasses import dataclass, field
 
 from burdocklead.connection.frames import Answer, Refusal
-from burdocklead.request.admission import (
-    Admitted,
-    Queued,
-    Ticket,
-    admission_for,
-)
+from burdocklead.fairness.tickets import Admitted, Queued, Ticket
+from burdocklead.request.admission import admission_for
 from burdocklead.request.routing import Candidates, Router
 from burdocklead.values import Address, LoadReport, Member, RefusalCause
 from burdocklead.version.deployment import RANKS, Priority
--- a/tests/steps/slot_gate_steps.py
+++ b/tests/steps/slot_gate_steps.py
@@ -4,11 +4,8 @@
 
 from behave import given, then, when
 
-from burdocklead.request.admission import (
-    AdmissionQueue,
-    Admitted,
-    Ticket,
-)
+from burdocklead.fairness.tickets import Admitted, Ticket
+from burdocklead.request.admission import AdmissionQueue
 from burdocklead.request.slot_gate import SlotGate
 from burdocklead.request.slot_table import SlotTable
 from burdocklead.version.deployment import RANKS, Priority
