--- a/burdocklead/process/host_routing_handler.py
+++ b/burdocklead/process/host_routing_handler.py
@@ -9,6 +9,7 @@
 from types import MappingProxyType
 
 from burdocklead.connection.http_messages import HttpRequest, HttpResponse
+from burdocklead.fairness.nested_calls import ParentCalls
 from burdocklead.log_events import CALL_FAILED, CALL_NOT_ANSWERED
 from burdocklead.metrics import (
     CALL_SECONDS,
@@ -53,6 +54,7 @@
         metrics: Counts calls by outcome.
         rng: Random source for weighted splits and retry times.
         team_metrics: Counts calls by team.
+        parents: Calls of the local upstream, to recognize nested ones.
         max_waits_ms: Longest caller timeout seen on each route, in ms.
     """
 
@@ -63,6 +65,7 @@
         dialect: CallerDialect,
         metrics: MetricSet,
         rng: random.Random,
+        parents: ParentCalls,
     ) -> None:
         self.directory = directory
         self.dispatcher = dispatcher
@@ -70,6 +73,7 @@
         self.metrics = metrics
         self.rng = rng
         self.team_metrics = TeamMetrics(metrics)
+        self.parents = parents
         self.max_waits_ms: dict[str, float] = {}
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
@@ -128,6 +132,7 @@
             objective=self._objective_of(request, match, options.wait_ms),
             team=identified.team,
             key_proof=identified.key_proof,
+            nested=self.parents.recognize(call_id),
         )
 
     def _objective_of(
