Limit the calls of teams over all daemons

Cause: a team may send a number of calls a second over all daemons; daemons that limit alone either refuse calls within the limit or exceed it.

Change: one control replica holds a lease in the register 'allowance' and grants calls to daemons, which ask over a connection of their own. Without a lease holder a daemon uses a fixed share, which the holder reserves.

--- /dev/null
+++ b/burdocklead/allowance/__init__.py
@@ -0,0 +1,1 @@
+"""Rate limits of teams over all daemons."""
--- a/burdocklead/clock.py
+++ b/burdocklead/clock.py
@@ -27,6 +27,11 @@
 NO_TIME = HybridTime(0, 0)
 
 
+def boot_time_s() -> float:
+    """Return the time since the start of this VM in s, sleep included."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 @dataclass(slots=True)
 class HybridClock:
     """Issues timestamps later than any issued or observed before.
--- a/burdocklead/connection/control_messages.py
+++ b/burdocklead/connection/control_messages.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from burdocklead.allowance.messages import GrantReply, GrantRequest
 from burdocklead.clock import NO_TIME, HybridTime
 from burdocklead.durable.claims import ClaimFinish, ClaimReply, ClaimStart
 from burdocklead.durable.configuration import AcceptedFile
@@ -183,6 +184,7 @@
     | Exchange
     | ClaimStart
     | ClaimFinish
+    | GrantRequest
 )
 ControlReply = (
     PhaseReplies
@@ -190,6 +192,7 @@
     | CatchUpPage
     | HeartbeatReply
     | ClaimReply
+    | GrantReply
     | Failure
 )
 
--- a/burdocklead/log_events.py
+++ b/burdocklead/log_events.py
@@ -50,12 +50,14 @@
     'running': 'calls that the upstream runs',
     'seeds': 'addresses of replicas in the settings',
     'service': 'service of the call or of the upstream',
+    'share': 'share of each team limit that this daemon may use',
     'slots': 'calls that may run at the same time',
     'started_ms': 'wall time of the start of an upstream in ms',
     'state': 'new state of the process',
     'status': 'HTTP status',
     'step': 'step that failed',
     'target': 'path and query of the request',
+    'term': 'term of the lease on granting calls',
     'told_ms': 'latency last reported by the daemon of the upstream in ms',
     'version': 'configuration version',
     'waited_ms': 'time in the queue in ms',
@@ -391,6 +393,34 @@
     'the port of the metrics endpoint cannot be bound',
     'address cause',
 )
+GRANT_LEASE_GAINED = _declare(
+    'grant lease gained',
+    'allowance',
+    Level.info,
+    'this replica grants the calls of teams with a limit from now on',
+    'term daemons',
+)
+GRANT_LEASE_LOST = _declare(
+    'grant lease lost',
+    'allowance',
+    Level.info,
+    'this replica grants no calls any more',
+    'term cause',
+)
+FALLBACK_ENTERED = _declare(
+    'fallback entered',
+    'allowance',
+    Level.warning,
+    'no lease holder replies; a fixed share of the team limits is used',
+    'share',
+)
+FALLBACK_LEFT = _declare(
+    'fallback left',
+    'allowance',
+    Level.info,
+    'a lease holder replies again',
+    'peer',
+)
 SETTINGS_RELOADED = _declare(
     'settings reloaded',
     'settings',
--- a/burdocklead/metrics.py
+++ b/burdocklead/metrics.py
@@ -124,6 +124,16 @@
     'Load signals found dead under traffic.',
     'reason',
 )
+TEAM_CALLS = _counter(
+    'team_calls', 'Calls of teams with a limit that were admitted.', 'by'
+)
+TEAM_REFUSALS = _counter(
+    'team_refusals', 'Calls of teams with a limit that were refused.', 'reason'
+)
+FALLBACK_SECONDS = _counter(
+    'team_fallback_seconds', 'Time with fixed shares of the team limits.'
+)
+GRANTED = _counter('team_calls_granted', 'Calls granted to daemons.')
 VERSION = _gauge('version_in_force', 'Configuration version in force.')
 
 SeriesKey = tuple[Metric, tuple[str, ...]]
--- a/burdocklead/process/control_process.py
+++ b/burdocklead/process/control_process.py
@@ -37,6 +37,7 @@
     lifecycle.start_draining()
     for task in tasks:
         task.cancel()
+    await replica.grants.release()
     await runner.cleanup()
     await server.close()
     await replica.registers.close()
--- a/burdocklead/process/control_replica.py
+++ b/burdocklead/process/control_replica.py
@@ -7,6 +7,8 @@
 
 import msgspec
 
+from burdocklead.allowance.lease_holder import create_grant_service
+from burdocklead.allowance.messages import GrantRequest
 from burdocklead.clock import HybridClock
 from burdocklead.connection.control_messages import (
     CatchUp,
@@ -58,6 +60,7 @@
     Attributes:
         file: Newest configuration file known to be accepted.
         last_reply_at: Monotonic time in s of the last reply of each replica.
+        grants: Grants calls of teams while this replica holds the lease.
         is_settled: True once this replica knows all daemons that run: a lease
             after its start, or once it heard from a replica that does.
         exchange_requested: Set to run an exchange with the other replicas at
@@ -77,6 +80,9 @@
         )
         self.file = AcceptedFile()
         self.drains = OperatorDrains(self.registers, self.events)
+        self.grants = create_grant_service(
+            settings, self.registers, lambda: self.file, self.metrics
+        )
         self.last_reply_at: dict[str, float] = {}
         self.is_settled = False
         self.exchange_requested = asyncio.Event()
@@ -85,25 +91,29 @@
 
     async def handle(self, message: ControlRequest) -> ControlReply:
         """Return the reply to a message from a daemon or a replica."""
+        reply: ControlReply
         match message:
             case Phases():
-                return await self.registers.handle(message)
+                reply = await self.registers.handle(message)
             case InstallSet():
                 await self.registers.install(message.replica_set)
-                return self.registers.describe()
+                reply = self.registers.describe()
             case CatchUp():
-                return await self.registers.catch_up_page(message)
+                reply = await self.registers.catch_up_page(message)
             case Heartbeat():
                 self.members.observe(
                     message.member, time.monotonic(), sent_at=message.time
                 )
-                return self._heartbeat_reply(message)
+                reply = self._heartbeat_reply(message)
             case Exchange():
                 self._note_candidate(message)
                 self._learn_newer_file(message)
-                return self._heartbeat_reply(message)
+                reply = self._heartbeat_reply(message)
             case ClaimStart() | ClaimFinish():
-                return await self._change_claim(message)
+                reply = await self._change_claim(message)
+            case GrantRequest():
+                reply = self.grants.handle(message)
+        return reply
 
     async def propose(self, proposal: Proposal) -> ApplyResult:
         """Propose a configuration change and return the decision.
--- a/burdocklead/process/host_routing_daemon.py
+++ b/burdocklead/process/host_routing_daemon.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import random
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
 from functools import partial
@@ -15,7 +14,7 @@
 from burdocklead.process.control_agent import ControlAgent
 from burdocklead.process.daemon_components import DaemonComponents
 from burdocklead.process.daemon_measurements import measure_daemon
-from burdocklead.process.host_routing_handler import HostRoutingHandler
+from burdocklead.process.host_routing_handler import create_handler
 from burdocklead.process.host_routing_options import HostRoutingOptions
 from burdocklead.process.lifecycle import Lifecycle
 from burdocklead.process.local_member import LocalMember
@@ -90,13 +89,8 @@
         )
         link = await self.components.links.start(settings.link_listen)
         await self.components.load_socket.start(link)
-        handler = HostRoutingHandler(
-            self.components.directory,
-            self.components.dispatcher,
-            self.options.caller_dialect,
-            self.components.metrics,
-            random.Random(self.components.incarnation),
-        )
+        handler = create_handler(self.components, self.options.caller_dialect)
+        self.extra_tasks.append(('team limits', handler.limiter.run_forever))
         self.caller_server = HttpServer(handler.handle)
         callers = await self.caller_server.start(settings.listen)
         self.local_member = self._create_local_member(
--- a/burdocklead/process/host_routing_handler.py
+++ b/burdocklead/process/host_routing_handler.py
@@ -8,6 +8,9 @@
 from dataclasses import replace
 from types import MappingProxyType
 
+from burdocklead.allowance.holder_link import HolderLink
+from burdocklead.allowance.limits import rules_of
+from burdocklead.allowance.team_limiter import TeamLimiter
 from burdocklead.connection.http_messages import HttpRequest, HttpResponse
 from burdocklead.log_events import CALL_FAILED, CALL_NOT_ANSWERED
 from burdocklead.metrics import (
@@ -17,6 +20,7 @@
     REFUSALS,
     MetricSet,
 )
+from burdocklead.process.daemon_components import DaemonComponents
 from burdocklead.process.directory import DaemonDirectory
 from burdocklead.request.call import Call, CallResult, not_run, unknown
 from burdocklead.request.caller_input import CallerInputError
@@ -51,6 +55,7 @@
         metrics: Counts calls by outcome.
         rng: Random source for weighted splits and retry times.
         max_waits_ms: Longest caller timeout seen on each route, in ms.
+        limiter: Limits the calls of teams.
     """
 
     def __init__(
@@ -60,6 +65,7 @@
         dialect: CallerDialect,
         metrics: MetricSet,
         rng: random.Random,
+        limiter: TeamLimiter,
     ) -> None:
         self.directory = directory
         self.dispatcher = dispatcher
@@ -67,6 +73,7 @@
         self.metrics = metrics
         self.rng = rng
         self.max_waits_ms: dict[str, float] = {}
+        self.limiter = limiter
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Return the response to one request."""
@@ -77,7 +84,7 @@
             options = self.dialect.read_call_options(request)
             call_id = options.call_id or self.dispatcher.new_id()
             call = self._read_call(request, options, call_id)
-            result = await self.dispatcher.run(call)
+            result = await self._run(call)
         except CallerInputError as error:
             result = self._refused(error, options)
         except Exception:
@@ -87,6 +94,11 @@
         self._record(request, call, call_id, result)
         return self.dialect.respond(result, call_id)
 
+    async def _run(self, call: Call) -> CallResult:
+        """Return the result of a call, which its team's limit may refuse."""
+        refused = await self.limiter.refusal(call)
+        return refused or await self.dispatcher.run(call)
+
     def _refused(
         self, error: CallerInputError, options: CallOptions
     ) -> CallResult:
@@ -175,3 +187,24 @@
             status=result.status,
             elapsed_ms=round(elapsed * MS_PER_S, 1),
         )
+
+
+def create_handler(
+    components: DaemonComponents, dialect: CallerDialect
+) -> HostRoutingHandler:
+    """Return the handler of a daemon that doesn't listen yet."""
+    limiter = TeamLimiter(
+        (components.settings.daemon_id, components.incarnation),
+        HolderLink(components.control),
+        rules_of(components.settings),
+        components.directory.deployment,
+        components.metrics,
+    )
+    return HostRoutingHandler(
+        components.directory,
+        components.dispatcher,
+        dialect,
+        components.metrics,
+        random.Random(components.incarnation),
+        limiter,
+    )
--- a/burdocklead/process/replica_process.py
+++ b/burdocklead/process/replica_process.py
@@ -72,6 +72,7 @@
 ) -> None:
     for task in tasks:
         task.cancel()
+    await replica.grants.release()
     await server.close()
     await replica.registers.close()
 
@@ -109,4 +110,5 @@
         supervisor.start('recover', replica.recover_state()),
         supervisor.start('exchange', ReplicaExchange(replica).run_forever()),
         supervisor.start('replica set', replica.set_manager.run_forever()),
+        supervisor.start('grants', replica.grants.run_forever()),
     ]
--- a/burdocklead/settings.py
+++ b/burdocklead/settings.py
@@ -49,6 +49,19 @@
         '',
         'file to which the addresses are written once the process serves',
     )
+    rate_window: float = option(
+        Number(0.1, 3600),
+        '5',
+        'length in s of the sliding window for the rate limits of teams',
+    )
+    rate_overage: float = option(
+        Number(0, 10), '0.1', 'tolerated share of calls over such a limit'
+    )
+    rate_slack: float = option(
+        Number(0, 1000000),
+        '0',
+        'tolerated calls per window in addition to that share',
+    )
     log_form: str = option(Choice(LOG_FORMS), 'text', 'format of log lines')
     log_level: str = option(Choice(LOG_LEVELS), 'info', 'lowest log level')
 
