--- a/burdocklead/evacuation/upstream_access.py
+++ b/burdocklead/evacuation/upstream_access.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
+from burdocklead.teams.current_keys import CurrentKeys
 from burdocklead.values import RefusalCause
 
 
@@ -13,9 +14,11 @@
 
     Attributes:
         zone_evacuated: True while the zone of this daemon is evacuated.
+        keys: API keys of the configuration in force.
     """
 
     zone_evacuated: bool = False
+    keys: CurrentKeys = field(default_factory=CurrentKeys)
 
     def refusal_cause(self) -> RefusalCause | None:
         """Return why a call is refused now, None if it may be sent."""
--- a/burdocklead/process/control_replica.py
+++ b/burdocklead/process/control_replica.py
@@ -7,6 +7,8 @@
 
 import msgspec
 
+from burdocklead.allowance.lease_holder import create_grant_service
+from burdocklead.allowance.messages import GrantRequest
 from burdocklead.clock import HybridClock
 from burdocklead.connection.control_messages import (
     CatchUp,
@@ -58,7 +60,7 @@
 
     Attributes:
         file: Newest configuration file known to be accepted.
-        last_reply_at: Monotonic time in s of the last reply of each replica.
+        grants: Grants calls of teams while this replica holds the lease.
         is_settled: True once this replica knows all daemons that run: a lease
             after its start, or once it heard from a replica that does.
         exchange_requested: Set to run an exchange with the other replicas at
@@ -86,33 +88,39 @@
             is_settled=lambda: self.is_settled,
             on_accepted=self.exchange_requested.set,
         )
-        self.last_reply_at: dict[str, float] = {}
+        self.grants = create_grant_service(
+            settings, self.registers, lambda: self.file, self.metrics
+        )
         self.is_settled = False
-        self.set_manager = ReplicaSetManager(self.registers, self.last_reply_at)
+        self.set_manager = ReplicaSetManager(self.registers, {})
         self.registers.proposer.all_reachable = self.all_peers_responsive
 
     async def handle(self, message: ControlRequest) -> ControlReply:
         """Return the reply to a message from a daemon or a replica."""
+        reply: ControlReply
         match message:
             case Phases():
-                return await self.registers.handle(message)
+                reply = await self.registers.handle(message)
             case InstallSet():
                 await self.registers.install(message.replica_set)
-                return self.registers.describe()
+                reply = self.registers.describe()
             case CatchUp():
-                return await self.registers.catch_up_page(message)
+                reply = await self.registers.catch_up_page(message)
             case Heartbeat():
                 self.members.observe(
                     message.member, time.monotonic(), sent_at=message.time
                 )
-                return self._heartbeat_reply(message)
+                reply = self._heartbeat_reply(message)
             case Exchange():
                 self._note_candidate(message)
                 self.evacuations.learn(message.evacuations)
                 self._learn_newer_file(message)
-                return self._heartbeat_reply(message)
+                reply = self._heartbeat_reply(message)
             case ClaimStart() | ClaimFinish():
-                return await self._change_claim(message)
+                reply = await self._change_claim(message)
+            case GrantRequest():
+                reply = self.grants.handle(message)
+        return reply
 
     async def propose(self, proposal: Proposal) -> ApplyResult:
         """Propose a configuration change and return the decision.
@@ -165,7 +173,7 @@
         now = time.monotonic()
         ages = {
             name: now - at
-            for name, at in self.last_reply_at.items()
+            for name, at in self.set_manager.last_reply_at.items()
             if name in self.registers.clients
         }
         ages[self.settings.replica_id] = 0
@@ -184,7 +192,7 @@
         limit = time.monotonic() - RECENT_REPLY_S
         replied_at = {
             name: at
-            for name, at in self.last_reply_at.items()
+            for name, at in self.set_manager.last_reply_at.items()
             if name in self.registers.clients and at > limit
         }
         if not replied_at:
@@ -196,7 +204,7 @@
         """Return True if every other replica replied recently."""
         limit = time.monotonic() - RECENT_REPLY_S
         return all(
-            self.last_reply_at.get(name, 0) > limit
+            self.set_manager.last_reply_at.get(name, 0) > limit
             for name in self.registers.clients
         )
 
--- a/burdocklead/process/daemon_components.py
+++ b/burdocklead/process/daemon_components.py
@@ -63,7 +63,7 @@
             self.router,
         )
         self.executor.guard.peers = self.directory
-        self.executor.keys = self.directory.keys
+        self.executor.access.keys = self.directory.keys
         self.executor.guard.limits = self.crash_limits
         self.load_socket = create_load_socket(
             self.executor, self.credentials.key, self.metrics
--- a/burdocklead/process/directory.py
+++ b/burdocklead/process/directory.py
@@ -27,7 +27,6 @@
 from burdocklead.request.routing import Candidates, Router
 from burdocklead.settings import DaemonSettings
 from burdocklead.teams.current_keys import CurrentKeys
-from burdocklead.teams.key_index import KeyIndex
 from burdocklead.values import LoadReport, Member
 from burdocklead.version.configuration_file import decode_deployment
 from burdocklead.version.deployment import Deployment
@@ -172,9 +171,9 @@
         if file.version <= self.version:
             return
         deployment = decode_deployment(file.text)
-        table, index = RouteTable(deployment), KeyIndex(deployment)
+        table = RouteTable(deployment)
+        self.keys.use(deployment)
         self.table = table
-        self.keys.index = index
         self.events.record(
             EventKind.version_in_force, detail=f'version {file.version}'
         )
--- a/burdocklead/process/host_routing_handler.py
+++ b/burdocklead/process/host_routing_handler.py
@@ -8,6 +8,9 @@
 from dataclasses import replace
 from types import MappingProxyType
 
+from burdocklead.allowance.holder_link import HolderLink
+from burdocklead.allowance.limits import rules_of
+from burdocklead.allowance.team_limiter import TeamLimiter
 from burdocklead.connection.http_messages import HttpRequest, HttpResponse
 from burdocklead.fairness.nested_calls import ParentCalls
 from burdocklead.log_events import CALL_FAILED, CALL_NOT_ANSWERED
@@ -18,6 +21,7 @@
     REFUSALS,
     MetricSet,
 )
+from burdocklead.process.daemon_components import DaemonComponents
 from burdocklead.process.directory import DaemonDirectory
 from burdocklead.request.call import Call, CallResult, not_run, unknown
 from burdocklead.request.caller_input import CallerInputError
@@ -56,6 +60,7 @@
         team_metrics: Counts calls by team.
         parents: Calls of the local upstream, to recognize nested ones.
         max_waits_ms: Longest caller timeout seen on each route, in ms.
+        limiter: Limits the calls of teams.
     """
 
     def __init__(
@@ -66,6 +71,7 @@
         metrics: MetricSet,
         rng: random.Random,
         parents: ParentCalls,
+        limiter: TeamLimiter,
     ) -> None:
         self.directory = directory
         self.dispatcher = dispatcher
@@ -75,6 +81,7 @@
         self.team_metrics = TeamMetrics(metrics)
         self.parents = parents
         self.max_waits_ms: dict[str, float] = {}
+        self.limiter = limiter
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Return the response to one request."""
@@ -85,7 +92,7 @@
             options = self.dialect.read_call_options(request)
             call_id = options.call_id or self.dispatcher.new_id()
             call = self._read_call(request, options, call_id)
-            result = await self.dispatcher.run(call)
+            result = await self._run(call)
         except CallerInputError as error:
             result = self._refused(error, options)
         except Exception:
@@ -95,6 +102,11 @@
         self._record(request, call, call_id, result)
         return self.dialect.respond(result, call_id)
 
+    async def _run(self, call: Call) -> CallResult:
+        """Return the result of a call, which its team's limit may refuse."""
+        refused = await self.limiter.refusal(call)
+        return refused or await self.dispatcher.run(call)
+
     def _refused(
         self, error: CallerInputError, options: CallOptions
     ) -> CallResult:
@@ -195,3 +207,25 @@
             status=result.status,
             elapsed_ms=round(elapsed * MS_PER_S, 1),
         )
+
+
+def create_handler(
+    components: DaemonComponents, dialect: CallerDialect
+) -> HostRoutingHandler:
+    """Return the handler of a daemon that doesn't listen yet."""
+    limiter = TeamLimiter(
+        (components.settings.daemon_id, components.incarnation),
+        HolderLink(components.control),
+        rules_of(components.settings),
+        components.directory.deployment,
+        components.metrics,
+    )
+    return HostRoutingHandler(
+        components.directory,
+        components.dispatcher,
+        dialect,
+        components.metrics,
+        random.Random(components.incarnation),
+        components.executor.gate.parents,
+        limiter,
+    )
--- a/burdocklead/process/replica_exchange.py
+++ b/burdocklead/process/replica_exchange.py
@@ -107,7 +107,7 @@
 
     def _record_reply(self, replica_id: str, now: float) -> None:
         """Record a reply; forget replicas that left the set long ago."""
-        last_reply_at = self.replica.last_reply_at
+        last_reply_at = self.replica.set_manager.last_reply_at
         last_reply_at[replica_id] = now
         oldest = now - REPLY_MEMORY_S
         for name, at in tuple(last_reply_at.items()):
--- a/burdocklead/process/replica_set_manager.py
+++ b/burdocklead/process/replica_set_manager.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import time
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 
 import msgspec
 
@@ -69,7 +69,7 @@
     """
 
     def __init__(
-        self, registers: RegisterService, last_reply_at: Mapping[str, float]
+        self, registers: RegisterService, last_reply_at: dict[str, float]
     ) -> None:
         """Manage the replica set of a register service."""
         self.registers = registers
--- a/burdocklead/request/execution.py
+++ b/burdocklead/request/execution.py
@@ -21,7 +21,6 @@
     Verdict,
 )
 from burdocklead.evacuation.upstream_access import UpstreamAccess
-from burdocklead.fairness.nested_calls import ParentCalls
 from burdocklead.fairness.tickets import Refused, Ticket
 from burdocklead.log_events import ATTEMPT_FAILED
 from burdocklead.request.admission import AdmissionQueue, admission_for
@@ -42,7 +41,6 @@
     UpstreamResult,
 )
 from burdocklead.settings import DaemonSettings
-from burdocklead.teams.current_keys import CurrentKeys
 from burdocklead.values import LoadReport, RefusalCause
 
 MS_PER_S = 1000
@@ -84,11 +82,9 @@
         table: Recent attempts and their results.
         client: HTTP client for the upstream, None until it is set.
         executions: Attempts in progress by ID.
-        parents: Calls that the upstream runs, to recognize nested ones.
         guard: Isolates requests that are suspected of crashing upstreams.
         pace_guard: Refreshes the upstream's reported pace, None if the
             upstream doesn't report one.
-        keys: API keys of the configuration in force.
         queue_factory: Creates the admission queue of a new upstream from its
             number of slots.
     """
@@ -115,8 +111,6 @@
         self.pace_guard: PaceGuard | None = None
         self.queue_factory: Callable[[int], AdmissionQueue] = admission_for
         self.executions: dict[str, Execution] = {}
-        self.keys = CurrentKeys()
-        self.parents = ParentCalls()
         self.guard = CrashGuard(
             BlockList(settings.daemon_id), telemetry.events, telemetry.metrics
         )
@@ -241,7 +235,7 @@
         self.telemetry.admit(attempt, started - arrived, pace)
         finished = False
         try:
-            with self.parents.track(attempt.call_id):
+            with self.gate.parents.track(attempt.call_id):
                 result = await self._send(execution)
             finished = isinstance(result, Answer)
         finally:
@@ -320,7 +314,7 @@
         return RefusalCause.cancelled
     if executor.draining:
         return RefusalCause.draining
-    if executor.keys.is_revoked(execution.attempt.key_proof):
+    if executor.access.keys.is_revoked(execution.attempt.key_proof):
         return RefusalCause.unknown_api_key
     return executor.access.refusal_cause()
 
--- a/burdocklead/request/slot_gate.py
+++ b/burdocklead/request/slot_gate.py
@@ -6,6 +6,7 @@
 from collections.abc import Sequence
 
 from burdocklead.connection.frames import Attempt
+from burdocklead.fairness.nested_calls import ParentCalls
 from burdocklead.fairness.tickets import (
     Admitted,
     Decision,
@@ -25,12 +26,14 @@
     Attributes:
         queue: Admission queue of the upstream.
         waiters: Futures of the waiting attempts, by attempt.
+        parents: Calls that hold a slot, to recognize their nested calls.
     """
 
     def __init__(self, queue: AdmissionQueue) -> None:
         """Start without waiting attempts."""
         self.queue = queue
         self.waiters: dict[str, asyncio.Future[Admitted | Refused]] = {}
+        self.parents = ParentCalls()
 
     async def admit(self, ticket: Ticket) -> Admitted | Refused:
         """Wait for the decision on an attempt, at most until its deadline."""
--- a/burdocklead/teams/current_keys.py
+++ b/burdocklead/teams/current_keys.py
@@ -6,6 +6,7 @@
 
 from burdocklead.teams.key_index import KeyIndex
 from burdocklead.teams.key_proof import KeyProof
+from burdocklead.version.deployment import Deployment
 
 
 @dataclass(slots=True)
@@ -18,6 +19,10 @@
 
     index: KeyIndex | None = None
 
+    def use(self, deployment: Deployment) -> None:
+        """Index the keys of a configuration that comes into force."""
+        self.index = KeyIndex(deployment)
+
     def is_revoked(self, proof: KeyProof | None) -> bool:
         """Return True if the key of a call was removed after it was checked.
 
