Reproduce the exhaustion of memory and descriptors by clients

Untrusted clients crashed a process by bodies, unread responses and open connections. They run one at a time, after all other features.

--- a/devtools/run_tests.py
+++ b/devtools/run_tests.py
@@ -1,6 +1,7 @@
 """Runs the feature files with behave in parallel and prints the totals.
 
-Failures of scenarios in ``KNOWN-RED.txt`` are printed but not counted.
+Features that measure memory run one at a time, after all others. Failures of
+scenarios in ``KNOWN-RED.txt`` are printed but not counted.
 """
 
 from __future__ import annotations
@@ -21,6 +22,7 @@
 KNOWN_FAILURES_FILE = 'KNOWN-RED.txt'
 SCENARIO_PREFIX = 'scenario: '
 DEFAULT_JOBS = 4
+SERIAL_FOLDER = 'tests/memory'
 
 
 class Scenario(msgspec.Struct, frozen=True):
@@ -87,6 +89,17 @@
     return sorted(files)
 
 
+def run_features(files: Sequence[Path], jobs: int) -> list[Scenario]:
+    """Run feature files in parallel, then those that have to run alone."""
+    serial_folder = (source_root() / SERIAL_FOLDER).resolve()
+    alone = [path for path in files if serial_folder in path.resolve().parents]
+    together = [path for path in files if path not in alone]
+    with ThreadPoolExecutor(jobs) as pool:
+        results = list(pool.map(run_feature, together))
+    results.extend(map(run_feature, alone))
+    return [one for result in results for one in result]
+
+
 def run_feature(path: Path) -> list[Scenario]:
     """Run a feature file and return its scenarios; print failing output."""
     with tempfile.TemporaryDirectory() as folder:
@@ -116,9 +129,8 @@
     parser.add_argument('--jobs', type=int, default=DEFAULT_JOBS)
     flags = parser.parse_args()
     use_repository_sources()
-    with ThreadPoolExecutor(flags.jobs) as pool:
-        results = pool.map(run_feature, feature_files(flags.paths))
-    groups = group_scenarios([one for result in results for one in result])
+    scenarios = run_features(feature_files(flags.paths), flags.jobs)
+    groups = group_scenarios(scenarios)
     for scenario in groups.failed:
         print(f'failed: {scenario.location} {scenario.name}')
     for known in groups.known_failures:
--- a/tests/platform/stand_in.py
+++ b/tests/platform/stand_in.py
@@ -128,6 +128,7 @@
     """Processes and upstreams of one deployment."""
 
     folder: Path
+    limits: dict[str, int] = field(default_factory=dict)
     processes: dict[str, subprocess.Popen] = field(default_factory=dict)
     upstreams: dict[str, StandInUpstream] = field(default_factory=dict)
     stopping: threading.Event = field(default_factory=threading.Event)
@@ -137,7 +138,7 @@
         """Return the address of a VM."""
         return f'127.0.{SUBNET}.{number}'
 
-    def start(self, services):
+    def start(self, services, upstream_class=StandInUpstream):
         """Start control replicas, and a daemon and an upstream per service."""
         for number in range(REPLICA_COUNT):
             self.start_control(number)
@@ -146,7 +147,7 @@
         self.loop = asyncio.new_event_loop()
         threading.Thread(target=self.loop.run_forever, daemon=True).start()
         for number, service in enumerate(services, start=20):
-            upstream = StandInUpstream(self.ip(number), service, f'i-{number}')
+            upstream = upstream_class(self.ip(number), service, f'i-{number}')
             self.upstreams[f'daemon-{number}'] = upstream
             asyncio.run_coroutine_threadsafe(
                 upstream.start(), self.loop
@@ -275,6 +276,8 @@
         lines.extend(f'{key} = "{ip}:{PORTS[key]}"' for key in listeners)
         lines.append('[faultTolerance]')
         lines.append('machines = 1')
+        lines.append('[limits]')
+        lines.extend(f'{key} = {one}' for key, one in self.limits.items())
         path = self.folder / f'{name}.toml'
         path.write_text('\n'.join(lines))
         log = (self.folder / f'{name}.log').open('a')
--- a/tests/steps/platform_steps.py
+++ b/tests/steps/platform_steps.py
@@ -27,6 +27,7 @@
 FIRST_DAEMON = 20
 EXIT_TIMEOUT_S = 20
 MS_PER_S = 1000
+MAX_BODY_BYTES = 67108864
 
 
 def route_of(service, path, timeout_ms=1000):
@@ -47,7 +48,14 @@
     }
 
 
-def configuration_of(version, service, path, services, timeout_ms=1000):
+def configuration_of(
+    version,
+    service,
+    path,
+    services,
+    timeout_ms=1000,
+    max_body_bytes=MAX_BODY_BYTES,
+):
     """Return a complete configuration in the platform's JSON form."""
     items = [route_of(service, path, timeout_ms)]
     items.extend(
@@ -69,7 +77,7 @@
             'metadata': {},
             'spec': {
                 'maxHeaderBytes': 16384,
-                'maxBodyBytes': 67108864,
+                'maxBodyBytes': max_body_bytes,
                 'headerTimeoutMs': 3000,
                 'idleTimeoutMs': 15000,
             },
@@ -93,10 +101,17 @@
     apply_configuration(context, version, path, service)
 
 
-def apply_configuration(context, version, path, service, timeout_ms=1000):
+def apply_configuration(
+    context,
+    version,
+    path,
+    service,
+    timeout_ms=1000,
+    max_body_bytes=MAX_BODY_BYTES,
+):
     """Apply a configuration and wait until all daemons serve it."""
     context.sent = configuration_of(
-        version, service, path, context.services, timeout_ms
+        version, service, path, context.services, timeout_ms, max_body_bytes
     )
     context.platform.apply(context.sent, 0)
     known = context.platform.services().count(service)
