--- a/tests/platform/stand_in.py
+++ b/tests/platform/stand_in.py
@@ -34,6 +34,7 @@
 HTTP_TIMEOUT_S = 3
 MS_PER_S = 1000
 REPLICA_COUNT = 3
+BOUNDS = ('drainMs=2000', 'graceS=6', 'budgetMinRetries=62')
 SUBNET = 40 + os.getpid() % 200
 
 
@@ -132,6 +133,7 @@
     upstreams: dict[str, StandInUpstream] = field(default_factory=dict)
     stopping: threading.Event = field(default_factory=threading.Event)
     loop: asyncio.AbstractEventLoop | None = None
+    extra_bounds: tuple[str, ...] = ()
 
     def ip(self, number):
         """Return the address of a VM."""
@@ -267,7 +269,7 @@
             'seeds': self.seeds(),
             'heartbeatIntervalMs': 1500,
             'unknown_field': 1,
-            'bounds': ['drainMs=2000', 'graceS=6', 'budgetMinRetries=62'],
+            'bounds': [*BOUNDS, *self.extra_bounds],
             **extra_settings,
         }
         lines = [f'{key} = {json.dumps(one)}' for key, one in settings.items()]
