--- a/burdocklead/process/host_routing_daemon.py
+++ b/burdocklead/process/host_routing_daemon.py
@@ -90,7 +90,10 @@
         link = await self.components.links.start(settings.link_listen)
         await self.components.load_socket.start(link)
         handler = create_handler(self.components, self.options.caller_dialect)
-        self.extra_tasks.append(('team limits', handler.limiter.run_forever))
+        if handler.limiter is not None:
+            self.extra_tasks.append(
+                ('team limits', handler.limiter.run_forever)
+            )
         self.caller_server = HttpServer(handler.handle)
         callers = await self.caller_server.start(settings.listen)
         self.local_member = self._create_local_member(
--- a/burdocklead/process/host_routing_handler.py
+++ b/burdocklead/process/host_routing_handler.py
@@ -56,7 +56,7 @@
         metrics: Counts calls by outcome.
         rng: Random source for weighted splits and retry times.
         max_waits_ms: Longest caller timeout seen on each route, in ms.
-        limiter: Limits the calls of teams.
+        limiter: Limits the calls of teams, None for no limits.
     """
 
     def __init__(
@@ -66,7 +66,7 @@
         dialect: CallerDialect,
         metrics: MetricSet,
         rng: random.Random,
-        limiter: TeamLimiter,
+        limiter: TeamLimiter | None = None,
     ) -> None:
         self.directory = directory
         self.dispatcher = dispatcher
@@ -97,7 +97,7 @@
 
     async def _run(self, call: Call) -> CallResult:
         """Return the result of a call, which its team's limit may refuse."""
-        refused = await self.limiter.refusal(call)
+        refused = await self.limiter.refusal(call) if self.limiter else None
         return refused or await self.dispatcher.run(call)
 
     def _refused(
