--- a/burdocklead/process/host_routing_handler.py
+++ b/burdocklead/process/host_routing_handler.py
@@ -60,7 +60,7 @@
         team_metrics: Counts calls by team.
         parents: Calls of the local upstream, to recognize nested ones.
         max_waits_ms: Longest caller timeout seen on each route, in ms.
-        limiter: Limits the calls of teams.
+        limiter: Limits the calls of teams, None for no limits.
     """
 
     def __init__(
@@ -70,8 +70,8 @@
         dialect: CallerDialect,
         metrics: MetricSet,
         rng: random.Random,
-        parents: ParentCalls,
-        limiter: TeamLimiter,
+        parents: ParentCalls | None = None,
+        limiter: TeamLimiter | None = None,
     ) -> None:
         self.directory = directory
         self.dispatcher = dispatcher
@@ -79,7 +79,7 @@
         self.metrics = metrics
         self.rng = rng
         self.team_metrics = TeamMetrics(metrics)
-        self.parents = parents
+        self.parents = parents or ParentCalls()
         self.max_waits_ms: dict[str, float] = {}
         self.limiter = limiter
 
@@ -104,7 +104,7 @@
 
     async def _run(self, call: Call) -> CallResult:
         """Return the result of a call, which its team's limit may refuse."""
-        refused = await self.limiter.refusal(call)
+        refused = await self.limiter.refusal(call) if self.limiter else None
         return refused or await self.dispatcher.run(call)
 
     def _refused(
--- a/tests/platform/stand_in.py
+++ b/tests/platform/stand_in.py
@@ -35,6 +35,7 @@
 MS_PER_S = 1000
 DEFAULT_ZONE = 'vancouver'
 REPLICA_COUNT = 3
+BOUNDS = ('drainMs=2000', 'graceS=6', 'budgetMinRetries=62')
 SUBNET = 40 + os.getpid() % 200
 
 
@@ -135,6 +136,7 @@
     zones: dict[int, str] = field(default_factory=dict)
     stopping: threading.Event = field(default_factory=threading.Event)
     loop: asyncio.AbstractEventLoop | None = None
+    extra_bounds: tuple[str, ...] = ()
 
     def ip(self, number):
         """Return the address of a VM."""
@@ -274,7 +276,7 @@
             'seeds': self.seeds(),
             'heartbeatIntervalMs': 1500,
             'unknown_field': 1,
-            'bounds': ['drainMs=2000', 'graceS=6', 'budgetMinRetries=62'],
+            'bounds': [*BOUNDS, *self.extra_bounds],
             **extra_settings,
         }
         lines = [f'{key} = {json.dumps(one)}' for key, one in settings.items()]
