Limit the calls to a cold upstream beside it

Cause: an upstream is cold for some time after its start and crashes well above its declared rate. The remaining cold time in heartbeats was decoded and not used.

Change: the daemon beside an upstream counts the calls it sends in a sliding window of a second and sends a cold upstream at most cold_rate of them. Calls over it are refused as not run (cold-upstream) and go to another upstream without a backoff. A daemon that has started or was frozen sends a cold upstream nothing for a second. The health checks that precede calls report the cold time; heartbeats count if none did in the last 5 s. After the start of a daemon, with a new instance and at the end of an evacuation the upstream is assumed to be cold until a health check reports otherwise, at most for cold_start_s. A figure out of range is ignored and logged. Load reports carry the remaining cold time (one byte while it is 0), and routing adds a tenth of it to the expected latency. Without cold_rate nothing changes.

--- a/burdocklead/evacuation/daemon_evacuations.py
+++ b/burdocklead/evacuation/daemon_evacuations.py
@@ -12,8 +12,6 @@
 from burdocklead.request.execution import AttemptExecutor
 from burdocklead.values import RefusalCause
 
-SignalHandler = Callable[[], None]
-
 
 def _ignore() -> None:
     """Do nothing on a change."""
@@ -32,7 +30,6 @@
         notice_s: Time in s for the other daemons to learn of an evacuation
             before attempts for the upstream in this zone are refused.
         on_change: Called when the list has changed.
-        on_restored: Called when the evacuation of the own zone has ended.
         known: The list, None before the first.
         refusal_timer: Starts to refuse attempts after the notice.
     """
@@ -41,8 +38,7 @@
     executor: AttemptExecutor
     events: EventRing
     notice_s: float
-    on_change: SignalHandler = _ignore
-    on_restored: SignalHandler = _ignore
+    on_change: Callable[[], None] = _ignore
     known: EvacuatedZones | None = None
     refusal_timer: asyncio.TimerHandle | None = field(default=None)
 
@@ -86,4 +82,5 @@
             self.refusal_timer.cancel()
             self.refusal_timer = None
         self.executor.access.zone_evacuated = False
-        self.on_restored()
+        # It had no work and may have been restarted meanwhile.
+        self.executor.access.assume_cold(asyncio.get_running_loop().time())
--- a/burdocklead/log_events.py
+++ b/burdocklead/log_events.py
@@ -25,6 +25,7 @@
     'base': 'configuration version that a change is based on',
     'call': 'id of the call, given by the caller or made by the entry',
     'cause': 'reason in a few words',
+    'cold_ms': 'remaining time for which the upstream is cold in ms',
     'daemons': 'names of daemons',
     'elapsed_ms': 'time from the start to the end in ms',
     'evacuated': 'true if the evacuation was started, false if it was ended',
@@ -218,6 +219,28 @@
     'the lease of the upstream expired without a heartbeat',
     'instance service',
 )
+UPSTREAM_COLD = _declare(
+    'upstream cold',
+    'upstream',
+    Level.info,
+    'the upstream is cold or assumed to be; its calls are limited',
+    'cold_ms',
+)
+UPSTREAM_WARM = _declare(
+    'upstream warm',
+    'upstream',
+    Level.info,
+    'the cold time of the upstream has ended',
+    'cold_ms',
+)
+COLD_TIME_IGNORED = _declare(
+    'cold time ignored',
+    'upstream',
+    Level.warning,
+    'the upstream reports a remaining cold time that is not possible; '
+    'written once in 10 s',
+    'cold_ms limit_s',
+)
 HEARTBEAT_REFUSED = _declare(
     'heartbeat refused',
     'upstream',
--- a/burdocklead/metrics.py
+++ b/burdocklead/metrics.py
@@ -94,6 +94,9 @@
 UPSTREAM_LIMIT = _gauge('upstream_limit', 'Calls let run at the same time.')
 UPSTREAM_SLOTS = _gauge('upstream_slots', 'Slots that the upstream announced.')
 EVACUATED_ZONES = _gauge('evacuated_zones', 'Zones that are evacuated.')
+UPSTREAM_COLD_TIME = _gauge(
+    'upstream_cold_seconds', 'Time for which the upstream is still cold.'
+)
 QUORUM_AGE = _gauge('quorum_age_seconds', 'Time since a quorum was heard of.')
 STORE_SYNCS = _counter('store_syncs', 'Syncs of the durable file.')
 STORE_BYTES = _counter('store_written_bytes', 'Bytes written to that file.')
--- a/burdocklead/process/daemon_components.py
+++ b/burdocklead/process/daemon_components.py
@@ -25,7 +25,7 @@
 from burdocklead.request.recording_runner import RecordingRunner
 from burdocklead.request.routing import Router
 from burdocklead.settings import DaemonSettings
-from burdocklead.version.deployment import Crashes, Measuring
+from burdocklead.version.deployment import Crashes, Measuring, Service
 
 
 class DaemonComponents:
@@ -64,6 +64,7 @@
         )
         self.executor.guard.peers = self.directory
         self.executor.guard.limits = self.crash_limits
+        self.executor.access.warm_up.service = self.local_service
         self.load_socket = create_load_socket(
             self.executor, self.credentials.key, self.metrics
         )
@@ -95,6 +96,13 @@
         deployment = self.directory.deployment()
         return deployment.crashes if deployment else Crashes()
 
+    def local_service(self) -> Service | None:
+        """Return the service of the local upstream, None if not known."""
+        deployment = self.directory.deployment()
+        if deployment is None:
+            return None
+        return deployment.services.get(self.executor.service)
+
     def measuring_limits(self) -> Measuring:
         """Return the measuring limits of the configuration in force."""
         deployment = self.directory.deployment()
--- a/burdocklead/process/daemon_measurements.py
+++ b/burdocklead/process/daemon_measurements.py
@@ -6,6 +6,7 @@
     EVACUATED_ZONES,
     RETRY_BUDGET,
     UPSTREAM_CALLS,
+    UPSTREAM_COLD_TIME,
     UPSTREAM_LIMIT,
     UPSTREAM_SLOTS,
     UPSTREAMS,
@@ -21,6 +22,8 @@
 )
 from burdocklead.request.dispatch import Dispatcher
 
+MS_PER_S = 1000
+
 
 def measure_upstream(metrics: MetricSet, local_member: LocalMember) -> None:
     """Update the metrics of the local upstream."""
@@ -28,6 +31,7 @@
     metrics.set(UPSTREAM_CALLS, load.busy, 'running')
     metrics.set(UPSTREAM_CALLS, load.queued, 'queued')
     metrics.set(UPSTREAM_LIMIT, load.slots)
+    metrics.set(UPSTREAM_COLD_TIME, load.cold_ms / MS_PER_S)
     metrics.set(UPSTREAM_SLOTS, local_member.member.slots)
 
 
--- a/burdocklead/process/daemon_process.py
+++ b/burdocklead/process/daemon_process.py
@@ -227,6 +227,7 @@
     loop = asyncio.get_running_loop()
     while True:
         local_member.remove_expired_upstream(loop.time())
+        local_member.executor.access.tick(loop.time())
         await asyncio.sleep(LEASE_CHECK_INTERVAL_S)
 
 
--- a/burdocklead/process/host_routing_daemon.py
+++ b/burdocklead/process/host_routing_daemon.py
@@ -187,6 +187,7 @@
         loop = asyncio.get_running_loop()
         while self.local_member is not None:
             self.local_member.remove_expired_upstream(loop.time())
+            self.components.executor.access.tick(loop.time())
             await asyncio.sleep(LEASE_CHECK_INTERVAL_S)
 
     async def _refresh_limits(self) -> None:
--- a/burdocklead/process/local_member.py
+++ b/burdocklead/process/local_member.py
@@ -35,6 +35,8 @@
         lease_seconds: Time in s after which a silent upstream is removed.
         draining: True if the upstream requests no new work.
         instance: Name of its incarnation, empty if it has none.
+        cold_ms: Remaining time in ms for which the upstream is cold, None if
+            it does not report one.
     """
 
     service: Name
@@ -45,6 +47,7 @@
     ] = DEFAULT_LEASE_S
     draining: bool = False
     instance: str = ''
+    cold_ms: float | None = None
 
 
 class DrainReason(enum.StrEnum):
@@ -104,6 +107,7 @@
                 slots=announcement.slots,
             )
             executor.gate.queue = executor.queue_factory(announcement.slots)
+            executor.access.assume_cold(now)
             self.events.record(
                 EventKind.upstream_announced,
                 service=announcement.service,
@@ -111,6 +115,8 @@
             )
         executor.upstream = upstream
         executor.service = announcement.service
+        if announcement.cold_ms is not None:
+            executor.access.warm_up.observe_heartbeat(announcement.cold_ms, now)
         executor.gate.queue.table.slots = announcement.slots
         if announcement.draining and DrainReason.upstream not in self.drains:
             self._log_upstream_left('drains')
--- a/burdocklead/process/upstream_health.py
+++ b/burdocklead/process/upstream_health.py
@@ -8,6 +8,7 @@
 from burdocklead.connection.answer_reader import RawAnswer
 from burdocklead.process.daemon_components import DaemonComponents
 from burdocklead.request.admission import paced_admission_for
+from burdocklead.request.execution import AttemptExecutor
 from burdocklead.request.pace_guard import PaceGuard
 from burdocklead.request.pooled_upstream import PooledUpstreamClient
 
@@ -35,6 +36,7 @@
         executor.pace_guard = PaceGuard(
             self.client.pace, executor.gate, self.check_health
         )
+        executor.access.warm_up.cold_time.trusts_heartbeats = False
         self.client.is_alive = self.is_alive
 
     async def check_health(self) -> RawAnswer | None:
@@ -46,9 +48,12 @@
         service = deployment.services.get(executor.service)
         if service is None:
             return None
-        return await self.client.check_health(
+        answer = await self.client.check_health(
             executor.upstream, service.health_path
         )
+        if answer is not None:
+            observe_cold_time(executor, self.client, answer)
+        return answer
 
     async def is_alive(self) -> bool:
         """Return True if the upstream answers a health check in time."""
@@ -57,3 +62,17 @@
                 return await self.check_health() is not None
         except TimeoutError:
             return False
+
+
+def observe_cold_time(
+    executor: AttemptExecutor, client: PooledUpstreamClient, answer: RawAnswer
+) -> None:
+    """Record the cold time in the answer to a health check."""
+    upstream = executor.upstream
+    if upstream is None:
+        return
+    executor.access.warm_up.observe_check(
+        client.dialect.read_cold_time(answer.headers),
+        upstream.instance,
+        asyncio.get_running_loop().time(),
+    )
--- a/burdocklead/request/dialect.py
+++ b/burdocklead/request/dialect.py
@@ -39,6 +39,7 @@
 )
 from burdocklead.request.upstream_load import UpstreamLoad
 from burdocklead.values import Outcome, RefusalCause
+from burdocklead.warmup.cold_time import ReportedColdTime
 
 JSON_TYPE = ('Content-Type', 'application/json')
 RETRY_AFTER_HEADER = 'Retry-After'
@@ -96,6 +97,9 @@
     def read_load(self, headers: Headers) -> UpstreamLoad | None:
         """Return the load that an answer reports, None if it reports none."""
 
+    def read_cold_time(self, headers: Headers) -> ReportedColdTime | None:
+        """Return the cold time that a health check reports, if any."""
+
 
 class BurdockleadDialect:
     """The ``Burdocklead-*`` headers."""
@@ -167,6 +171,9 @@
     def read_load(self, headers: Headers) -> UpstreamLoad | None:
         """Return None; no ``Burdocklead-*`` header reports a load."""
 
+    def read_cold_time(self, headers: Headers) -> ReportedColdTime | None:
+        """Return None; announcements report the cold time."""
+
 
 def _with_host(request: HttpRequest, headers: Headers) -> Headers:
     host = request.find(HOST_HEADER)
--- a/burdocklead/request/execution.py
+++ b/burdocklead/request/execution.py
@@ -126,7 +126,8 @@
 
     def load(self) -> LoadReport:
         """Return the current load."""
-        return self.gate.load()
+        now = asyncio.get_running_loop().time()
+        return self.access.warm_up.describe(self.gate.load(), now)
 
     async def run(self, attempt: Attempt) -> AttemptResult:
         """Run an attempt; a duplicate gets the result of the first run."""
@@ -227,11 +228,14 @@
         loop = asyncio.get_running_loop()
         arrived = loop.time()
         if self.pace_guard is not None:
-            await self.pace_guard.refresh(self.gate.median_service_ms(attempt))
-        cause = self.access.refusal_cause()
+            await self.pace_guard.refresh(
+                self.gate.median_service_ms(attempt),
+                force=self.access.warm_up.wants_check(arrived),
+            )
+        cause = self.access.refusal_cause(loop.time())
         if cause is not None:
             return self._refusal(attempt, cause)
-        verdict = await self.gate.admit(_ticket_of(execution))
+        verdict = await self.gate.admit(_ticket_of(execution, self.access))
         if isinstance(verdict, Refused):
             return self._refusal(attempt, verdict.cause)
         started = loop.time()
@@ -264,7 +268,8 @@
         cause = _late_refusal_cause(self, execution)
         if cause is not None:
             return self._refusal(attempt, cause)
-        remaining = execution.deadline - asyncio.get_running_loop().time()
+        now = asyncio.get_running_loop().time()
+        remaining = execution.deadline - now
         if remaining <= 0:
             return self._refusal(attempt, RefusalCause.deadline)
         if self.client is None or self.upstream is None:
@@ -273,6 +278,7 @@
         if not attempt.idempotent:
             limit += self.settings.finish_limit
         execution.sent = True
+        self.access.warm_up.window.record(now)
         try:
             async with asyncio.timeout_at(limit):
                 result = await self.client.exchange(
@@ -317,11 +323,13 @@
         return RefusalCause.cancelled
     if executor.draining:
         return RefusalCause.draining
-    return executor.access.refusal_cause()
+    now = asyncio.get_running_loop().time()
+    return executor.access.refusal_cause(now)
 
 
-def _ticket_of(execution: Execution) -> Ticket:
+def _ticket_of(execution: Execution, access: UpstreamAccess) -> Ticket:
     attempt = execution.attempt
+    now = asyncio.get_running_loop().time()
     return Ticket(
         attempt_id=attempt.attempt_id,
         route=f'{attempt.service}/{attempt.route}',
@@ -330,7 +338,8 @@
         deadline=execution.deadline,
         queue_limit=attempt.queue_limit,
         objective=_objective_of(execution),
-        may_queue=attempt.may_queue,
+        # A cold upstream may not take the call when its turn comes.
+        may_queue=attempt.may_queue and not access.is_cold(now),
     )
 
 
--- a/burdocklead/request/local_load.py
+++ b/burdocklead/request/local_load.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from dataclasses import dataclass
 
 from burdocklead.connection.cluster_key import ClusterKey
@@ -35,7 +36,8 @@
         executor = self.executor
         if executor.draining or executor.upstream is None:
             return None
-        if executor.access.refusal_cause() is not None:
+        now = asyncio.get_running_loop().time()
+        if executor.access.refusal_cause(now) is not None:
             return None
         return self.executor.gate.estimate(route, cost_ms)
 
--- a/burdocklead/request/pace_guard.py
+++ b/burdocklead/request/pace_guard.py
@@ -33,14 +33,15 @@
     running: asyncio.Task[None] | None = None
     poll_task: asyncio.Task[None] | None = field(default=None)
 
-    async def refresh(self, cost_ms: float) -> None:
+    async def refresh(self, cost_ms: float, *, force: bool = False) -> None:
         """Update the pace if it is outdated and the call takes long enough.
 
         Args:
             cost_ms: Median service time of the call in ms.
+            force: True to check the upstream in any case.
         """
         loop = asyncio.get_running_loop()
-        if (
+        if force or (
             cost_ms >= MIN_CHECKED_COST_MS
             and self.pace.age_s(loop.time()) > MAX_PACE_AGE_S
         ):
--- a/burdocklead/request/routing.py
+++ b/burdocklead/request/routing.py
@@ -21,6 +21,7 @@
 from burdocklead.request.route_costs import QuantileTracker
 from burdocklead.request.upstream_view import UpstreamView
 from burdocklead.values import LoadReport, Member, RefusalCause
+from burdocklead.warmup.preference import cold_penalty_ms
 
 SAMPLE_SIZE = 3
 MS_PER_S = 1000
@@ -30,6 +31,7 @@
 AVOIDED_PENALTY_MS = 1e9
 AVOID_UNAVAILABLE_S = 1.0
 AVOID_CRASHED_S = 0.3
+AVOID_COLD_S = 0.2
 REFUSAL_PENALTY = 0.5
 LOST_PENALTY = 4
 ERROR_PENALTY = 1
@@ -174,6 +176,7 @@
         else:
             expected_ms = estimate.expected_ms * (1 + view.penalty.read(now))
         expected_ms += view.overdue_ms(now)
+        expected_ms += cold_penalty_ms(view.load, now - view.load_at)
         if member.zone != self.zone:
             expected_ms += cross_zone_ms
         if max(view.avoid_until, view.unresponsive_until) > now:
@@ -243,6 +246,9 @@
                 )
             case Refusal(cause=cause) if cause in UNAVAILABLE_CAUSES:
                 view.avoid_until = now + AVOID_UNAVAILABLE_S
+            case Refusal(cause=RefusalCause.cold_upstream):
+                view.estimates.pop(route, None)
+                view.avoid_until = now + AVOID_COLD_S
             case Refusal(cause=RefusalCause.not_at_once):
                 view.estimates.pop(route, None)
             case Refusal(cause=cause) if cause in BUSY_CAUSES:
--- a/burdocklead/values.py
+++ b/burdocklead/values.py
@@ -81,12 +81,14 @@
         queued: Calls admitted and waiting for a slot.
         slots: Calls that may run at the same time.
         expected_wait_ms: Expected queue time of a new short call.
+        cold_ms: Remaining time in ms for which the upstream is cold.
     """
 
     busy: int
     queued: int
     slots: int
     expected_wait_ms: float = 0
+    cold_ms: int = 0
 
 
 class Estimate(msgspec.Struct, frozen=True, array_like=True):
--- /dev/null
+++ b/burdocklead/warmup/__init__.py
@@ -0,0 +1,1 @@
+"""Upstreams that are cold after their start."""
