Add the operators' subcommand for evacuated zones

Cause: only the platform's calls could evacuate a zone, and a call that found no upstream outside evacuated zones was refused as no-upstream, which the callers' page reserves for services without upstreams.

A service whose upstreams are all in evacuated zones refuses its calls as zone-evacuated.

--- a/burdocklead/commands/replica_client.py
+++ b/burdocklead/commands/replica_client.py
@@ -47,6 +47,7 @@
         blocked: Fingerprints of requests blocked after crashes.
         dead_signals: Descriptions of signals that no longer carry
             information.
+        evacuations: Evacuated zones.
     """
 
     replica: str
@@ -56,6 +57,7 @@
     drains: tuple[str, ...] | None = None
     blocked: tuple[str, ...] | None = None
     dead_signals: tuple[str, ...] | None = None
+    evacuations: tuple[str, ...] | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/burdocklead/commands/status.py
+++ b/burdocklead/commands/status.py
@@ -42,6 +42,7 @@
         blocked: Fingerprints of requests blocked after crashes.
         dead_signals: Descriptions of signals that no longer carry
             information.
+        evacuations: Evacuated zones.
     """
 
     replicas: tuple[ReplicaRow, ...]
@@ -50,6 +51,7 @@
     drains: tuple[str, ...] | None
     blocked: tuple[str, ...] | None
     dead_signals: tuple[str, ...] | None
+    evacuations: tuple[str, ...] | None
 
 
 async def show_status(context: CommandContext) -> ExitCode:
@@ -87,6 +89,7 @@
         drains=_merge(status.drains for status in sources),
         blocked=_merge(status.blocked for status in sources),
         dead_signals=_merge(status.dead_signals for status in sources),
+        evacuations=_merge(status.evacuations for status in sources),
     )
 
 
@@ -130,6 +133,7 @@
         context.write(f'version {version} in force at {count} daemons')
     for label, names in (
         ('drained by an operator', report.drains),
+        ('evacuated zones', report.evacuations),
         ('blocked after crashes', report.blocked),
         ('dead signals', report.dead_signals),
     ):
--- a/burdocklead/commands/subcommands.py
+++ b/burdocklead/commands/subcommands.py
@@ -20,6 +20,7 @@
 from burdocklead.commands.show import show_file
 from burdocklead.commands.status import show_status
 from burdocklead.commands.timeline import show_timeline
+from burdocklead.commands.zone import ZONE_ACTIONS, run_zone
 from burdocklead.options import add_options
 from burdocklead.settings import OperatorSettings
 
@@ -175,6 +176,23 @@
             _boolean_flag('--undo', 'end the drain'),
         ),
     ),
+    Subcommand(
+        'zone',
+        'evacuate or restore an availability zone, or list evacuated zones',
+        lambda flags, context: run_zone(context, flags.action, flags.zone),
+        (
+            Argument(
+                'action',
+                'action on the zone',
+                {
+                    'choices': ZONE_ACTIONS,
+                    'nargs': '?',
+                    'default': ZONE_ACTIONS[0],
+                },
+            ),
+            Argument('zone', 'name of the zone', {'nargs': '?', 'default': ''}),
+        ),
+    ),
     Subcommand(
         'explain',
         'explain a call, or all failed calls, from log files',
--- a/burdocklead/process/control_http.py
+++ b/burdocklead/process/control_http.py
@@ -9,6 +9,7 @@
 from aiohttp import web
 
 from burdocklead.durable.configuration import parse_proposal
+from burdocklead.evacuation.evacuation_http import EvacuationHandlers
 from burdocklead.exceptions import ConfigurationError, QuorumError, RefusedError
 from burdocklead.process.admin_http import (
     BAD_REQUEST,
@@ -40,6 +41,7 @@
     def __init__(self, replica: ControlReplica) -> None:
         """Create the handlers for a replica."""
         self.replica = replica
+        self.evacuations = EvacuationHandlers(replica.evacuations)
 
     def application(self) -> web.Application:
         """Return the application with all endpoints."""
@@ -68,6 +70,7 @@
                 web.delete('/v1/drains/{daemon}', self.drain),
             ]
         )
+        application.add_routes(self.evacuations.routes())
         application.add_routes(ReplicaSetHandlers(self.replica).routes())
         return application
 
@@ -119,6 +122,7 @@
             'members': members,
             'blocked': self._blocked(members),
             'drains': self.replica.drains.current.daemons,
+            'evacuations': self.evacuations.zones(),
             'dead_signals': sorted(
                 signal for member in members for signal in member.dead_signals
             ),
--- a/burdocklead/process/directory.py
+++ b/burdocklead/process/directory.py
@@ -186,11 +186,15 @@
     def _update_candidates(self) -> None:
         """Group the members that may receive new work by service."""
         by_service: dict[str, list[Member]] = {}
+        evacuated = set()
         for member in self.members.values():
-            if member.draining or self.evacuations.is_evacuated(member.zone):
+            if not member.service or member.draining:
                 continue
-            if member.service:
-                by_service.setdefault(member.service, []).append(member)
+            accepting = by_service.setdefault(member.service, [])
+            if self.evacuations.is_evacuated(member.zone):
+                evacuated.add(member.service)
+            else:
+                accepting.append(member)
         self.candidates_by_service = {
             service: Candidates(
                 tuple(members),
@@ -199,6 +203,7 @@
                     for candidate in members
                     if candidate.zone == self.router.zone
                 ),
+                service in evacuated,
             )
             for service, members in by_service.items()
         }
--- a/burdocklead/request/dispatch.py
+++ b/burdocklead/request/dispatch.py
@@ -11,7 +11,12 @@
 
 import msgspec
 
-from burdocklead.connection.frames import Attempt, AttemptResult, Lost
+from burdocklead.connection.frames import (
+    Attempt,
+    AttemptResult,
+    Lost,
+    Refusal,
+)
 from burdocklead.metrics import HEDGES, RETRIES, MetricSet
 from burdocklead.request.attempt_runner import AttemptRunner, Directory
 from burdocklead.request.block_list import SuspectState, fingerprint_of
@@ -36,7 +41,7 @@
 )
 from burdocklead.request.shared_budget import SharedRetryBudget
 from burdocklead.request.work_limit import WorkLimit
-from burdocklead.values import Member, RefusalCause
+from burdocklead.values import LoadReport, Member, RefusalCause
 
 MS_PER_S = 1000
 MAX_TRIED_DAEMONS = 8  # Includes daemons that refused the call.
@@ -94,13 +99,22 @@
         while True:
             member = await self.choose(call, progress.tried)
             if member is None:
-                return with_retry_after(call, progress.results, self.rng)
+                results = progress.results or self._why_unplaced(call)
+                return with_retry_after(call, results, self.rng)
             progress.record(await self._run_or_hedge(call, member, progress))
             if self._is_blocked_after_crash(call, progress.results):
                 return result_of_attempts(progress.results)
             if not await self._wait_for_next_attempt(call, progress):
                 return with_retry_after(call, progress.results, self.rng)
 
+    def _why_unplaced(self, call: Call) -> list[AttemptResult]:
+        """Return a refusal if all upstreams are in evacuated zones."""
+        name = call.match.service_name
+        if not self.directory.candidates(name).evacuated:
+            return []
+        load = LoadReport(0, 0, 0)
+        return [Refusal('', RefusalCause.zone_evacuated, load)]
+
     async def _run_or_hedge(
         self, call: Call, member: Member, progress: CallProgress
     ) -> HedgeResult:
--- a/burdocklead/request/routing.py
+++ b/burdocklead/request/routing.py
@@ -55,10 +55,12 @@
     Attributes:
         members: All such upstreams.
         same_zone: The ones in the availability zone of this daemon.
+        evacuated: True if the service has upstreams in evacuated zones.
     """
 
     members: tuple[Member, ...] = ()
     same_zone: tuple[Member, ...] = ()
+    evacuated: bool = False
 
     def without(self, excluded: Collection[str]) -> Candidates:
         """Return the candidates except some, all of them if none is left."""
--- a/tests/steps/platform_zone_steps.py
+++ b/tests/steps/platform_zone_steps.py
@@ -8,6 +8,7 @@
 import requests
 from behave import given, then, when
 
+from burdocklead.request.headers import CAUSE_HEADER, OUTCOME_HEADER
 from tests.platform.stand_in import (
     HTTP_TIMEOUT_S,
     REPLICA_COUNT,
@@ -162,3 +163,33 @@
             range(count),
         )
     assert set(statuses) == {status}
+
+
+@then('within {wait:d} s a call through "{entry}" is refused as "{cause}"')
+def check_call_refused(context, wait, entry, cause):
+    """Send calls until one is refused as not run."""
+
+    def refused():
+        headers = send_call(context, entry).headers
+        return (
+            headers.get(CAUSE_HEADER) == cause
+            and headers[OUTCOME_HEADER] == 'not-run'
+        )
+
+    wait_until(refused, f'a call is refused as {cause}', wait)
+
+
+@then('within {wait:d} s a call through "{entry}" is answered')
+def check_call_answered(context, wait, entry):
+    """Send calls until one is answered."""
+    wait_until(
+        lambda: send_call(context, entry).status_code == 200,
+        'a call is answered',
+        wait,
+    )
+
+
+def send_call(context, entry):
+    """Send one call through a daemon of the local deployment."""
+    url = context.deployment.url(entry, '/job-sheets/sheets/1')
+    return requests.get(url, timeout=HTTP_TIMEOUT_S)
