Adapt two test setups to where keys and nested calls are kept

The keys of the executor moved into its access to the upstream, and a handler needs the keys of its directory. The checks are unchanged.

--- a/tests/steps/nested_call_steps.py
+++ b/tests/steps/nested_call_steps.py
@@ -19,6 +19,7 @@
 from burdocklead.request.dialect import BurdockleadDialect, CallOptions
 from burdocklead.request.slot_table import SlotTable
 from burdocklead.request.work_limit import WorkLimit
+from burdocklead.teams.current_keys import CurrentKeys
 from burdocklead.values import RefusalCause
 from burdocklead.version.deployment import Deployment, HostRoute, Service
 from burdocklead.version.route_table import RouteTable
@@ -81,7 +82,7 @@
         )
     )
     handler = HostRoutingHandler(
-        SimpleNamespace(table=table, version=1),
+        SimpleNamespace(table=table, version=1, keys=CurrentKeys()),
         SimpleNamespace(run=run, work_limit=WorkLimit()),
         dialect,
         MetricSet(),
--- a/tests/steps/revocation_steps.py
+++ b/tests/steps/revocation_steps.py
@@ -159,7 +159,7 @@
     """Create an executor with one slot."""
     plan_executor(context, 'has no health check')
     context.executor.gate.queue.table.slots = 1
-    context.executor.keys = CurrentKeys(index_of(version, (key,)))
+    context.executor.access.keys = CurrentKeys(index_of(version, (key,)))
 
 
 @when('an attempt waits whose key "{key}" was checked by version {version:d}')
@@ -191,7 +191,7 @@
         )
         await asyncio.sleep(0.01)
         assert client.sent == ['busy'], client.sent
-        executor.keys.index = index_of(version, (key,))
+        executor.access.keys.index = index_of(version, (key,))
         client.release.set()
         await busy
         context.result = await waiting
