Keep API keys out of differences and error texts, and test teams as a whole

diff printed the keys of teams as the old and new values of their configuration keys, and the answer to a request with malformed headers quotes the line, which may be that of the key. A name of a team with a line break would have been sent in a header.

diff compares keys but shows "(secret)"; answers to malformed headers have no excerpt while teams are configured; names of teams that no header can hold are refused. The scenarios run the platform's and the product's programs: keys before the first configuration, with and without a team, on anonymous routes, removed on an open connection, for pipelined and queued calls and through a restart of all processes. The refusals of the platform's decoder have tests as well.

--- a/burdocklead/commands/differences.py
+++ b/burdocklead/commands/differences.py
@@ -4,6 +4,7 @@
 
 import enum
 from collections.abc import Iterator, Mapping
+from dataclasses import dataclass, field
 from typing import Any
 
 import msgspec
@@ -11,6 +12,14 @@
 from burdocklead.version.deployment import Deployment
 
 NAME_KEY = 'name'
+HIDDEN_TEXT = '(secret)'
+
+
+@dataclass(frozen=True, slots=True)
+class Secret:
+    """A value that is compared but not shown."""
+
+    text: str = field(repr=False)
 
 
 class Change(enum.StrEnum):
@@ -41,8 +50,8 @@
     old: Deployment | None, new: Deployment
 ) -> tuple[Difference, ...]:
     """Return the keys that differ, sorted; defaults count as set."""
-    before = dict(_iterate_leaves(old, '')) if old else {}
-    after = dict(_iterate_leaves(new, ''))
+    before = dict(_leaves_of(old)) if old else {}
+    after = dict(_leaves_of(new))
     differences = []
     for key in sorted(before.keys() | after.keys()):
         difference = _difference_of(key, before, after)
@@ -55,18 +64,28 @@
     key: str, before: Mapping[str, Any], after: Mapping[str, Any]
 ) -> Difference | None:
     if key not in before:
-        return Difference(Change.added, key, new=after[key])
+        return Difference(Change.added, key, new=_shown(after[key]))
     if key not in after:
-        return Difference(Change.removed, key, old=before[key])
-    if before[key] == after[key]:
+        return Difference(Change.removed, key, old=_shown(before[key]))
+    old, new = before[key], after[key]
+    if old == new:
         return None
-    return Difference(Change.changed, key, before[key], after[key])
+    return Difference(Change.changed, key, _shown(old), _shown(new))
+
+
+def _shown(leaf: Any) -> Any:
+    return HIDDEN_TEXT if isinstance(leaf, Secret) else leaf
+
+
+def _leaves_of(deployment: Deployment) -> Iterator[tuple[str, Any]]:
+    tables = msgspec.to_builtins(deployment)
+    for team in tables.get('teams', {}).values():
+        team['keys'] = [Secret(key) for key in team.get('keys', ())]
+    return _iterate_leaves(tables, '')
 
 
 def _iterate_leaves(node: Any, path: str) -> Iterator[tuple[str, Any]]:
     match node:
-        case msgspec.Struct():
-            yield from _iterate_leaves(msgspec.to_builtins(node), path)
         case dict():
             for name, entry in node.items():
                 yield from _iterate_leaves(entry, f'{path}.{name}'.lstrip('.'))
--- a/burdocklead/process/caller_server.py
+++ b/burdocklead/process/caller_server.py
@@ -28,6 +28,7 @@
 RequestCallback = Callable[[web.BaseRequest], Awaitable[web.Response]]
 
 LAST_ACCEPT_DELAY_S = 0.1
+EXCERPT_SEPARATOR = '\n'  # aiohttp appends an excerpt of the headers.
 
 
 class CallerConnection(RequestHandler):
@@ -60,7 +61,11 @@
         message: str | None = None,
     ) -> web.StreamResponse:
         """Return the response to a request that could not be parsed."""
-        result = not_run(RefusalCause.bad_request, message or '')
+        reason = message or ''
+        server = self._manager
+        if isinstance(server, CallerServer) and server.hides_headers():
+            reason = reason.partition(EXCERPT_SEPARATOR)[0]
+        result = not_run(RefusalCause.bad_request, reason)
         response = response_of(result, '')
         response.force_close()
         return response
@@ -69,9 +74,22 @@
 class CallerServer(web.Server):
     """Creates caller connections and limits the size of request bodies."""
 
-    def __init__(self, handler: RequestCallback, max_body_bytes: int) -> None:
-        """Create a server that passes each call to a handler."""
+    def __init__(
+        self,
+        handler: RequestCallback,
+        max_body_bytes: int,
+        hides_headers: Callable[[], bool],
+    ) -> None:
+        """Create a server that passes each call to a handler.
+
+        Args:
+            handler: Handles the calls.
+            max_body_bytes: Size of the largest body in bytes.
+            hides_headers: Returns True if headers may hold secrets, which an
+                error message must not show.
+        """
         self.max_body_bytes = max_body_bytes
+        self.hides_headers = hides_headers
         super().__init__(
             handler,
             request_factory=self.make_request,
--- a/burdocklead/process/daemon_process.py
+++ b/burdocklead/process/daemon_process.py
@@ -114,7 +114,11 @@
         await self.components.load_socket.start(link)
         settings = self.components.settings
         callers = await start_caller_server(
-            CallerServer(caller_handler.handle_call, settings.max_body_bytes),
+            CallerServer(
+                caller_handler.handle_call,
+                settings.max_body_bytes,
+                self.components.directory.keys.is_enforced,
+            ),
             settings.listen,
             caller_tls(settings, self.components.credentials),
             CALLER_SHUTDOWN_TIMEOUT_S,
--- a/burdocklead/teams/current_keys.py
+++ b/burdocklead/teams/current_keys.py
@@ -18,6 +18,10 @@
 
     index: KeyIndex | None = None
 
+    def is_enforced(self) -> bool:
+        """Return True if callers send API keys."""
+        return self.index is not None and self.index.is_enforced
+
     def is_revoked(self, proof: KeyProof | None) -> bool:
         """Return True if the key of a call was removed after it was checked.
 
--- a/burdocklead/version/configuration_file.py
+++ b/burdocklead/version/configuration_file.py
@@ -124,9 +124,11 @@
 
 
 def _team_problems(deployment: Deployment) -> Iterator[str]:
-    """Yield a problem for each key of two teams, without the key."""
+    """Yield each name that can't be sent and key of two teams, without it."""
     owners: dict[str, str] = {}
     for name, team in deployment.teams.items():
+        if not name.isprintable() or name != name.strip():
+            yield f'teams.{name!r}: is no name that a header can have'
         for key in team.keys:
             first = owners.setdefault(key, name)
             if first != name:
--- a/devtools/upstream.py
+++ b/devtools/upstream.py
@@ -30,6 +30,7 @@
     DEADLINE_HEADER,
     KEY_HEADER,
     NOT_RUN_HEADER,
+    TEAM_HEADER,
 )
 from burdocklead.values import Address
 from devtools.faulty_answers import (
@@ -308,6 +309,7 @@
                 MARK_HEADER: mark,
                 'Received-Bytes': str(len(body)),
                 'Received-Headers': ','.join(request.headers).lower(),
+                'Received-Team': request.headers.get(TEAM_HEADER, ''),
             },
         )
 
--- a/tests/platform/stand_in.py
+++ b/tests/platform/stand_in.py
@@ -56,6 +56,7 @@
         self.instance = instance
         self.state = 'ready'
         self.work_ms = 0
+        self.slots = 4
         self.load = '0,0,4,100'
         self.number = 0
         self.requests_run = []
@@ -96,7 +97,7 @@
             'address': f'{self.ip}:{APP_PORT}',
             'zone': 'vancouver',
             'version': 'v1',
-            'slots': 4,
+            'slots': self.slots,
             'state': self.state,
             'coldRemainingMs': 0,
             'seq': self.number,
--- a/tests/steps/last_accept_steps.py
+++ b/tests/steps/last_accept_steps.py
@@ -23,6 +23,10 @@
     context.answers = []
 
 
+def _shows_headers():
+    return False
+
+
 async def _answer(request):
     return web.Response(text='whole')
 
@@ -42,7 +46,7 @@
 
 
 async def _connect_and_close(count):
-    server = CallerServer(_answer, 1000)
+    server = CallerServer(_answer, 1000, _shows_headers)
     listener = await start_caller_server(
         server, Address('127.0.0.1', 0), None, 1
     )
@@ -76,7 +80,7 @@
 
 
 async def _close_and_connect():
-    server = CallerServer(_answer, 1000)
+    server = CallerServer(_answer, 1000, _shows_headers)
     listener = await start_caller_server(
         server, Address('127.0.0.1', 0), None, 1
     )
