--- a/tests/platform/stand_in.py
+++ b/tests/platform/stand_in.py
@@ -58,6 +58,7 @@
         self.instance = instance
         self.state = 'ready'
         self.work_ms = 0
+        self.slots = 4
         self.load = '0,0,4,100'
         self.cold_ms = None
         self.cold_header = None
@@ -104,7 +105,7 @@
             'address': f'{self.ip}:{APP_PORT}',
             'zone': 'vancouver',
             'version': 'v1',
-            'slots': 4,
+            'slots': self.slots,
             'state': self.state,
             'coldRemainingMs': self.cold_ms or 0,
             'seq': self.number,
