--- a/burdocklead/teams/current_keys.py
+++ b/burdocklead/teams/current_keys.py
@@ -22,6 +22,7 @@
     def use(self, deployment: Deployment) -> None:
         """Index the keys of a configuration that comes into force."""
         self.index = KeyIndex(deployment)
+
     def is_enforced(self) -> bool:
         """Return True if callers send API keys."""
         return self.index is not None and self.index.is_enforced
