--- a/burdocklead/fairness/queue_order.py
+++ b/burdocklead/fairness/queue_order.py
@@ -20,11 +20,17 @@
 def sort_key_of(
     ticket: Ticket, cost: RouteCost, latest_start: float, now: float
 ) -> SortKey:
-    """Return the sort key of a waiting call.
+    """Return the sort key of a new call.
 
     Calls that can still meet their objective go first: a late answer is
     worth little, and the slot that it uses delays other calls. For a nested
     call only the deadline counts, since its parent is lost without it.
+
+    Args:
+        ticket: The call.
+        cost: Learned cost of its route.
+        latest_start: Latest start in s that meets its deadline.
+        now: Monotonic time in s.
     """
     is_new = not ticket.nested
     if not ticket.objective:
@@ -35,6 +41,15 @@
     return False, ticket.rank, is_new, min(wanted_start, latest_start)
 
 
+def misses_objective(call: WaitingCall[Ticket], now: float) -> bool:
+    """Return True if a late call is worth little and this one will be late."""
+    ticket = call.payload
+    if not ticket.objective or ticket.nested:
+        return False
+    wanted_start = ticket.objective - call.cost_ms / MS_PER_S
+    return call.sort_key[0] or wanted_start < now
+
+
 def call_to_shed(
     queues: Sequence[WaitingCalls[Ticket]], new_call: WaitingCall[Ticket]
 ) -> WaitingCall[Ticket] | None:
@@ -48,11 +63,10 @@
 
 def demote_late(queue: WaitingCalls[Ticket], now: float) -> None:
     """Move late calls behind those that can still meet their objective."""
-    while not queue.first().sort_key[0] and queue.first().payload.objective:
-        first = queue.first()
-        if first.sort_key[-1] >= now or first.payload.nested:
-            return
-        queue.pop_first()
+    while not queue.first().sort_key[0] and misses_objective(
+        queue.first(), now
+    ):
+        first = queue.pop_first()
         sort_key = (True, first.payload.rank, True, first.latest_start)
         queue.add(replace(first, sort_key=sort_key))
 
