Hold all memory taken by clients within one budget per process

Bodies, answers, frames and unread responses each had a limit, but their sum had none, and a daemon held up to three copies of a body. Now large ones reserve from a budget before they are read: requests and answers wait unread, frames without room are skipped and their attempts refused, slow clients give way while others wait. The reservation ends with the last reference to the body. Bodies are sent without copies. Connections per port and frames of peers that proved nothing are bounded; a frame may hold any body that a configuration allows.

--- a/burdocklead/connection/answer_reader.py
+++ b/burdocklead/connection/answer_reader.py
@@ -20,6 +20,8 @@
     NO_BODY_STATUSES,
     find_header,
 )
+from burdocklead.memory.body_intake import BodyIntake, IntakeState
+from burdocklead.memory.budget import SMALL_BYTES, MemoryBudget, Use
 
 # A chunk of one byte takes five bytes of framing.
 FRAMING_BYTES_PER_BODY_BYTE = 8
@@ -62,7 +64,8 @@
 
     Attributes:
         method: HTTP method.
-        content: The encoded request.
+        content: The encoded request, without a large body.
+        body: A large body, empty if it is part of the content.
         answer_id: ID that the upstream echoes in its answer, empty if none.
         read_answer_id: Returns the ID in the headers of an answer.
     """
@@ -71,6 +74,7 @@
     content: bytes
     answer_id: str = ''
     read_answer_id: AnswerIdReader = read_no_id
+    body: bytes = b''
 
 
 @dataclass(frozen=True, slots=True)
@@ -96,6 +100,7 @@
         started: Loop time in s of its first byte, later of its body.
         foreign: True if it belongs to another request; its body is dropped.
         in_body: True once its headers are complete.
+        large: Its body if that is large, None otherwise.
     """
 
     started: float
@@ -104,6 +109,15 @@
     body: bytearray = field(default_factory=bytearray)
     foreign: bool = False
     in_body: bool = False
+    large: BodyIntake | None = None
+
+    def add(self, chunk: bytes) -> bool:
+        """Add a chunk of the body; return False if there is no room."""
+        if self.large is not None:
+            return self.large.append(chunk)
+        if not self.foreign:
+            self.body += chunk
+        return True
 
 
 @dataclass(slots=True)
@@ -154,6 +168,12 @@
             answered: True if part of an answer was received.
         """
 
+    def pause_body(self) -> None:
+        """Leave the rest of a body unread."""
+
+    def resume_body(self) -> None:
+        """Read the rest of a body."""
+
 
 class AnswerReader:
     """Parses the answers to one request; implements the parser's callbacks.
@@ -170,10 +190,17 @@
         clean: False once the connection must not carry another request.
         ended: True once the sink has got an answer or a failure.
         ends_at_close: True if the end of the connection ends the body.
+        budget: Memory for large bodies.
     """
 
-    def __init__(self, sink: AnswerSink, limits: AnswerLimits) -> None:
+    def __init__(
+        self,
+        sink: AnswerSink,
+        limits: AnswerLimits,
+        budget: MemoryBudget | None = None,
+    ) -> None:
         """Initialize a reader; requires a running event loop."""
+        self.budget = budget or MemoryBudget()
         self.sink = sink
         self.limits = limits
         self.loop = asyncio.get_running_loop()
@@ -217,12 +244,18 @@
     def fail(self, reason: str, *, answered: bool = False) -> None:
         """End the exchange without an answer, unless it has ended."""
         answer_started = answered or self.partial is not None
-        self.partial = None
+        self.drop()
         self.clean = False
         if not self.ended:
             self.ended = True
             self.sink.fail(reason, answered=answer_started)
 
+    def drop(self) -> None:
+        """Drop the answer that is being received."""
+        if self.partial is not None and self.partial.large is not None:
+            self.partial.large.drop()
+        self.partial = None
+
     def on_message_begin(self) -> None:
         """Start an answer; an unsolicited one prevents reuse."""
         if self.ended:
@@ -259,6 +292,8 @@
             # The parser would wait for the body that the length announces.
             self.clean = False
             self._finish(partial)
+        elif has_length:
+            self._reserve_body(partial, _length_of(partial.headers))
 
     def on_body(self, chunk: bytes) -> None:
         """Add a chunk of the body."""
@@ -268,8 +303,11 @@
             return
         if self.received.body_bytes > self.limits.max_body_bytes:
             self._reject_body(partial)
-        elif not partial.foreign:
-            partial.body += chunk
+        elif not partial.add(chunk):
+            self.fail('no memory for the answer', answered=True)
+        elif len(partial.body) > SMALL_BYTES:
+            # Its size was not announced.
+            self._reserve_body(partial, len(partial.body))
 
     def on_message_complete(self) -> None:
         """Finish the answer; skip an interim (1xx) response."""
@@ -288,7 +326,9 @@
         """Return why an answer that is being received is too slow."""
         if self.partial is None:
             return ''
-        elapsed_s = self.loop.time() - self.partial.started
+        large = self.partial.large
+        started = max(self.partial.started, large.since if large else 0)
+        elapsed_s = self.loop.time() - started
         if not self.partial.in_body:
             late = elapsed_s > self.limits.head_timeout_s
             return 'the headers took too long' if late else ''
@@ -323,14 +363,45 @@
         if self.request.answer_id and not self.request.read_answer_id(headers):
             self.clean = False
         self.ended = True
-        answer = RawAnswer(partial.status, headers, bytes(partial.body))
+        large = partial.large
+        body = large.body.finish() if large else bytes(partial.body)
+        answer = RawAnswer(partial.status, headers, body)
         self.sink.finish(answer)
 
+    def _reserve_body(self, partial: PartialAnswer, size: int) -> None:
+        """Reserve memory for a large body, or leave it unread for a time.
+
+        The reservation covers the longest body where the size is not known:
+        bodies that each hold a part could wait for each other forever.
+        """
+        if size <= SMALL_BYTES or partial.foreign:
+            return
+        intake = BodyIntake(
+            self.budget, Use.answers, self.loop.time, self.sink.resume_body
+        )
+        partial.large = intake
+        intake.body.append(bytes(partial.body))
+        partial.body = bytearray()
+        most = self.limits.max_body_bytes
+        known = _length_of(partial.headers) or most
+        ceiling = self.budget.limits.ceiling(Use.answers)
+        match intake.reserve(min(known, most, ceiling)):
+            case IntakeState.waiting:
+                self.sink.pause_body()
+            case IntakeState.refused:
+                self.fail('no memory for the answer', answered=True)
+
     def _reject_body(self, partial: PartialAnswer) -> None:
-        self.partial = None
+        self.drop()
         if partial.foreign or self._lacks_proof(tuple(partial.headers)):
             self.fail('too large an answer', answered=True)
         elif not self.ended:
             self.ended = True
             self.clean = False
             self.sink.reject_body(partial.status)
+
+
+def _length_of(headers: list[tuple[str, str]]) -> int:
+    """Return the announced size of a body in bytes, 0 if there is none."""
+    text = find_header(headers, 'content-length') or ''
+    return int(text) if text.isdecimal() else 0
--- a/burdocklead/connection/buffered_connection.py
+++ b/burdocklead/connection/buffered_connection.py
@@ -36,6 +36,10 @@
     def pause_writing(self) -> None:
         """Stop reading requests until the client has read responses."""
         self.write_paused = True
+        self.pause_reading()
+
+    def pause_reading(self) -> None:
+        """Leave what the client sends unread."""
         if self.transport is not None:
             self.transport.pause_reading()
 
--- a/burdocklead/connection/connection_pool.py
+++ b/burdocklead/connection/connection_pool.py
@@ -10,6 +10,7 @@
     NotConnected,
     UpstreamConnection,
 )
+from burdocklead.memory.budget import MemoryBudget
 from burdocklead.values import Address
 
 CONNECT_TIMEOUT_S = 1.0
@@ -30,10 +31,14 @@
         address: Upstream of the idle connections.
         refused_ids: IDs of the requests that the upstream refused.
         generation: Number of times that these IDs were dropped.
+        budget: Memory for large answers.
     """
 
-    def __init__(self, limits: AnswerLimits) -> None:
+    def __init__(
+        self, limits: AnswerLimits, budget: MemoryBudget | None = None
+    ) -> None:
         """Initialize an empty pool."""
+        self.budget = budget or MemoryBudget()
         self.limits = limits
         self.opened = 0
         self.idle: list[UpstreamConnection] = []
@@ -98,7 +103,7 @@
         loop = asyncio.get_running_loop()
         async with asyncio.timeout(CONNECT_TIMEOUT_S):
             _, connection = await loop.create_connection(
-                lambda: UpstreamConnection(self.limits),
+                lambda: UpstreamConnection(self.limits, self.budget),
                 address.host,
                 address.port,
             )
--- a/burdocklead/connection/frame_protocol.py
+++ b/burdocklead/connection/frame_protocol.py
@@ -13,9 +13,15 @@
     MAX_FRAME_BYTES,
     Frame,
     FrameBuffer,
-    encode_frame,
+    Refusal,
+)
+from burdocklead.connection.large_frames import (
+    FramePieces,
+    LargeFrameIntake,
+    encode_for_link,
 )
 from burdocklead.exceptions import LinkError
+from burdocklead.memory.budget import MemoryBudget
 
 BATCH_BYTES = 65536
 
@@ -57,6 +63,8 @@
         buffer: Splits received data into frames.
         urgent: Queue of urgent frames.
         outgoing: Queue of all other frames.
+        started: Large frame of which a part has been written, None if none.
+        intake: Collects large frames.
         backlog_bytes: Bytes in both queues.
         paused: Whether the transport's write buffer is full.
         flush_scheduled: Whether the event loop will call ``flush``.
@@ -68,6 +76,7 @@
         on_close: CloseHandler,
         clock: HybridClock,
         max_frame_bytes: int = MAX_FRAME_BYTES,
+        budget: MemoryBudget | None = None,
     ) -> None:
         """Initialize the protocol without a connection."""
         self.clock = clock
@@ -75,9 +84,13 @@
         self.on_close = on_close
         self.transport: asyncio.Transport | None = None
         self.last_received = float(0)
-        self.buffer = FrameBuffer(max_frame_bytes)
-        self.urgent: deque[bytes] = deque()
-        self.outgoing: deque[bytes] = deque()
+        self.intake = LargeFrameIntake(
+            budget or MemoryBudget(), self._send_refusal
+        )
+        self.buffer = FrameBuffer(max_frame_bytes, self.intake)
+        self.urgent: deque[bytes | FramePieces] = deque()
+        self.outgoing: deque[bytes | FramePieces] = deque()
+        self.started: FramePieces | None = None
         self.backlog_bytes = 0
         self.paused = False
         self.flush_scheduled = False
@@ -91,16 +104,9 @@
     def data_received(self, chunk: bytes) -> None:
         """Handle the frames in a chunk; an invalid one ends the link."""
         self.last_received = self.loop.time()
-        try:
-            frames = self.buffer.feed(chunk)
-        except LinkError:
-            self.close(LinkEnd.bad_frame)
-            return
-        self.clock.observe(self.buffer.latest)
-        for frame in frames:
-            if self.transport is None:
-                return
-            self.on_frame(self, frame)
+        self._handle_received(chunk)
+        while self.buffer.blocked and self.transport is not None:
+            self._handle_received(b'')
 
     def connection_lost(self, error: Exception | None) -> None:
         """Report the end of the connection."""
@@ -123,8 +129,11 @@
         """
         if self.transport is None:
             raise LinkError('connection is closed', step='send')
-        encoded = encode_frame(frame, self.clock.issue())
-        self.backlog_bytes += len(encoded)
+        encoded = encode_for_link(frame, self.clock.issue())
+        if isinstance(encoded, FramePieces):
+            self.backlog_bytes += encoded.size
+        else:
+            self.backlog_bytes += len(encoded)
         if urgent:
             self.urgent.append(encoded)
         else:
@@ -163,14 +172,54 @@
             self.flush()
             transport.close()
         self.transport = None
+        self.urgent.clear()
+        self.outgoing.clear()
+        self.started = None
+        self.intake.drop()
         self.on_close(self, end)
 
-    def _next_batch(self) -> bytes:
+    def _handle_received(self, chunk: bytes) -> None:
+        try:
+            frames = self.buffer.feed(chunk)
+        except LinkError:
+            self.close(LinkEnd.bad_frame)
+            return
+        self.clock.observe(self.buffer.latest)
+        for frame in frames:
+            if self.transport is None:
+                return
+            self.on_frame(self, frame)
+
+    def _send_refusal(self, refusal: Refusal) -> None:
+        """Refuse an attempt that was skipped."""
+        if self.transport is not None:
+            self.send(refusal)
+
+    def _next_batch(self) -> bytes | memoryview:
+        """Return the next bytes; a large frame is sent in batches of its own.
+
+        Nothing is sent between its parts.
+        """
         batch: list[bytes] = []
         size = 0
-        while size < BATCH_BYTES and (self.urgent or self.outgoing):
+        while size < BATCH_BYTES and self.started is None:
             source = self.urgent or self.outgoing
-            batch.append(source.popleft())
-            size += len(batch[-1])
+            if not source:
+                break
+            encoded = source.popleft()
+            if isinstance(encoded, FramePieces):
+                self.started = encoded
+            else:
+                batch.append(encoded)
+                size += len(encoded)
+        if self.started is not None and not batch:
+            return self._next_part(self.started)
         self.backlog_bytes -= size
         return b''.join(batch)
+
+    def _next_part(self, pieces: FramePieces) -> memoryview:
+        part = pieces.take(BATCH_BYTES)
+        self.backlog_bytes -= len(part)
+        if not pieces.size:
+            self.started = None
+        return part
--- a/burdocklead/connection/frames.py
+++ b/burdocklead/connection/frames.py
@@ -4,6 +4,7 @@
 
 import enum
 import struct
+from typing import Protocol
 
 import msgspec
 
@@ -225,6 +226,22 @@
     return HEADER.pack(len(payload), time.wall_ns, time.count) + payload
 
 
+class LargeFrameReader(Protocol):
+    """Collects the payloads of large frames."""
+
+    def start(self, size: int) -> bool:
+        """Return True to collect the payload of a frame that has begun."""
+
+    def missing_bytes(self) -> int:
+        """Return the bytes that the frame still lacks, 0 if none is open."""
+
+    def append(self, chunk: bytes | memoryview) -> None:
+        """Add a part of the payload."""
+
+    def finish(self) -> Frame | None:
+        """Return the complete frame, None if there is nothing to handle."""
+
+
 class FrameBuffer:
     """Splits a byte stream into frames.
 
@@ -232,13 +249,23 @@
         max_bytes: Largest payload in bytes.
         received: Bytes of the incomplete frame at the end.
         latest: Latest send time of the complete frames.
+        large: Collects the payloads of large frames, None to collect them
+            like the others.
+        blocked: True if the bytes at the end start a frame above the limit.
+            It is an error unless the earlier frames raise the limit.
     """
 
-    def __init__(self, max_bytes: int = MAX_FRAME_BYTES) -> None:
+    def __init__(
+        self,
+        max_bytes: int = MAX_FRAME_BYTES,
+        large: LargeFrameReader | None = None,
+    ) -> None:
         """Initialize an empty buffer."""
         self.max_bytes = max_bytes
         self.received = bytearray()
         self.latest = HybridTime(0, 0)
+        self.large = large
+        self.blocked = False
 
     def feed(self, chunk: bytes) -> list[Frame]:
         """Append a chunk and return the frames that it completes.
@@ -246,24 +273,57 @@
         Raises:
             LinkError: If a frame is too large or can't be decoded.
         """
-        self.received += chunk
         frames: list[Frame] = []
+        self.received += self._fill_large(chunk, frames)
+        self.blocked = False
         position = 0
         latest = self.latest.wall_ns, self.latest.count
         while len(self.received) - position >= HEADER.size:
             length, *sent_at = HEADER.unpack_from(self.received, position)
             if length > self.max_bytes:
-                raise LinkError('frame is too large', step='receive')
+                self._check_blocked(frames)
+                break
             start = position + HEADER.size
-            if len(self.received) < start + length:
+            end = self._take_frame(start, length, frames)
+            if not end:
                 break
-            frames.append(_decode(bytes(self.received[start : start + length])))
             latest = max(latest, tuple(sent_at))
-            position = start + length
+            position = end
         self.latest = HybridTime(*latest)
         del self.received[:position]
         return frames
 
+    def _check_blocked(self, frames: list[Frame]) -> None:
+        self.blocked = bool(frames)
+        if not frames:
+            raise LinkError('frame is too large', step='receive')
+
+    def _take_frame(self, start: int, length: int, frames: list[Frame]) -> int:
+        """Return the position behind a frame, 0 if it has to be completed."""
+        end = start + length
+        if end <= len(self.received):
+            frames.append(_decode(bytes(self.received[start:end])))
+            return end
+        if self.large is None or not self.large.start(length):
+            return 0
+        self.large.append(bytes(self.received[start:]))
+        return len(self.received)
+
+    def _fill_large(self, chunk: bytes, frames: list[Frame]) -> bytes:
+        """Add to the large frame, if any, and return the bytes behind it."""
+        large = self.large
+        if large is None or not large.missing_bytes():
+            return chunk
+        missing = large.missing_bytes()
+        if len(chunk) < missing:
+            large.append(chunk)
+            return b''
+        large.append(memoryview(chunk)[:missing])
+        frame = large.finish()
+        if frame is not None:
+            frames.append(frame)
+        return chunk[missing:]
+
 
 def _decode(payload: bytes) -> Frame:
     try:
--- a/burdocklead/connection/http_client.py
+++ b/burdocklead/connection/http_client.py
@@ -19,6 +19,7 @@
 )
 from burdocklead.connection.frames import Headers
 from burdocklead.connection.http_messages import find_header
+from burdocklead.memory.budget import MemoryBudget
 
 TCP_USER_TIMEOUT_MS = 1500  # Loopback ACKs are immediate unless the VM pauses.
 KEEP_ALIVE_MARGIN_S = 1.0  # An upstream may close slightly early.
@@ -71,12 +72,14 @@
         idle_timeout_s: Idle time in seconds after which it is not reused.
     """
 
-    def __init__(self, limits: AnswerLimits) -> None:
+    def __init__(
+        self, limits: AnswerLimits, budget: MemoryBudget | None = None
+    ) -> None:
         """Initialize a connection that is not open yet."""
         self.limits = limits
         self.loop = asyncio.get_running_loop()
         self.transport: asyncio.Transport | None = None
-        self.reader = AnswerReader(self, limits)
+        self.reader = AnswerReader(self, limits, budget)
         self.waiter: asyncio.Future[ExchangeResult] | None = None
         self.exchange_count = 0
         self.idle_since = self.loop.time()
@@ -119,6 +122,16 @@
         )
         self.abort()
 
+    def pause_body(self) -> None:
+        """Leave the rest of a body unread."""
+        if self.transport is not None:
+            self.transport.pause_reading()
+
+    def resume_body(self) -> None:
+        """Read the rest of a body."""
+        if self.transport is not None:
+            self.transport.resume_reading()
+
     async def exchange(self, request: UpstreamRequest) -> ExchangeResult:
         """Send one request and return the result.
 
@@ -131,6 +144,8 @@
         self.reader.start(request, is_first=not self.exchange_count)
         self.waiter = self.loop.create_future()
         self.transport.write(request.content)
+        if request.body:
+            self.transport.write(request.body)
         try:
             return await self.waiter
         except asyncio.CancelledError:
@@ -157,6 +172,7 @@
 
     def _end_exchange(self) -> None:
         self.waiter = None
+        self.reader.drop()
         self.exchange_count += 1
         self.idle_since = self.loop.time()
         unsent = self.transport and self.transport.get_write_buffer_size()
--- a/burdocklead/connection/http_messages.py
+++ b/burdocklead/connection/http_messages.py
@@ -66,11 +66,18 @@
     method: str, target: str, headers: Headers, body: bytes
 ) -> bytes:
     """Return an encoded request with a Content-Length if one is needed."""
+    return encode_request_head(method, target, headers, len(body)) + body
+
+
+def encode_request_head(
+    method: str, target: str, headers: Headers, body_bytes: int
+) -> bytes:
+    """Return the encoded head of a request with a body of a size."""
     lines = [f'{method} {target} HTTP/1.1']
     lines.extend(f'{name}: {text}' for name, text in headers)
-    if body or method in {'POST', 'PUT', 'PATCH'}:
-        lines.append(f'Content-Length: {len(body)}')
-    return _encode_head(lines) + body
+    if body_bytes or method in {'POST', 'PUT', 'PATCH'}:
+        lines.append(f'Content-Length: {body_bytes}')
+    return _encode_head(lines)
 
 
 def encode_response(
@@ -78,6 +85,22 @@
 ) -> bytes:
     """Return an encoded response.
 
+    Args:
+        response: The response.
+        close: True to add ``Connection: close``.
+        head_only: True for the response to a HEAD request.
+    """
+    head = encode_response_head(response, close=close, head_only=head_only)
+    if head_only or response.status in NO_BODY_STATUSES:
+        return head
+    return head + response.body
+
+
+def encode_response_head(
+    response: HttpResponse, *, close: bool, head_only: bool
+) -> bytes:
+    """Return the encoded head of a response.
+
     Args:
         response: The response.
         close: True to add ``Connection: close``.
@@ -86,13 +109,11 @@
     phrase = _reason_phrase(response.status)
     lines = [f'HTTP/1.1 {response.status} {phrase}']
     lines.extend(f'{name}: {text}' for name, text in response.headers)
-    has_no_body = response.status in NO_BODY_STATUSES
-    if not has_no_body and not head_only:
+    if response.status not in NO_BODY_STATUSES and not head_only:
         lines.append(f'Content-Length: {len(response.body)}')
     if close:
         lines.append('Connection: close')
-    head = _encode_head(lines)
-    return head if has_no_body or head_only else head + response.body
+    return _encode_head(lines)
 
 
 def _encode_head(lines: list[str]) -> bytes:
--- a/burdocklead/connection/http_server.py
+++ b/burdocklead/connection/http_server.py
@@ -15,16 +15,23 @@
 
 from burdocklead.connection.buffered_connection import BufferedConnection
 from burdocklead.connection.http_messages import (
+    NO_BODY_STATUSES,
     HttpRequest,
     HttpResponse,
     encode_response,
+    encode_response_head,
 )
 from burdocklead.connection.listen_socket import (
     accept_last,
     open_listen_socket,
 )
+from burdocklead.connection.request_memory import NO_MEMORY
 from burdocklead.connection.request_reader import RequestReader, ServerLimits
+from burdocklead.connection.response_memory import ResponseMemory
 from burdocklead.log_events import REQUEST_FAILED, REQUEST_REFUSED
+from burdocklead.memory.budget import SMALL_BYTES, MemoryBudget, Shed, Use
+from burdocklead.memory.process_limits import PortLimits
+from burdocklead.memory.shed_log import record_shed
 from burdocklead.values import Address
 
 SWEEP_INTERVAL_S = 0.25
@@ -33,7 +40,8 @@
 # The event loop polls for received bytes in the first iteration and has passed
 # them to the connections by the end of the second.
 ITERATIONS_TO_READ = 2
-LISTEN_BACKLOG = 1024  # A full accept queue delays clients by seconds.
+CALL_BYTES = 4096  # Objects of a call besides its text.
+ANY_PORT = PortLimits()
 INTERNAL_ERROR = HttpResponse(500)
 CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 
@@ -49,12 +57,14 @@
         response: The response, None while the handler runs.
         task: Runs the handler, None for a response without a handler.
         last: True if the client asked to close the connection afterwards.
+        held_bytes: Bytes reserved for it, without large bodies.
     """
 
     method: str = ''
     response: HttpResponse | None = None
     task: asyncio.Task[None] | None = None
     last: bool = False
+    held_bytes: int = 0
 
     def ends_connection(self) -> bool:
         """Return True if the connection closes after the response."""
@@ -71,27 +81,36 @@
         last_activity: Loop time in seconds of the last byte of a request or
             of a response.
         stopped: True if no more requests are read.
+        memory: Memory of the connection and of unread responses.
     """
 
     def __init__(self, server: HttpServer) -> None:
         """Initialize a connection that is not open yet."""
         super().__init__()
         self.server = server
-        self.reader = RequestReader(self, lambda: server.limits)
+        self.budget = server.budget
+        self.reader = RequestReader(self, lambda: server.limits, self.budget)
         self.exchanges: deque[Exchange] = deque()
         self.last_activity = self.loop.time()
         self.stopped = False
+        self.memory = ResponseMemory(self.budget)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport and register the connection."""
         super().connection_made(transport)
-        self.server.add_connection(self)
+        if self.memory.open():
+            self.server.add_connection(self)
+        else:
+            record_shed(self.budget, Shed.connection)
+            self.abort()
 
     def connection_lost(self, error: Exception | None) -> None:
         """Cancel the pending requests."""
         self.transport = None
         self.server.connections.discard(self)
+        self.reader.drop()
         self._cancel_pending()
+        self.memory.close()
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes."""
@@ -105,7 +124,12 @@
         if self.stopped:
             return
         last = last or self.server.draining
-        exchange = Exchange(request.method, last=last)
+        size = CALL_BYTES + self.reader.memory.completed_bytes
+        if not self.budget.try_add_small(Use.calls, size):
+            record_shed(self.budget, Shed.small)
+            self.refuse(NO_MEMORY)
+            return
+        exchange = Exchange(request.method, last=last, held_bytes=size)
         self.exchanges.append(exchange)
         self.stopped = last
         exchange.task = self.loop.create_task(self._run(request, exchange))
@@ -118,7 +142,7 @@
             return
         self.server.count_refused(response.status, self.reader.parse_error)
         self.stopped = True
-        self.reader.partial = None
+        self.reader.drop()
         self.exchanges.append(Exchange(response=response))
         self._write_ready()
 
@@ -135,9 +159,18 @@
         if idle_s > idle_timeout_s:
             self.close_if_idle()
         self.abort_if_stalled(now, idle_timeout_s)
+        if self.transport is None:
+            return
+        unsent_bytes = self.transport.get_write_buffer_size()
+        self.memory.hold_unsent(unsent_bytes)
+        if self.memory.is_too_slow(now, unsent_bytes, self.unsent_since):
+            record_shed(self.budget, Shed.slow_reader)
+            self.abort()
 
     def may_read(self) -> bool:
         """Return True unless too many requests are pending."""
+        if self.reader.memory.waiting is not None:
+            return False
         return len(self.exchanges) < MAX_PIPELINED
 
     def is_working(self) -> bool:
@@ -157,6 +190,9 @@
         except Exception:
             REQUEST_FAILED.write(target=request.target, exc_info=True)
             response = INTERNAL_ERROR
+        if len(response.body) <= SMALL_BYTES:
+            exchange.held_bytes += len(response.body)
+            self.budget.add(Use.calls, len(response.body))
         exchange.response = response
         self._write_ready()
 
@@ -166,23 +202,33 @@
             exchange = self.exchanges.popleft()
             closes = exchange.ends_connection()
             self._write(exchange, closes=closes)
+            self.budget.free(Use.calls, exchange.held_bytes)
             if closes:
                 self._cancel_pending()
                 self._lingering_close()
                 return
+        if not self.exchanges:
+            self.reader.memory.resume_deferred()
         self.resume_reading()
 
     def _write(self, exchange: Exchange, *, closes: bool) -> None:
         if self.transport is None or exchange.response is None:
             return
         self.last_activity = self.loop.time()
-        self.transport.write(
-            encode_response(
-                exchange.response,
-                close=closes,
-                head_only=exchange.method == 'HEAD',
+        response = exchange.response
+        head_only = exchange.method == 'HEAD'
+        if len(response.body) <= SMALL_BYTES:
+            self.transport.write(
+                encode_response(response, close=closes, head_only=head_only)
             )
+            return
+        self.transport.write(
+            encode_response_head(response, close=closes, head_only=head_only)
         )
+        if not head_only and response.status not in NO_BODY_STATUSES:
+            # Without a copy, the body keeps its reservation until it is sent.
+            self.transport.write(response.body)
+            self.memory.record_large(len(response.body), self.last_activity)
 
     def _lingering_close(self) -> None:
         """Send EOF, and close once the client has closed or LINGER_S passed.
@@ -192,6 +238,8 @@
         """
         self.stopped = True
         if self.transport is not None:
+            # What the client still sends of a body that was left unread.
+            self.transport.resume_reading()
             self.transport.write_eof()
             self.loop.call_later(LINGER_S, self.close)
 
@@ -199,6 +247,7 @@
         for exchange in self.exchanges:
             if exchange.task is not None:
                 exchange.task.cancel()
+            self.budget.free(Use.calls, exchange.held_bytes)
         self.exchanges.clear()
 
 
@@ -215,10 +264,19 @@
         bad_requests: Number of requests that could not be read.
         shed_connections: Number of connections closed because too many were
             open.
+        budget: Memory of the process for all connections.
+        ports: Limits on the number of connections.
     """
 
-    def __init__(self, handler: RequestHandler) -> None:
+    def __init__(
+        self,
+        handler: RequestHandler,
+        budget: MemoryBudget | None = None,
+        ports: PortLimits = ANY_PORT,
+    ) -> None:
         """Initialize a server that does not listen yet."""
+        self.budget = budget or MemoryBudget()
+        self.ports = ports
         self.handler = handler
         self.limits = ServerLimits()
         self.connections: set[HttpConnection] = set()
@@ -232,11 +290,11 @@
     async def start(self, address: Address) -> Address:
         """Start to listen and return the address with the actual port."""
         loop = asyncio.get_running_loop()
-        self.listen_socket = open_listen_socket(address, LISTEN_BACKLOG)
+        self.listen_socket = open_listen_socket(address, self.ports.backlog)
         self.listener = await loop.create_server(
             self._create_connection,
             sock=self.listen_socket,
-            backlog=LISTEN_BACKLOG,
+            backlog=self.ports.backlog,
         )
         self.sweeper = loop.create_task(self._sweep_forever())
         port = self.listen_socket.getsockname()[1]
@@ -251,7 +309,8 @@
         The new connection is closed if no other one is idle.
         """
         self.connections.add(connection)
-        if len(self.connections) <= self.limits.max_connections:
+        most = min(self.limits.max_connections, self.ports.max_connections)
+        if len(self.connections) <= most:
             return
         idle = (one for one in self.connections if not one.is_working())
         self.shed_connections += 1
@@ -330,4 +389,4 @@
     if connection.exchanges and not connection.stopped:
         connection.exchanges[-1].last = True
         connection.stopped = True
-        connection.reader.partial = None
+        connection.reader.drop()
--- a/burdocklead/connection/link_identity.py
+++ b/burdocklead/connection/link_identity.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import ssl
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import msgspec
 
@@ -11,6 +11,8 @@
 from burdocklead.connection.cluster_key import new_nonce
 from burdocklead.connection.frames import Hello, Proof, Welcome
 from burdocklead.connection.peer_credentials import PeerCredentials
+from burdocklead.memory.budget import BudgetLimits, MemoryBudget
+from burdocklead.settings import DaemonSettings
 
 SERVER_ROLE = b'welcome'
 CLIENT_ROLE = b'proof'
@@ -24,11 +26,13 @@
         hello: ID and incarnation of this daemon.
         credentials: Cluster key and TLS files.
         clock: Hybrid clock for the timestamps of frames.
+        budget: Memory for large frames.
     """
 
     hello: Hello
     credentials: PeerCredentials
     clock: HybridClock
+    budget: MemoryBudget = field(default_factory=MemoryBudget)
 
     def client_tls(self) -> ssl.SSLContext | None:
         """Return the TLS context for opening links, None for plain TCP."""
@@ -79,6 +83,18 @@
         )
 
 
+def create_identity(
+    settings: DaemonSettings,
+    incarnation: int,
+    credentials: PeerCredentials,
+    clock: HybridClock,
+) -> LinkIdentity:
+    """Return the identity of a daemon with these settings."""
+    budget = MemoryBudget(BudgetLimits(settings.memory_budget))
+    hello = Hello(settings.daemon_id, incarnation)
+    return LinkIdentity(hello, credentials, clock, budget)
+
+
 def _transcript(hello: Hello, welcome: Welcome) -> list[bytes]:
     return [
         hello.nonce,
--- a/burdocklead/connection/link_server.py
+++ b/burdocklead/connection/link_server.py
@@ -32,6 +32,9 @@
 from burdocklead.values import Address, CrashReport, LoadReport
 
 HANDSHAKE_LIMIT_S = 2.0
+HANDSHAKE_FRAME_BYTES = 65536  # Of a peer that has proved nothing.
+SPARE_HANDSHAKES = 16
+LISTEN_BACKLOG = 100
 SWEEP_INTERVAL_S = 5.0
 IDLE_FACTOR = 2
 FLUSH_LIMIT_S = 2.0
@@ -122,6 +125,7 @@
             address.host,
             address.port,
             ssl=self.identity.server_tls(),
+            backlog=min(LISTEN_BACKLOG, self.settings.max_links),
         )
         self.sweeper = asyncio.create_task(self._sweep_forever())
         port = self.server.sockets[0].getsockname()[1]
@@ -152,9 +156,12 @@
             self._receive,
             self._on_close,
             self.identity.clock,
-            self.settings.max_frame_bytes(),
+            HANDSHAKE_FRAME_BYTES,
+            self.identity.budget,
         )
         self.peers[protocol] = Peer()
+        if len(self.peers) > self.settings.max_links + SPARE_HANDSHAKES:
+            asyncio.get_running_loop().call_soon(self._end_unproven, protocol)
         asyncio.get_running_loop().call_later(
             HANDSHAKE_LIMIT_S, self._end_unproven, protocol
         )
@@ -197,6 +204,7 @@
                 )
                 self._end_unproven(protocol)
                 if peer.proven:
+                    protocol.buffer.max_bytes = self.settings.max_frame_bytes()
                     self.events.record(
                         EventKind.link_opened, peer=peer.hello.daemon_id
                     )
--- a/burdocklead/connection/peer_link.py
+++ b/burdocklead/connection/peer_link.py
@@ -24,6 +24,7 @@
     Verdict,
     Welcome,
 )
+from burdocklead.connection.large_frames import UNKNOWN_LOAD
 from burdocklead.connection.link_identity import LinkIdentity
 from burdocklead.connection.link_monitor import LinkMonitor
 from burdocklead.connection.tls import PEER_NAME
@@ -232,6 +233,7 @@
                 self._on_close,
                 self.identity.clock,
                 self.settings.max_frame_bytes(),
+                self.identity.budget,
             ),
             self.address.host,
             self.address.port,
@@ -248,7 +250,8 @@
     def _receive(self, protocol: FrameProtocol, frame: Frame) -> None:
         match frame:
             case Answer() | Refusal() | Lost():
-                self.on_load(self.daemon_id, frame.load)
+                if frame.load != UNKNOWN_LOAD:
+                    self.on_load(self.daemon_id, frame.load)
                 if not self.results.resolve(frame.attempt_id, frame):
                     self.metrics.count(LATE_RESULTS)
             case Verdict():
--- a/burdocklead/connection/request_reader.py
+++ b/burdocklead/connection/request_reader.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import Protocol
 
 import httptools
@@ -14,13 +14,19 @@
     HttpRequest,
     HttpResponse,
 )
+from burdocklead.connection.request_memory import (
+    HEADER_TIMEOUT,
+    MemorySink,
+    PartialRequest,
+    RequestMemory,
+)
+from burdocklead.memory.budget import MemoryBudget
 
 SEPARATOR_BYTES = 4  # Colon, space and CRLF of a header.
 # A chunk of one byte takes five bytes of framing.
 FRAMING_BYTES_PER_BODY_BYTE = 8
 REQUEST_LINE_BYTES = 1024  # Method, version and line ends.
 BAD_REQUEST = HttpResponse(400, close=True)
-HEADER_TIMEOUT = HttpResponse(408, close=True)
 BODY_TOO_LARGE = HttpResponse(413, close=True)
 HEADERS_TOO_LARGE = HttpResponse(431, close=True)
 
@@ -50,36 +56,12 @@
     min_body_rate: float = 1000
 
 
-class RequestSink(Protocol):
+class RequestSink(MemorySink, Protocol):
     """Receives the requests and errors of a reader."""
 
     def handle_request(self, request: HttpRequest, *, last: bool) -> None:
         """Process a complete request; none follows the last one."""
 
-    def refuse(self, response: HttpResponse) -> None:
-        """Reject a request that can't be read, and stop reading."""
-
-    def send_continue(self) -> None:
-        """Send ``100 Continue`` to a client that waits for it."""
-
-
-@dataclass(slots=True)
-class PartialRequest:
-    """A request that is being received.
-
-    Attributes:
-        started: Loop time in s of its first byte.
-        body_started: Loop time in s at which its headers were complete.
-    """
-
-    started: float
-    body_started: float = 0
-    target: bytearray = field(default_factory=bytearray)
-    headers: list[tuple[str, str]] = field(default_factory=list)
-    body: list[bytes] = field(default_factory=list)
-    header_bytes: int = 0
-    body_bytes: int = 0
-
 
 class RequestReader:
     """Parses a byte stream into requests; implements the parser's callbacks.
@@ -92,10 +74,14 @@
         completed: Number of complete requests.
         unfinished_bytes: Bytes received since the last complete request.
         parse_error: Error of the parser, empty if there was none.
+        memory: Reserves memory for what has been received.
     """
 
     def __init__(
-        self, sink: RequestSink, limits: Callable[[], ServerLimits]
+        self,
+        sink: RequestSink,
+        limits: Callable[[], ServerLimits],
+        budget: MemoryBudget,
     ) -> None:
         """Initialize a reader; requires a running event loop."""
         self.sink = sink
@@ -107,6 +93,7 @@
         self.completed = 0
         self.unfinished_bytes = 0
         self.parse_error = ''
+        self.memory = RequestMemory(sink, budget)
 
     def feed(self, data: bytes) -> None:
         """Parse received bytes, which may complete several requests."""
@@ -122,6 +109,7 @@
         if self.completed == completed:
             self.unfinished_bytes += len(data)
             self._limit_overhead()
+            self.memory.hold_unfinished(self.partial)
         else:
             self.unfinished_bytes = 0
 
@@ -134,11 +122,20 @@
         """
         if self.partial is None:
             return
+        idle_s = min(idle_s, now - self.partial.started_reading())
+        if self.memory.check_body(self.partial, now, idle_s):
+            return
         waited_s = now - self.partial.started if self.in_headers else idle_s
         too_slow = not self.in_headers and self._is_body_slow(now)
         if too_slow or waited_s > self.limits().header_timeout_s:
             self.sink.refuse(HEADER_TIMEOUT)
 
+    def drop(self) -> None:
+        """Drop the request that is being read."""
+        if self.partial is not None:
+            self.memory.drop(self.partial)
+        self.partial = None
+
     def on_message_begin(self) -> None:
         """Start a new request."""
         self.partial = PartialRequest(self.loop.time())
@@ -164,23 +161,25 @@
         self.in_headers = False
         if self.partial is None:
             return
-        self.partial.body_started = self.loop.time()
-        expects_continue = False
-        for name, text in self.partial.headers:
+        partial = self.partial
+        partial.body_started = self.loop.time()
+        for name, text in partial.headers:
             lower_name = name.lower()
             if lower_name == 'expect':
-                expects_continue = True
+                partial.expects_continue = True
             elif lower_name == 'content-length' and text.isdecimal():
-                self._check_body_size(int(text))
-        if expects_continue and self.partial is not None:
-            self.sink.send_continue()
+                partial.length = int(text)
+                self._check_body_size(partial.length)
+        if self.partial is not None:
+            self.memory.start_body(partial)
 
     def on_body(self, chunk: bytes) -> None:
         """Add a chunk of the body."""
-        if self.partial is not None:
-            self.partial.body.append(chunk)
-            self.partial.body_bytes += len(chunk)
-            self._check_body_size(self.partial.body_bytes)
+        partial = self.partial
+        if partial is None:
+            return
+        self.memory.add_chunk(partial, chunk)
+        self._check_body_size(partial.body_bytes)
 
     def on_message_complete(self) -> None:
         """Pass the complete request to the sink."""
@@ -189,11 +188,12 @@
         self.completed += 1
         if partial is None:
             return
+        body = self.memory.finish(partial)
         request = HttpRequest(
             self.parser.get_method().decode(ENCODING),
             partial.target.decode(ENCODING),
             tuple(partial.headers),
-            b''.join(partial.body),
+            body,
             partial.started,
         )
         self.sink.handle_request(
--- a/burdocklead/log_events.py
+++ b/burdocklead/log_events.py
@@ -36,7 +36,7 @@
     'leaving': 'replica that leaves the set, empty if none',
     'limit_s': 'time limit in s',
     'load_age_ms': 'age of the last load report of the upstream in ms',
-    'number': 'number of a heartbeat',
+    'number': 'number of a heartbeat; number of times so far',
     'operation': 'operation that an operator requested',
     'outcome': 'answered, not-run, unknown; of attempts answer, refusal, lost',
     'pace': 'service time at the upstream as a multiple of the usual one',
@@ -370,6 +370,14 @@
     'an unexpected error ends a request',
     'target',
 )
+MEMORY_SHED = _declare(
+    'memory shed',
+    'memory',
+    Level.warning,
+    'the memory budget makes a process refuse a request, skip a frame or '
+    'close a connection; at most one line a second for each cause',
+    'cause number',
+)
 REQUEST_REFUSED = _declare(
     'request refused',
     'http-server',
--- /dev/null
+++ b/burdocklead/memory/__init__.py
@@ -0,0 +1,1 @@
+"""Memory of a process that clients, peers and upstreams can take."""
--- a/burdocklead/metrics.py
+++ b/burdocklead/metrics.py
@@ -124,6 +124,18 @@
     'Load signals found dead under traffic.',
     'reason',
 )
+MEMORY_RESERVED = _gauge(
+    'memory_reserved_bytes', 'Bytes reserved in the memory budget.', 'use'
+)
+MEMORY_BUDGET = _gauge('memory_budget_bytes', 'The memory budget.')
+MEMORY_WAITING = _gauge(
+    'memory_waiting', 'Bodies left unread until there is memory.', 'use'
+)
+MEMORY_SHED_COUNT = _counter(
+    'memory_shed',
+    'Requests refused, frames skipped and connections closed for memory.',
+    'cause',
+)
 VERSION = _gauge('version_in_force', 'Configuration version in force.')
 
 SeriesKey = tuple[Metric, tuple[str, ...]]
--- a/burdocklead/process/control_replica.py
+++ b/burdocklead/process/control_replica.py
@@ -40,6 +40,7 @@
 from burdocklead.events import EventKind, EventRing
 from burdocklead.exceptions import ControlError
 from burdocklead.log_events import LEASE_RAN_OUT, VERSION_ACCEPTED
+from burdocklead.memory.budget import BudgetLimits, MemoryBudget
 from burdocklead.metrics import MetricSet
 from burdocklead.process.membership import MembershipView
 from burdocklead.process.operator_drains import OperatorDrains
@@ -71,6 +72,7 @@
         self.credentials = load_peer_credentials(settings)
         self.events = EventRing(settings.replica_id, self.clock)
         self.metrics = MetricSet()
+        self.budget = MemoryBudget(BudgetLimits(settings.memory_budget))
         self.registers = RegisterService(settings, self.credentials)
         self.members = MembershipView(
             settings.replica_id, time.time_ns(), settings.member_lease
--- a/burdocklead/process/daemon_components.py
+++ b/burdocklead/process/daemon_components.py
@@ -7,11 +7,11 @@
 
 from burdocklead.clock import HybridClock
 from burdocklead.connection.control_client import FailoverControlClient
-from burdocklead.connection.frames import Hello
-from burdocklead.connection.link_identity import LinkIdentity
+from burdocklead.connection.link_identity import create_identity
 from burdocklead.connection.link_server import LinkServer
 from burdocklead.connection.peer_credentials import load_peer_credentials
 from burdocklead.events import EventKind, EventRing
+from burdocklead.memory.budget import MemoryBudget
 from burdocklead.metrics import SIGNAL_DEAD, MetricSet
 from burdocklead.process.directory import DaemonDirectory
 from burdocklead.request.attempt_telemetry import AttemptTelemetry
@@ -49,10 +49,8 @@
         )
         self.credentials = load_peer_credentials(settings)
         self.control = FailoverControlClient(settings.control, self.credentials)
-        identity = LinkIdentity(
-            Hello(settings.daemon_id, self.incarnation),
-            self.credentials,
-            self.clock,
+        identity = create_identity(
+            settings, self.incarnation, self.credentials, self.clock
         )
         self.directory = DaemonDirectory(
             settings,
@@ -90,6 +88,11 @@
             self.executor, identity, settings, self.metrics, self.events
         )
 
+    @property
+    def budget(self) -> MemoryBudget:
+        """Return the memory budget of the process."""
+        return self.links.identity.budget
+
     def crash_limits(self) -> Crashes:
         """Return the crash limits of the configuration in force."""
         deployment = self.directory.deployment()
--- a/burdocklead/process/daemon_measurements.py
+++ b/burdocklead/process/daemon_measurements.py
@@ -17,6 +17,7 @@
 from burdocklead.process.measurements import (
     measure_control_traffic,
     measure_members,
+    measure_memory,
 )
 from burdocklead.request.dispatch import Dispatcher
 
@@ -52,3 +53,4 @@
     )
     measure_control_traffic(components.metrics, components.control.clients)
     measure_upstream(components.metrics, local_member)
+    measure_memory(components.metrics, components.budget)
--- a/burdocklead/process/daemon_process.py
+++ b/burdocklead/process/daemon_process.py
@@ -88,7 +88,9 @@
         )
         lifecycle.watch_signals()
         self.components.executor.client = PooledUpstreamClient(
-            BurdockleadDialect(), answer_limits(self.components.settings)
+            BurdockleadDialect(),
+            answer_limits(self.components.settings),
+            self.components.budget,
         )
         servers = await self._start_servers(caller_handler)
         supervisor = watch_process(self.components.metrics, lifecycle)
--- a/burdocklead/process/host_routing_daemon.py
+++ b/burdocklead/process/host_routing_daemon.py
@@ -79,7 +79,9 @@
         """Listen on all addresses."""
         settings = self.options.settings
         client = PooledUpstreamClient(
-            self.options.upstream_dialect, answer_limits(settings)
+            self.options.upstream_dialect,
+            answer_limits(settings),
+            self.components.budget,
         )
         UpstreamHealth(self.components, client).start()
         self.components.dispatcher.shared_budget = SharedRetryBudget(
@@ -97,7 +99,9 @@
             self.components.metrics,
             random.Random(self.components.incarnation),
         )
-        self.caller_server = HttpServer(handler.handle)
+        self.caller_server = HttpServer(
+            handler.handle, self.components.budget, self.options.caller_ports
+        )
         callers = await self.caller_server.start(settings.listen)
         self.local_member = self._create_local_member(
             settings.link_advertise or link, callers
--- a/burdocklead/process/host_routing_options.py
+++ b/burdocklead/process/host_routing_options.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass
 
+from burdocklead.memory.process_limits import PortLimits
 from burdocklead.request.dialect import CallerDialect, UpstreamDialect
 from burdocklead.request.shared_budget import RetryLimit
 from burdocklead.settings import DaemonSettings
@@ -35,6 +36,7 @@
         retry_limit: Limit on the retries of all daemons together.
         stop_times: Times of a graceful stop.
         metrics_listen: Listen address for metrics, None to serve none.
+        caller_ports: Limits on the connections of callers.
     """
 
     settings: DaemonSettings
@@ -43,3 +45,4 @@
     retry_limit: RetryLimit
     stop_times: StopTimes
     metrics_listen: Address | None = None
+    caller_ports: PortLimits = PortLimits()
--- a/burdocklead/process/measurements.py
+++ b/burdocklead/process/measurements.py
@@ -6,12 +6,17 @@
 
 from burdocklead.connection.control_client import ControlClient
 from burdocklead.events import EventRing
+from burdocklead.memory.budget import MemoryBudget
 from burdocklead.metrics import (
     CLOCK_IGNORED,
     CONTROL_BYTES,
     CONTROL_MESSAGES,
     EVENTS_OVERWRITTEN,
     MEMBERS,
+    MEMORY_BUDGET,
+    MEMORY_RESERVED,
+    MEMORY_SHED_COUNT,
+    MEMORY_WAITING,
     MetricSet,
 )
 from burdocklead.values import Member
@@ -23,6 +28,17 @@
     metrics.set(CLOCK_IGNORED, events.clock.ignored)
 
 
+def measure_memory(metrics: MetricSet, budget: MemoryBudget) -> None:
+    """Update the metrics of the memory budget."""
+    metrics.set(MEMORY_BUDGET, budget.limits.total_bytes)
+    metrics.set(MEMORY_WAITING, len(budget.answers), 'answers')
+    metrics.set(MEMORY_WAITING, len(budget.requests), 'requests')
+    for use, reserved in budget.by_use.items():
+        metrics.set(MEMORY_RESERVED, reserved, use.value)
+    for reason, count in budget.shed.items():
+        metrics.set(MEMORY_SHED_COUNT, count, reason.value)
+
+
 def measure_control_traffic(
     metrics: MetricSet, clients: Iterable[ControlClient]
 ) -> None:
--- a/burdocklead/process/metrics_http.py
+++ b/burdocklead/process/metrics_http.py
@@ -7,13 +7,18 @@
 
 from burdocklead.connection.http_messages import HttpRequest, HttpResponse
 from burdocklead.connection.http_server import HttpServer
+from burdocklead.connection.request_reader import ServerLimits
 from burdocklead.events import EventRing
 from burdocklead.log_events import METRICS_NOT_SERVED
+from burdocklead.memory.process_limits import PortLimits
 from burdocklead.metrics import READY, MetricSet
 from burdocklead.process.measurements import measure_events
 from burdocklead.values import Address
 
 METRICS_PATH = '/metrics'
+# Scrapes are small and come from few clients.
+PORTS = PortLimits(max_connections=32, backlog=32)
+LIMITS = ServerLimits(max_body_bytes=65536)
 NOT_FOUND = HttpResponse(404)
 
 
@@ -67,7 +72,8 @@
 
     The process serves calls even without metrics.
     """
-    server = HttpServer(MetricsHandler(source).handle)
+    server = HttpServer(MetricsHandler(source).handle, ports=PORTS)
+    server.limits = LIMITS
     try:
         await server.start(address)
     except OSError as error:
--- a/burdocklead/process/replica_measurements.py
+++ b/burdocklead/process/replica_measurements.py
@@ -13,6 +13,7 @@
 from burdocklead.process.measurements import (
     measure_control_traffic,
     measure_members,
+    measure_memory,
 )
 
 MAX_QUORUM_AGE_S = 1e9
@@ -23,6 +24,7 @@
     metrics.set(VERSION, replica.file.version)
     metrics.set(QUORUM_AGE, min(replica.quorum_age(), MAX_QUORUM_AGE_S))
     measure_members(metrics, replica.members.live())
+    measure_memory(metrics, replica.budget)
     measure_control_traffic(metrics, replica.registers.clients.values())
     metrics.set(STORE_SYNCS, replica.registers.store.syncs)
     metrics.set(STORE_BYTES, replica.registers.store.bytes_written)
--- a/burdocklead/request/call_response.py
+++ b/burdocklead/request/call_response.py
@@ -22,7 +22,7 @@
     Only an answered call has the upstream's body.
     """
     if result.outcome is Outcome.answered:
-        response = web.Response(body=result.body, status=result.status)
+        response = web.Response(body=bytes(result.body), status=result.status)
         response.headers.popall(CONTENT_TYPE, None)
     else:
         response = web.Response(
--- a/burdocklead/request/keyed_call.py
+++ b/burdocklead/request/keyed_call.py
@@ -193,7 +193,7 @@
     def _stored_answer(self, answer: Answer) -> StoredAnswer:
         if len(answer.body) > self.answer_limit():
             return StoredAnswer(answer.status, (), b'', kept=False)
-        return StoredAnswer(answer.status, answer.headers, answer.body)
+        return StoredAnswer(answer.status, answer.headers, bytes(answer.body))
 
     async def _result_of_existing(
         self, call: Call, existing: Claim
--- a/burdocklead/request/pooled_upstream.py
+++ b/burdocklead/request/pooled_upstream.py
@@ -18,7 +18,11 @@
     NotConnected,
     OversizedAnswer,
 )
-from burdocklead.connection.http_messages import encode_request
+from burdocklead.connection.http_messages import (
+    encode_request,
+    encode_request_head,
+)
+from burdocklead.memory.budget import SMALL_BYTES, MemoryBudget
 from burdocklead.request.dialect import UpstreamDialect
 from burdocklead.request.upstream_client import (
     AnswerTooLarge,
@@ -63,10 +67,15 @@
             every connection that closes without an answer counts as a crash.
     """
 
-    def __init__(self, dialect: UpstreamDialect, limits: AnswerLimits) -> None:
+    def __init__(
+        self,
+        dialect: UpstreamDialect,
+        limits: AnswerLimits,
+        budget: MemoryBudget | None = None,
+    ) -> None:
         """Initialize the client without connections."""
         self.dialect = dialect
-        self.pool = ConnectionPool(limits)
+        self.pool = ConnectionPool(limits, budget)
         self.health_pool = ConnectionPool(
             replace(limits, max_body_bytes=MAX_HEALTH_ANSWER_BYTES)
         )
@@ -85,18 +94,9 @@
 
         Cancelling this coroutine aborts the request.
         """
-        content = encode_request(
-            attempt.method,
-            attempt.path,
-            self.dialect.request_headers(upstream, attempt, remaining_ms),
-            attempt.body,
-        )
-        answer_id = self.dialect.answer_id(attempt)
         result = await self.pool.exchange(
             upstream.address,
-            UpstreamRequest(
-                attempt.method, content, answer_id, self.dialect.read_answer_id
-            ),
+            self._create_request(upstream, attempt, remaining_ms),
         )
         match result:
             case RawAnswer():
@@ -130,6 +130,25 @@
         if load is not None:
             self.pace.observe(load, asyncio.get_running_loop().time())
 
+    def _create_request(
+        self, upstream: Upstream, attempt: Attempt, remaining_ms: float
+    ) -> UpstreamRequest:
+        """Encode a request; a large body is not copied behind the head."""
+        content = encode_request_head(
+            attempt.method,
+            attempt.path,
+            self.dialect.request_headers(upstream, attempt, remaining_ms),
+            len(attempt.body),
+        )
+        large = len(attempt.body) > SMALL_BYTES
+        return UpstreamRequest(
+            attempt.method,
+            content if large else content + attempt.body,
+            self.dialect.answer_id(attempt),
+            self.dialect.read_answer_id,
+            attempt.body if large else b'',
+        )
+
     def _read_answer(
         self, attempt: Attempt, answer: RawAnswer
     ) -> UpstreamResult:
--- a/burdocklead/settings.py
+++ b/burdocklead/settings.py
@@ -49,6 +49,12 @@
         '',
         'file to which the addresses are written once the process serves',
     )
+    memory_budget: int = option(
+        Number(16 * MEBIBYTE, 1048576 * MEBIBYTE, whole=True),
+        '268435456',
+        'most bytes that the process holds for calls, bodies, answers and '
+        'connections; large bodies then wait unread or are refused',
+    )
     log_form: str = option(Choice(LOG_FORMS), 'text', 'format of log lines')
     log_level: str = option(Choice(LOG_LEVELS), 'info', 'lowest log level')
 
