--- a/burdocklead/connection/http_server.py
+++ b/burdocklead/connection/http_server.py
@@ -29,7 +29,7 @@
 from burdocklead.connection.request_reader import RequestReader, ServerLimits
 from burdocklead.connection.response_memory import ResponseMemory
 from burdocklead.log_events import REQUEST_FAILED, REQUEST_REFUSED
-from burdocklead.memory.budget import SMALL_BYTES, MemoryBudget, Shed, Use
+from burdocklead.memory.budget import SMALL_BYTES, MemoryBudget, Shed
 from burdocklead.memory.process_limits import PortLimits
 from burdocklead.memory.shed_log import record_shed
 from burdocklead.values import Address
@@ -125,7 +125,7 @@
             return
         last = last or self.server.draining
         size = CALL_BYTES + self.reader.memory.completed_bytes
-        if not self.budget.try_add_small(Use.calls, size):
+        if not self.budget.try_add_call(size):
             record_shed(self.budget, Shed.small)
             self.refuse(NO_MEMORY)
             return
@@ -192,7 +192,7 @@
             response = INTERNAL_ERROR
         if len(response.body) <= SMALL_BYTES:
             exchange.held_bytes += len(response.body)
-            self.budget.add(Use.calls, len(response.body))
+            self.budget.add_call(len(response.body))
         exchange.response = response
         self._write_ready()
 
@@ -202,12 +202,12 @@
             exchange = self.exchanges.popleft()
             closes = exchange.ends_connection()
             self._write(exchange, closes=closes)
-            self.budget.free(Use.calls, exchange.held_bytes)
+            self.budget.free_call(exchange.held_bytes)
             if closes:
                 self._cancel_pending()
                 self._lingering_close()
                 return
-        if not self.exchanges:
+        if self.reader.memory.waiting is not None and not self.exchanges:
             self.reader.memory.resume_deferred()
         self.resume_reading()
 
@@ -247,7 +247,7 @@
         for exchange in self.exchanges:
             if exchange.task is not None:
                 exchange.task.cancel()
-            self.budget.free(Use.calls, exchange.held_bytes)
+            self.budget.free_call(exchange.held_bytes)
         self.exchanges.clear()
 
 
--- a/burdocklead/connection/request_memory.py
+++ b/burdocklead/connection/request_memory.py
@@ -119,7 +119,8 @@
 
     def finish(self, partial: PartialRequest) -> bytes:
         """Return the body of a complete request."""
-        self.budget.free(Use.calls, partial.held_bytes)
+        if partial.held_bytes:
+            self.budget.free_call(partial.held_bytes)
         self.completed_bytes = partial.small_bytes()
         if partial.large is None:
             return b''.join(partial.body)
@@ -131,7 +132,7 @@
 
     def drop(self, partial: PartialRequest) -> None:
         """Return the memory of an incomplete request."""
-        self.budget.free(Use.calls, partial.held_bytes)
+        self.budget.free_call(partial.held_bytes)
         partial.held_bytes = 0
         if partial.large is not None:
             partial.large.drop()
@@ -143,7 +144,7 @@
         if partial is None:
             return
         growth = partial.small_bytes() - partial.held_bytes
-        if self.budget.try_add_small(Use.calls, growth):
+        if self.budget.try_add_call(growth):
             partial.held_bytes += growth
         else:
             self._shed(Shed.small, NO_MEMORY)
--- a/burdocklead/memory/budget.py
+++ b/burdocklead/memory/budget.py
@@ -24,7 +24,6 @@
     """What reserved memory holds."""
 
     connections = 'connections'
-    calls = 'calls'
     requests = 'requests'
     frames = 'frames'
     answers = 'answers'
@@ -98,7 +97,8 @@
     Attributes:
         limits: The limits.
         reserved: Reserved bytes in all.
-        by_use: Reserved bytes of each use.
+        calls: Reserved bytes of calls, without large bodies.
+        by_use: Reserved bytes of each other use.
         answers: Answers that wait for room, oldest first.
         requests: Requests that wait for room, oldest first.
         shed: Refusals and closed connections by reason.
@@ -107,6 +107,7 @@
 
     limits: BudgetLimits = field(default_factory=BudgetLimits)
     reserved: int = 0
+    calls: int = 0
     by_use: dict[Use, int] = field(
         default_factory=lambda: dict.fromkeys(Use, 0)
     )
@@ -127,12 +128,35 @@
 
     def try_add_small(self, use: Use, size: int) -> bool:
         """Reserve bytes for a small use, which may take the reserve."""
+        if self.reserved + size > self.limits.total_bytes:
+            return False
+        self.add(use, size)
+        return True
+
+    def try_add_call(self, size: int) -> bool:
+        """Reserve bytes for a call, which may take the reserve.
+
+        Calls have a count of their own: the hash of an enumeration member
+        takes as long as the rest of this.
+        """
         if self.reserved + size > self.limits.total_bytes:
             return False
         self.reserved += size
-        self.by_use[use] += size
+        self.calls += size
         return True
 
+    def add_call(self, size: int) -> None:
+        """Reserve bytes that a call holds already."""
+        self.reserved += size
+        self.calls += size
+
+    def free_call(self, size: int) -> None:
+        """Return the bytes of a call."""
+        self.reserved -= size
+        self.calls -= size
+        if self.answers or self.requests:
+            self._grant_waiting()
+
     def add(self, use: Use, size: int) -> None:
         """Reserve bytes that are held already."""
         self.reserved += size
@@ -143,9 +167,7 @@
         self.reserved -= size
         self.by_use[use] -= size
         if self.answers or self.requests:
-            self._grant(self.answers)
-            if not self.answers:
-                self._grant(self.requests)
+            self._grant_waiting()
 
     def wait(self, waiter: Waiter) -> bool:
         """Queue for room; return False if it can't be waited for."""
@@ -189,6 +211,11 @@
     def _queue_of(self, waiter: Waiter) -> deque[Waiter]:
         return self.answers if waiter.use is Use.answers else self.requests
 
+    def _grant_waiting(self) -> None:
+        self._grant(self.answers)
+        if not self.answers:
+            self._grant(self.requests)
+
     def _grant(self, queue: deque[Waiter]) -> None:
         while queue and self._has_room(queue[0].use, queue[0].size):
             waiter = queue.popleft()
--- a/burdocklead/process/measurements.py
+++ b/burdocklead/process/measurements.py
@@ -33,6 +33,7 @@
     metrics.set(MEMORY_BUDGET, budget.limits.total_bytes)
     metrics.set(MEMORY_WAITING, len(budget.answers), 'answers')
     metrics.set(MEMORY_WAITING, len(budget.requests), 'requests')
+    metrics.set(MEMORY_RESERVED, budget.calls, 'calls')
     for use, reserved in budget.by_use.items():
         metrics.set(MEMORY_RESERVED, reserved, use.value)
     for reason, count in budget.shed.items():
