--- a/burdocklead/process/control_replica.py
+++ b/burdocklead/process/control_replica.py
@@ -43,6 +43,7 @@
 from burdocklead.events import EventKind, EventRing
 from burdocklead.exceptions import ControlError
 from burdocklead.log_events import LEASE_RAN_OUT, VERSION_ACCEPTED
+from burdocklead.memory.budget import BudgetLimits, MemoryBudget
 from burdocklead.metrics import MetricSet
 from burdocklead.process.membership import MembershipView
 from burdocklead.process.operator_drains import OperatorDrains
@@ -61,8 +62,6 @@
     Attributes:
         file: Newest configuration file known to be accepted.
         grants: Grants calls of teams while this replica holds the lease.
-        is_settled: True once this replica knows all daemons that run: a lease
-            after its start, or once it heard from a replica that does.
         exchange_requested: Set to run an exchange with the other replicas at
             once.
     """
@@ -74,6 +73,7 @@
         self.credentials = load_peer_credentials(settings)
         self.events = EventRing(settings.replica_id, self.clock)
         self.metrics = MetricSet()
+        self.budget = MemoryBudget(BudgetLimits(settings.memory_budget))
         self.registers = RegisterService(settings, self.credentials)
         self.members = MembershipView(
             settings.replica_id, time.time_ns(), settings.member_lease
@@ -85,13 +85,12 @@
             self.registers,
             self.members,
             self.events,
-            is_settled=lambda: self.is_settled,
+            is_settled=lambda: self.members.is_settled,
             on_accepted=self.exchange_requested.set,
         )
         self.grants = create_grant_service(
             settings, self.registers, lambda: self.file, self.metrics
         )
-        self.is_settled = False
         self.set_manager = ReplicaSetManager(self.registers, {})
         self.registers.proposer.all_reachable = self.all_peers_responsive
 
@@ -234,7 +233,7 @@
                 expire_from = now + self.settings.member_lease
             last = now
             if now >= expire_from:
-                self.is_settled = True
+                self.members.is_settled = True
                 self._expire(now)
             await asyncio.sleep(self.settings.exchange_interval)
 
@@ -285,7 +284,7 @@
             time=self.clock.issue(),
             replica_set=replica_set if newer_set else None,
             drains=self.drains.current,
-            is_settled=self.is_settled,
+            is_settled=self.members.is_settled,
             evacuations=self.evacuations.current,
         )
 
--- a/burdocklead/process/membership.py
+++ b/burdocklead/process/membership.py
@@ -49,6 +49,7 @@
         lease: Time in s without heartbeats after which a daemon is gone.
         records: Records by daemon.
         last_change: Number of the last change.
+        is_settled: True once the replica has had time to hear all daemons.
     """
 
     replica_id: str
@@ -56,6 +57,7 @@
     lease: float
     records: dict[str, MemberRecord] = field(default_factory=dict)
     last_change: int = 0
+    is_settled: bool = False
 
     @property
     def cursor(self) -> Cursor:
--- a/burdocklead/process/replica_exchange.py
+++ b/burdocklead/process/replica_exchange.py
@@ -99,7 +99,7 @@
         sender = reply.cursor.replica_id
         self.replica.members.merge(reply.updates, now, sender)
         self.replica.members.renew_leases(sender, now)
-        self.replica.is_settled |= reply.is_settled
+        self.replica.members.is_settled |= reply.is_settled
         self.replica.drains.learn(reply.drains)
         self.replica.evacuations.learn(reply.evacuations)
         if reply.file is not None:
