--- a/tests/steps/team_steps.py
+++ b/tests/steps/team_steps.py
@@ -6,11 +6,12 @@
 import random
 from types import SimpleNamespace
 
+import logbook
 from behave import given, then, when
 
 from burdocklead.connection.frames import Attempt
 from burdocklead.connection.http_messages import HttpRequest
-from burdocklead.metrics import MetricSet
+from burdocklead.metrics import TEAM_CALLS, MetricSet
 from burdocklead.process.host_routing_handler import HostRoutingHandler
 from burdocklead.request.call import not_run
 from burdocklead.request.headers import header_values
@@ -18,7 +19,8 @@
 from burdocklead.request.work_limit import WorkLimit
 from burdocklead.teams.current_keys import CurrentKeys
 from burdocklead.teams.key_index import KeyIndex
-from burdocklead.values import Address, RefusalCause
+from burdocklead.teams.team_metrics import TeamMetrics
+from burdocklead.values import Address, Outcome, RefusalCause
 from burdocklead.version.deployment import Deployment, Service, Team
 from burdocklead.version.route_table import RouteTable
 from tests.steps.host_route_steps import host_route
@@ -127,7 +129,9 @@
         )
         return await context.handler.handle(request)
 
-    context.response = asyncio.run(handle())
+    with logbook.TestHandler() as log:
+        context.response = asyncio.run(handle())
+    context.log_lines = [record.kwargs for record in log.records]
 
 
 def _only_call(context):
@@ -212,3 +216,61 @@
     """Search all headers for a text."""
     headers = _headers_at_upstream(context)
     assert text not in str(headers), headers
+
+
+@then('the log line of the call has the team "{team}" and no "{key}"')
+def check_logged_team(context, team, key):
+    """Check the only log line."""
+    line = context.log_lines[-1]
+    assert line['team'] == team, line
+    assert key not in str(line), line
+
+
+@then('the log line of the call has no team and no "{key}"')
+def check_logged_no_team(context, key):
+    """Check the only log line."""
+    line = context.log_lines[-1]
+    assert line['cause'] == RefusalCause.unknown_api_key.value, line
+    assert 'team' not in line, line
+    assert key not in str(line), line
+
+
+@given('the metrics of calls by team')
+def create_team_metrics(context):
+    """Create metrics without calls."""
+    context.team_metrics = TeamMetrics(MetricSet())
+
+
+@when('each of {count:d} teams has {calls:d} calls answered, and then again')
+def count_team_calls(context, count, calls):
+    """Count calls in two rounds."""
+    for _ in range(2):
+        for number in range(count):
+            for _ in range(calls):
+                context.team_metrics.count(f'team-{number}', Outcome.answered)
+
+
+def _team_counts(context):
+    counts = context.team_metrics.metrics.counts
+    return {
+        labels[0]: amount
+        for (metric, labels), amount in counts.items()
+        if metric is TEAM_CALLS
+    }
+
+
+@then('the metrics have {labels:d} teams and {calls:d} calls')
+def check_team_counts(context, labels, calls):
+    """Compare the number of label values and the sum of the calls."""
+    counts = _team_counts(context)
+    assert len(counts) == labels, len(counts)
+    assert sum(counts.values()) == calls, counts
+    assert counts['team-0'] == 4, counts
+
+
+@then('a call without a team is not counted')
+def check_uncounted(context):
+    """Count a call without a team."""
+    before = _team_counts(context)
+    context.team_metrics.count('', Outcome.answered)
+    assert _team_counts(context) == before
--- a/tests/teams/authentication.feature
+++ b/tests/teams/authentication.feature
@@ -65,3 +65,22 @@
       | 0         | 0    |
       | 5         | 5    |
       | none      | 3    |
+
+  # Guards against refusals that can't be traced to a team, and against log lines
+  # that change for calls without one.
+  Scenario Outline: The log line of a call without an answer names its team
+    Given a daemon whose configuration has a team "blue" with the keys "k-1" and "k-2"
+    When a call to the open route arrives with "X-Api-Key: <key>"
+    Then the log line of the call has <team> and no "<key>"
+
+    Examples:
+      | key  | team            |
+      | k-1  | the team "blue" |
+      | k-91 | no team         |
+
+  # Guards against metrics that grow with each team of each version.
+  Scenario: Calls are counted for at most 128 teams
+    Given the metrics of calls by team
+    When each of 300 teams has 2 calls answered, and then again
+    Then the metrics have 128 teams and 1200 calls
+    And a call without a team is not counted
