Answer 503 instead of 401 and 404 on daemons that may lack the newest version

A daemon that is cut off from control refused calls with keys and routes that a newer version allows, with the statuses that tell a client not to try again.

With teams configured, a daemon that has heard from no quorum of control for 2 s refuses such calls as not run with unsure-configuration (503) and a Retry-After. Deployments without teams are answered as before.

--- a/burdocklead/process/caller_handler.py
+++ b/burdocklead/process/caller_handler.py
@@ -29,7 +29,11 @@
 from burdocklead.request.dispatch import Dispatcher
 from burdocklead.request.headers import forwarded_headers
 from burdocklead.request.keyed_call import KeyedCalls
-from burdocklead.teams.authentication import IdentifiedCall, identify_call
+from burdocklead.teams.authentication import (
+    IdentifiedCall,
+    identify_call,
+    sure_refusal,
+)
 from burdocklead.teams.team_metrics import TeamMetrics
 from burdocklead.values import Outcome, RefusalCause
 from burdocklead.version.route_table import RouteMatch
@@ -129,7 +133,9 @@
             self.team_metrics.count(call.team, result.outcome)
             return result
         except CallerInputError as error:
-            return not_run(error.cause, error.reason)
+            now = asyncio.get_running_loop().time()
+            refusal = sure_refusal(error, self.directory.keys, now)
+            return not_run(refusal.cause, refusal.reason)
         except Exception:
             self.metrics.count(INTERNAL_ERRORS)
             CALL_FAILED.write(call=call_id, exc_info=True)
--- a/burdocklead/process/control_agent.py
+++ b/burdocklead/process/control_agent.py
@@ -27,6 +27,7 @@
 CATCH_UP_INTERVAL_S = 0.1
 # Other daemons and their upstreams announce themselves within this time.
 CATCH_UP_S = 3.0
+MS_PER_S = 1000
 
 
 class ControlAgent:
@@ -94,6 +95,7 @@
             self.known_epoch,
         )
         client = self.control.client
+        sent_at = asyncio.get_running_loop().time()
         try:
             reply = await client.request(message, self._timeout_s())
         except ControlError as error:
@@ -107,6 +109,9 @@
         if reply.quorum_age_ms > QUORUM_AGE_LIMIT_MS:
             self._leave_replica(client.name, 'cut off from its quorum')
             return
+        # The replica had heard of newer versions from a quorum by then.
+        quorum_age_s = reply.quorum_age_ms / MS_PER_S
+        self.directory.keys.confirmed_at = sent_at - quorum_age_s
         self._apply_reply(reply)
 
     def _apply_reply(self, reply: HeartbeatReply) -> None:
--- a/burdocklead/process/host_routing_handler.py
+++ b/burdocklead/process/host_routing_handler.py
@@ -26,7 +26,11 @@
     NOT_READY_RETRY_AFTER_S,
     jittered_retry_after_s,
 )
-from burdocklead.teams.authentication import IdentifiedCall, identify_call
+from burdocklead.teams.authentication import (
+    IdentifiedCall,
+    identify_call,
+    sure_refusal,
+)
 from burdocklead.teams.team_metrics import TeamMetrics
 from burdocklead.values import Outcome, RefusalCause
 from burdocklead.version.route_table import RouteMatch
@@ -38,6 +42,7 @@
 RETRY_WAITS_S = MappingProxyType(
     {
         RefusalCause.no_configuration: NOT_READY_RETRY_AFTER_S,
+        RefusalCause.unsure_configuration: NOT_READY_RETRY_AFTER_S,
         RefusalCause.draining: 0,
     }
 )
@@ -95,8 +100,10 @@
         self, error: CallerInputError, options: CallOptions
     ) -> CallResult:
         """Return the result of a call that was refused before its dispatch."""
-        result = not_run(error.cause, error.reason)
-        wait_s = RETRY_WAITS_S.get(error.cause)
+        now = asyncio.get_running_loop().time()
+        refusal = sure_refusal(error, self.directory.keys, now)
+        result = not_run(refusal.cause, refusal.reason)
+        wait_s = RETRY_WAITS_S.get(refusal.cause)
         if wait_s is None:
             return result
         retry_after_s = jittered_retry_after_s(
--- a/burdocklead/teams/authentication.py
+++ b/burdocklead/teams/authentication.py
@@ -8,11 +8,20 @@
 from burdocklead.connection.frames import Headers
 from burdocklead.request.caller_input import CallerInputError
 from burdocklead.request.dialect import CallerDialect
+from burdocklead.teams.current_keys import CurrentKeys
 from burdocklead.teams.key_index import KeyIndex, KeyOwner
 from burdocklead.teams.key_proof import KeyProof
 from burdocklead.values import RefusalCause
 from burdocklead.version.route_table import RouteMatch
 
+UNSURE_CAUSES = frozenset(
+    (
+        RefusalCause.unknown_api_key,
+        RefusalCause.unknown_route,
+        RefusalCause.unknown_service,
+    )
+)
+
 
 @dataclass(frozen=True, slots=True)
 class IdentifiedCall:
@@ -86,5 +95,24 @@
     return owner
 
 
+def sure_refusal(
+    error: CallerInputError, keys: CurrentKeys, now: float
+) -> CallerInputError:
+    """Return why a call is refused, as far as this daemon can be sure of it.
+
+    The newest version may allow a call that a daemon cut off from control
+    refuses for its key or its route.
+
+    Args:
+        error: Why the version in force refuses the call.
+        keys: Keys of that version.
+        now: Loop time in s.
+    """
+    if error.cause in UNSURE_CAUSES and keys.is_unsure(now):
+        reason = 'this daemon may not have the newest configuration'
+        return CallerInputError(RefusalCause.unsure_configuration, reason)
+    return error
+
+
 def _refusal(reason: str) -> CallerInputError:
     return CallerInputError(RefusalCause.unknown_api_key, reason)
--- a/burdocklead/teams/current_keys.py
+++ b/burdocklead/teams/current_keys.py
@@ -2,11 +2,16 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 
 from burdocklead.teams.key_index import KeyIndex
 from burdocklead.teams.key_proof import KeyProof
 
+# A daemon that heard from a quorum within this time has the versions that were
+# accepted before; twice the longest heartbeat and exchange in normal operation.
+MAX_UNSURE_S = 2.0
+
 
 @dataclass(slots=True)
 class CurrentKeys:
@@ -14,9 +19,16 @@
 
     Attributes:
         index: The keys, None without a configuration.
+        confirmed_at: Loop time in s at which a quorum of control had no newer
+            configuration.
     """
 
     index: KeyIndex | None = None
+    confirmed_at: float = -math.inf
+
+    def is_unsure(self, now: float) -> bool:
+        """Return True if a newer version may have been accepted long ago."""
+        return self.is_enforced() and now - self.confirmed_at > MAX_UNSURE_S
 
     def is_enforced(self) -> bool:
         """Return True if callers send API keys."""
--- a/burdocklead/values.py
+++ b/burdocklead/values.py
@@ -67,6 +67,7 @@
     overloaded = 'overloaded'
     not_at_once = 'not-at-once'
     unknown_api_key = 'unknown-api-key'
+    unsure_configuration = 'unsure-configuration'
     team_limit = 'team-limit'
     cold_upstream = 'cold-upstream'
     zone_evacuated = 'zone-evacuated'
--- a/tests/steps/team_platform_steps.py
+++ b/tests/steps/team_platform_steps.py
@@ -30,6 +30,7 @@
 
 TIMEOUT_MS = 8000
 TIMEOUT_S = 10
+UNAVAILABLE = 503
 DAEMONS = (FIRST_DAEMON, FIRST_DAEMON + 1)
 
 
@@ -114,10 +115,21 @@
 
 def _send_patch(context, version, name, keys):
     patch = {'version': version, 'upsert': {'resources': [_team(name, keys)]}}
-    answer = context.platform.call_operator_api(
-        'config.patch', patch, version - 1
-    )
-    return answer.status_code
+    statuses = []
+
+    def is_answered():
+        # The replica may be starting, which leaves the patch undecided.
+        try:
+            answer = context.platform.call_operator_api(
+                'config.patch', patch, version - 1
+            )
+        except requests.RequestException:
+            return False
+        statuses.append(answer.status_code)
+        return answer.status_code != UNAVAILABLE
+
+    wait_until(is_answered, 'the patch is decided')
+    return statuses[-1]
 
 
 @then(
--- a/tests/steps/team_steps.py
+++ b/tests/steps/team_steps.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+import time
 from types import SimpleNamespace
 
 import logbook
@@ -27,7 +28,11 @@
 from tests.steps.platform_modules import import_platform_module
 
 HOST = 'sheets.example'
-PATHS = {'the keyed': '/keyed/7', 'the open': '/open/7'}
+PATHS = {
+    'the keyed': '/keyed/7',
+    'the open': '/open/7',
+    'an unknown': '/other/7',
+}
 
 
 def deployment_with_teams(teams, version=5):
@@ -62,7 +67,8 @@
 
 
 def _start_handler(context, deployment):
-    keys = CurrentKeys(KeyIndex(deployment) if deployment else None)
+    index = KeyIndex(deployment) if deployment else None
+    keys = CurrentKeys(index, confirmed_at=time.monotonic())
     directory = SimpleNamespace(
         table=RouteTable(deployment) if deployment else None,
         keys=keys,
@@ -163,6 +169,8 @@
     status, cause = {
         'unauthorized': (401, b'unknown-api-key'),
         'not configured': (503, b'no-configuration'),
+        'unsure': (503, b'unsure-configuration'),
+        'not routed': (404, b'unknown-route'),
     }[reason]
     response = context.response
     assert not context.dispatcher.calls
@@ -274,3 +282,9 @@
     before = _team_counts(context)
     context.team_metrics.count('', Outcome.answered)
     assert _team_counts(context) == before
+
+
+@given('a quorum of control confirmed the configuration {age:f} s ago')
+def set_confirmation(context, age):
+    """Set the time of the last confirmation."""
+    context.handler.directory.keys.confirmed_at = time.monotonic() - age
--- a/tests/teams/authentication.feature
+++ b/tests/teams/authentication.feature
@@ -84,3 +84,20 @@
     When each of 300 teams has 2 calls answered, and then again
     Then the metrics have 128 teams and 1200 calls
     And a call without a team is not counted
+
+  # Guards against refusals of calls that the newest version allows, by a daemon
+  # that is cut off from control and doesn't have it.
+  Scenario Outline: A daemon that is cut off from control doesn't refuse calls for good
+    Given a daemon whose configuration has <teams>
+    And a quorum of control confirmed the configuration <age> s ago
+    When a call to <route> route arrives with "X-Api-Key: <key>"
+    Then the call is <decision>
+
+    Examples:
+      | teams                                        | age  | route      | key | decision                |
+      | a team "blue" with the keys "k-1" and "k-2"  | 1.0  | the keyed  | k-9 | refused as unauthorized |
+      | a team "blue" with the keys "k-1" and "k-2"  | 1.0  | an unknown | k-1 | refused as not routed   |
+      | a team "blue" with the keys "k-1" and "k-2"  | 2.5  | the keyed  | k-9 | refused as unsure       |
+      | a team "blue" with the keys "k-1" and "k-2"  | 2.5  | an unknown | k-1 | refused as unsure       |
+      | a team "blue" with the keys "k-1" and "k-2"  | 2.5  | the keyed  | k-1 | of the team "blue"      |
+      | no teams                                     | 99.0 | an unknown | k-1 | refused as not routed   |
--- a/tests/teams/platform_processes.feature
+++ b/tests/teams/platform_processes.feature
@@ -31,6 +31,10 @@
     And the metrics of VM 20 contain "burdocklead_team_calls_total{outcome="answered",team="blue"}"
     And no log and no metric contains "sEcret"
     And explain lists the cause "unknown-api-key" and prints no "sEcret"
+    When the replicas of the set are killed
+    Then after 4 s a request to "/view/7" at daemon 21 is answered 200
+    And a call with the key "sEcret-2" to "/keyed/7" at daemon 20 is answered 200
+    And a call with the key "sEcret-1" to "/keyed/7" at daemon 20 is answered 503
 
   # Guards against a call that is sent after its key was removed, and a call that
   # runs but is answered like one that didn't.
