--- a/tests/steps/team_steps.py
+++ b/tests/steps/team_steps.py
@@ -4,13 +4,15 @@
 
 import asyncio
 import random
+import time
 from types import SimpleNamespace
 
+import logbook
 from behave import given, then, when
 
 from burdocklead.connection.frames import Attempt
 from burdocklead.connection.http_messages import HttpRequest
-from burdocklead.metrics import MetricSet
+from burdocklead.metrics import TEAM_CALLS, MetricSet
 from burdocklead.process.host_routing_handler import HostRoutingHandler
 from burdocklead.request.call import not_run
 from burdocklead.request.headers import header_values
@@ -18,14 +20,19 @@
 from burdocklead.request.work_limit import WorkLimit
 from burdocklead.teams.current_keys import CurrentKeys
 from burdocklead.teams.key_index import KeyIndex
-from burdocklead.values import Address, RefusalCause
+from burdocklead.teams.team_metrics import TeamMetrics
+from burdocklead.values import Address, Outcome, RefusalCause
 from burdocklead.version.deployment import Deployment, Service, Team
 from burdocklead.version.route_table import RouteTable
 from tests.steps.host_route_steps import host_route
 from tests.steps.platform_modules import import_platform_module
 
 HOST = 'sheets.example'
-PATHS = {'the keyed': '/keyed/7', 'the open': '/open/7'}
+PATHS = {
+    'the keyed': '/keyed/7',
+    'the open': '/open/7',
+    'an unknown': '/other/7',
+}
 
 
 def deployment_with_teams(teams, version=5):
@@ -60,7 +67,8 @@
 
 
 def _start_handler(context, deployment):
-    keys = CurrentKeys(KeyIndex(deployment) if deployment else None)
+    index = KeyIndex(deployment) if deployment else None
+    keys = CurrentKeys(index, confirmed_at=time.monotonic())
     directory = SimpleNamespace(
         table=RouteTable(deployment) if deployment else None,
         keys=keys,
@@ -127,7 +135,9 @@
         )
         return await context.handler.handle(request)
 
-    context.response = asyncio.run(handle())
+    with logbook.TestHandler() as log:
+        context.response = asyncio.run(handle())
+    context.log_lines = [record.kwargs for record in log.records]
 
 
 def _only_call(context):
@@ -159,6 +169,8 @@
     status, cause = {
         'unauthorized': (401, b'unknown-api-key'),
         'not configured': (503, b'no-configuration'),
+        'unsure': (503, b'unsure-configuration'),
+        'not routed': (404, b'unknown-route'),
     }[reason]
     response = context.response
     assert not context.dispatcher.calls
@@ -212,3 +224,67 @@
     """Search all headers for a text."""
     headers = _headers_at_upstream(context)
     assert text not in str(headers), headers
+
+
+@then('the log line of the call has the team "{team}" and no "{key}"')
+def check_logged_team(context, team, key):
+    """Check the only log line."""
+    line = context.log_lines[-1]
+    assert line['team'] == team, line
+    assert key not in str(line), line
+
+
+@then('the log line of the call has no team and no "{key}"')
+def check_logged_no_team(context, key):
+    """Check the only log line."""
+    line = context.log_lines[-1]
+    assert line['cause'] == RefusalCause.unknown_api_key.value, line
+    assert 'team' not in line, line
+    assert key not in str(line), line
+
+
+@given('the metrics of calls by team')
+def create_team_metrics(context):
+    """Create metrics without calls."""
+    context.team_metrics = TeamMetrics(MetricSet())
+
+
+@when('each of {count:d} teams has {calls:d} calls answered, and then again')
+def count_team_calls(context, count, calls):
+    """Count calls in two rounds."""
+    for _ in range(2):
+        for number in range(count):
+            for _ in range(calls):
+                context.team_metrics.count(f'team-{number}', Outcome.answered)
+
+
+def _team_counts(context):
+    counts = context.team_metrics.metrics.counts
+    return {
+        labels[0]: amount
+        for (metric, labels), amount in counts.items()
+        if metric is TEAM_CALLS
+    }
+
+
+@then('the metrics have {labels:d} teams and {calls:d} calls')
+def check_team_counts(context, labels, calls):
+    """Compare the number of label values and the sum of the calls."""
+    counts = _team_counts(context)
+    assert len(counts) == labels, len(counts)
+    assert sum(counts.values()) == calls, counts
+    assert counts['team-0'] == 4, counts
+
+
+@then('a call without a team is not counted')
+def check_uncounted(context):
+    """Count a call without a team."""
+    before = _team_counts(context)
+    context.team_metrics.count('', Outcome.answered)
+    assert _team_counts(context) == before
+
+
+@given('a quorum of control confirmed the configuration {age:f} s ago')
+def set_confirmation(context, age):
+    """Set the time of the last confirmation."""
+    context.handler.directory.keys.confirmed_at = time.monotonic() - age
