--- a/devtools/fuzz/allowance_system.py
+++ b/devtools/fuzz/allowance_system.py
@@ -33,6 +33,7 @@
 CHECK_S = 0.1
 MAX_LATE_S = 2.0
 REGISTER_S = 0.06
+LOSS_RATE = 0.5  # Of the changes of a replica without a quorum.
 STALE_RATE = 0.2  # Of the looks at a replica's own store.
 
 Limits = Mapping[str, TeamLimit]
@@ -332,7 +333,7 @@
             now,
             applies_at + late_s,
             applies_at + late_s + self.rng.uniform(0, REGISTER_S),
-            lost=is_cut and self.rng.random() < 0.5,
+            lost=is_cut and self.rng.random() < LOSS_RATE,
             unheard=is_cut,
         )
 
