Return the memory of a request once its exchange ends

An idle connection to the upstream kept the last request, and with it up to 64 MiB of its body: the next large frame was refused.

The clients of tests/memory now send an ID, as their calls were answered 504 for the lack of it. Crowd and bounds are as before.

--- a/burdocklead/connection/http_client.py
+++ b/burdocklead/connection/http_client.py
@@ -8,7 +8,7 @@
 
 import asyncio
 import socket
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import cast
 
 from burdocklead.connection.answer_reader import (
@@ -173,6 +173,9 @@
     def _end_exchange(self) -> None:
         self.waiter = None
         self.reader.drop()
+        if self.reader.request.body:
+            # The connection may be idle for long; it must not keep the body.
+            self.reader.request = replace(self.reader.request, body=b'')
         self.exchange_count += 1
         self.idle_since = self.loop.time()
         unsent = self.transport and self.transport.get_write_buffer_size()
--- a/tests/steps/memory_steps.py
+++ b/tests/steps/memory_steps.py
@@ -33,6 +33,7 @@
 BYTES_PER_MB = 1000000
 PIECE = b'z' * 65536
 SLOTS = 12
+CLIENT_PORT = 'CLIENT-PORT'  # Replaced, so that each call has its own ID.
 TIMEOUT_MS = 8000
 SEND_TIMEOUT_S = 4
 SETTLE_S = 1
@@ -185,7 +186,7 @@
     head = _head(port, 'Transfer-Encoding: chunked')
 
     def send(client):
-        client.sendall(head)
+        _send_head(client, head)
         for _ in range(size * MEBIBYTE // len(PIECE)):
             client.sendall(chunk)
 
@@ -202,7 +203,7 @@
 
     def ask(client):
         client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65536)
-        client.sendall(head)
+        _send_head(client, head)
         left = size * KIBIBYTE
         while left > 0:
             data = client.recv(min(left, KIBIBYTE))
@@ -273,6 +274,7 @@
     _, target, host = TARGETS[port]
     return (
         f'{method} {path or target} HTTP/1.1\r\nHost: {host}\r\n'
+        f'X-Attempt-Id: memory-{CLIENT_PORT}\r\n'
         f'X-Timeout-Remaining: {TIMEOUT_MS}\r\nIf-Match: 3\r\n'
         f'{framing}\r\n\r\n'
     ).encode()
@@ -285,8 +287,13 @@
     return ip, PORTS[TARGETS[port][0]]
 
 
+def _send_head(client, head):
+    port = str(client.getsockname()[1])
+    client.sendall(head.replace(CLIENT_PORT.encode(), port.encode()))
+
+
 def _send_pieces(head, size, client):
-    client.sendall(head)
+    _send_head(client, head)
     for start in range(0, size, len(PIECE)):
         client.sendall(PIECE[: size - start])
 
