--- a/tests/platform/stand_in.py
+++ b/tests/platform/stand_in.py
@@ -51,6 +51,8 @@
 class StandInUpstream:
     """Echoes the ID of each request and records the requests."""
 
+    slots = 4
+
     def __init__(self, ip, service, instance):
         """Create an upstream that does not listen yet."""
         self.ip = ip
@@ -58,7 +60,6 @@
         self.instance = instance
         self.state = 'ready'
         self.work_ms = 0
-        self.slots = 4
         self.load = '0,0,4,100'
         self.cold_ms = None
         self.cold_header = None
