--- a/burdocklead/request/execution.py
+++ b/burdocklead/request/execution.py
@@ -340,6 +340,7 @@
         # A cold upstream may not take the call when its turn comes.
         may_queue=attempt.may_queue and not access.is_cold(now),
         nested=attempt.nested,
+        team=attempt.team,
     )
 
 
