Let calls wait for a grant as long as its reply can be used

Before fallback begins, nothing but the lease holder can admit such a call.

Change: a call waits 0.3 s, the lifetime of a grant.

--- a/burdocklead/allowance/limits.py
+++ b/burdocklead/allowance/limits.py
@@ -52,7 +52,7 @@
     lease_s: float = 3
     renewal_s: float = 1
     max_grant_s: float = 0.3
-    grant_wait_s: float = 0.15
+    grant_wait_s: float = 0.3
     fallback_after_s: float = 1.2
     reserve_after_s: float = 1.0
     keepalive_s: float = 0.3
