Give the directory of the heartbeat test the keys that the agent confirms

The stub of the directory had no keys, so that the first reply to a heartbeat ended the agent of the test. The step now also checks that a reply confirms the configuration.

--- a/tests/steps/heartbeat_steps.py
+++ b/tests/steps/heartbeat_steps.py
@@ -26,6 +26,7 @@
 from burdocklead.process.daemon_components import DaemonComponents
 from burdocklead.process.replica_exchange import ReplicaExchange
 from burdocklead.settings import ControlSettings, DaemonSettings
+from burdocklead.teams.current_keys import CurrentKeys
 from burdocklead.values import Address, Member
 
 MS_PER_S = 1000
@@ -94,7 +95,9 @@
     async def run():
         local = ChangingMember()
         directory = SimpleNamespace(
-            version=1, apply_updates=lambda updates, **flags: None
+            version=1,
+            apply_updates=lambda updates, **flags: None,
+            keys=CurrentKeys(),
         )
         agent = ControlAgent(
             context.replica, local, directory, HybridClock(), context.interval
@@ -106,6 +109,8 @@
         local.changed.set()
         await asyncio.sleep(context.replica.delay * 6)
         task.cancel()
+        age = asyncio.get_running_loop().time() - directory.keys.confirmed_at
+        assert age < context.replica.delay * 8, age
 
     asyncio.run(run())
 
