--- a/burdocklead/connection/answer_reader.py
+++ b/burdocklead/connection/answer_reader.py
@@ -8,7 +8,7 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import Protocol
 
 import httptools
@@ -20,6 +20,10 @@
     NO_BODY_STATUSES,
     find_header,
 )
+from burdocklead.connection.partial_answer import (
+    PIECE_BYTES,
+    PartialAnswer,
+)
 from burdocklead.memory.body_intake import BodyIntake, IntakeState
 from burdocklead.memory.budget import SMALL_BYTES, MemoryBudget, Use
 
@@ -92,34 +96,6 @@
     body: bytes
 
 
-@dataclass(slots=True)
-class PartialAnswer:
-    """An answer that is being received.
-
-    Attributes:
-        started: Loop time in s of its first byte, later of its body.
-        foreign: True if it belongs to another request; its body is dropped.
-        in_body: True once its headers are complete.
-        large: Its body if that is large, None otherwise.
-    """
-
-    started: float
-    status: int = 0
-    headers: list[tuple[str, str]] = field(default_factory=list)
-    body: bytearray = field(default_factory=bytearray)
-    foreign: bool = False
-    in_body: bool = False
-    large: BodyIntake | None = None
-
-    def add(self, chunk: bytes) -> bool:
-        """Add a chunk of the body; return False if there is no room."""
-        if self.large is not None:
-            return self.large.append(chunk)
-        if not self.foreign:
-            self.body += chunk
-        return True
-
-
 @dataclass(slots=True)
 class ReceivedTotals:
     """Everything received in one exchange.
@@ -230,7 +206,14 @@
             self.fail('an upgrade nobody asked for')
         except httptools.HttpParserError as error:
             self.fail(f'no HTTP answer: {error}')
-        reason = self.received.violation(self.limits) or self._slow_reason()
+        reason = self.received.violation(self.limits)
+        if self.partial is not None and not reason:
+            reason = _slow_reason(
+                self.partial,
+                self.loop.time(),
+                self.received.body_bytes,
+                self.limits,
+            )
         if reason:
             self.fail(reason, answered=True)
 
@@ -293,7 +276,7 @@
             self.clean = False
             self._finish(partial)
         elif has_length:
-            self._reserve_body(partial, _length_of(partial.headers))
+            self._reserve_body(partial, partial.announced_bytes())
 
     def on_body(self, chunk: bytes) -> None:
         """Add a chunk of the body."""
@@ -303,11 +286,10 @@
             return
         if self.received.body_bytes > self.limits.max_body_bytes:
             self._reject_body(partial)
-        elif not partial.add(chunk):
-            self.fail('no memory for the answer', answered=True)
-        elif len(partial.body) > SMALL_BYTES:
-            # Its size was not announced.
-            self._reserve_body(partial, len(partial.body))
+        elif not partial.foreign:
+            partial.body += chunk
+            if len(partial.body) > partial.flush_at:
+                self._move_body(partial)
 
     def on_message_complete(self) -> None:
         """Finish the answer; skip an interim (1xx) response."""
@@ -322,20 +304,6 @@
             self.clean = False
         self._finish(partial)
 
-    def _slow_reason(self) -> str:
-        """Return why an answer that is being received is too slow."""
-        if self.partial is None:
-            return ''
-        large = self.partial.large
-        started = max(self.partial.started, large.since if large else 0)
-        elapsed_s = self.loop.time() - started
-        if not self.partial.in_body:
-            late = elapsed_s > self.limits.head_timeout_s
-            return 'the headers took too long' if late else ''
-        body_s = self.received.body_bytes / self.limits.min_body_rate
-        late = elapsed_s > self.limits.body_grace_s + body_s
-        return 'the body arrives too slowly' if late else ''
-
     def _lacks_proof(self, headers: Headers) -> bool:
         """Return True if an answer may be a copy of an earlier one.
 
@@ -363,8 +331,11 @@
         if self.request.answer_id and not self.request.read_answer_id(headers):
             self.clean = False
         self.ended = True
-        large = partial.large
-        body = large.body.finish() if large else bytes(partial.body)
+        if partial.large is None:
+            body = bytes(partial.body)
+        else:
+            partial.flush()
+            body = partial.large.body.finish()
         answer = RawAnswer(partial.status, headers, body)
         self.sink.finish(answer)
 
@@ -380,10 +351,10 @@
             self.budget, Use.answers, self.loop.time, self.sink.resume_body
         )
         partial.large = intake
-        intake.body.append(bytes(partial.body))
-        partial.body = bytearray()
+        partial.flush_at = PIECE_BYTES
+        partial.flush()
         most = self.limits.max_body_bytes
-        known = _length_of(partial.headers) or most
+        known = partial.announced_bytes() or most
         ceiling = self.budget.limits.ceiling(Use.answers)
         match intake.reserve(min(known, most, ceiling)):
             case IntakeState.waiting:
@@ -391,6 +362,13 @@
             case IntakeState.refused:
                 self.fail('no memory for the answer', answered=True)
 
+    def _move_body(self, partial: PartialAnswer) -> None:
+        if partial.large is None:
+            # Its size was not announced.
+            self._reserve_body(partial, len(partial.body))
+        elif not partial.flush():
+            self.fail('no memory for the answer', answered=True)
+
     def _reject_body(self, partial: PartialAnswer) -> None:
         self.drop()
         if partial.foreign or self._lacks_proof(tuple(partial.headers)):
@@ -401,7 +379,22 @@
             self.sink.reject_body(partial.status)
 
 
-def _length_of(headers: list[tuple[str, str]]) -> int:
-    """Return the announced size of a body in bytes, 0 if there is none."""
-    text = find_header(headers, 'content-length') or ''
-    return int(text) if text.isdecimal() else 0
+def _slow_reason(
+    partial: PartialAnswer, now: float, body_bytes: int, limits: AnswerLimits
+) -> str:
+    """Return why an answer is too slow, empty if it is not.
+
+    Args:
+        partial: The answer.
+        now: Loop time in s.
+        body_bytes: Bytes of bodies received in this exchange.
+        limits: The limits.
+    """
+    started = max(partial.started, partial.large.since if partial.large else 0)
+    elapsed_s = now - started
+    if not partial.in_body:
+        late = elapsed_s > limits.head_timeout_s
+        return 'the headers took too long' if late else ''
+    body_s = body_bytes / limits.min_body_rate
+    late = elapsed_s > limits.body_grace_s + body_s
+    return 'the body arrives too slowly' if late else ''
