--- a/burdocklead/connection/answer_reader.py
+++ b/burdocklead/connection/answer_reader.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -15,6 +14,7 @@
 
 from burdocklead.connection.frames import Headers
 from burdocklead.connection.http_messages import (
+    DEFINED_STATUSES,
     ENCODING,
     FIRST_FINAL_STATUS,
     NO_BODY_STATUSES,
@@ -24,20 +24,12 @@
     PIECE_BYTES,
     PartialAnswer,
 )
+from burdocklead.connection.upstream_request import UpstreamRequest
 from burdocklead.memory.body_intake import BodyIntake, IntakeState
 from burdocklead.memory.budget import SMALL_BYTES, MemoryBudget, Use
 
 # A chunk of one byte takes five bytes of framing.
 FRAMING_BYTES_PER_BODY_BYTE = 8
-# RFC 9110, section 15: a status outside of this range is invalid.
-FIRST_STATUS = 100
-LAST_STATUS = 599
-
-AnswerIdReader = Callable[[Headers], str | None]
-
-
-def read_no_id(headers: Headers) -> str | None:
-    """Return None: the answers of an exchange without an ID have none."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,25 +57,6 @@
     max_idle_s: float = 60
 
 
-@dataclass(frozen=True, slots=True)
-class UpstreamRequest:
-    """A request to an upstream.
-
-    Attributes:
-        method: HTTP method.
-        content: The encoded request, without a large body.
-        body: A large body, empty if it is part of the content.
-        answer_id: ID that the upstream echoes in its answer, empty if none.
-        read_answer_id: Returns the ID in the headers of an answer.
-    """
-
-    method: str
-    content: bytes
-    answer_id: str = ''
-    read_answer_id: AnswerIdReader = read_no_id
-    body: bytes = b''
-
-
 @dataclass(frozen=True, slots=True)
 class RawAnswer:
     """A complete answer of an upstream.
@@ -265,7 +238,7 @@
         partial.in_body = True
         partial.started = self.loop.time()
         partial.status = self.parser.get_status_code()
-        if not FIRST_STATUS <= partial.status <= LAST_STATUS:
+        if partial.status not in DEFINED_STATUSES:
             self.fail(f'status {partial.status:03} is not defined')
             return
         if partial.status < FIRST_FINAL_STATUS:
--- a/burdocklead/connection/connection_pool.py
+++ b/burdocklead/connection/connection_pool.py
@@ -4,12 +4,13 @@
 
 import asyncio
 
-from burdocklead.connection.answer_reader import AnswerLimits, UpstreamRequest
+from burdocklead.connection.answer_reader import AnswerLimits
 from burdocklead.connection.http_client import (
     ExchangeResult,
     NotConnected,
     UpstreamConnection,
 )
+from burdocklead.connection.upstream_request import UpstreamRequest
 from burdocklead.memory.budget import MemoryBudget
 from burdocklead.values import Address
 
--- a/burdocklead/connection/http_client.py
+++ b/burdocklead/connection/http_client.py
@@ -15,10 +15,10 @@
     AnswerLimits,
     AnswerReader,
     RawAnswer,
-    UpstreamRequest,
 )
 from burdocklead.connection.frames import Headers
 from burdocklead.connection.http_messages import find_header
+from burdocklead.connection.upstream_request import UpstreamRequest
 from burdocklead.memory.budget import MemoryBudget
 
 TCP_USER_TIMEOUT_MS = 1500  # Loopback ACKs are immediate unless the VM pauses.
--- a/burdocklead/connection/http_messages.py
+++ b/burdocklead/connection/http_messages.py
@@ -11,6 +11,8 @@
 ENCODING = 'latin-1'
 NO_BODY_STATUSES = frozenset((204, 304))
 FIRST_FINAL_STATUS = 200
+# RFC 9110, section 15: a status outside of this range is invalid.
+DEFINED_STATUSES = range(100, 600)
 
 
 @dataclass(frozen=True, slots=True)
--- a/burdocklead/request/pooled_upstream.py
+++ b/burdocklead/request/pooled_upstream.py
@@ -9,7 +9,6 @@
 from burdocklead.connection.answer_reader import (
     AnswerLimits,
     RawAnswer,
-    UpstreamRequest,
 )
 from burdocklead.connection.connection_pool import ConnectionPool
 from burdocklead.connection.frames import Attempt
@@ -22,6 +21,7 @@
     encode_request,
     encode_request_head,
 )
+from burdocklead.connection.upstream_request import UpstreamRequest
 from burdocklead.memory.budget import SMALL_BYTES, MemoryBudget
 from burdocklead.request.dialect import UpstreamDialect
 from burdocklead.request.upstream_client import (
--- a/tests/steps/cut_head_steps.py
+++ b/tests/steps/cut_head_steps.py
@@ -9,9 +9,9 @@
 from burdocklead.connection.answer_reader import (
     AnswerLimits,
     AnswerReader,
-    UpstreamRequest,
 )
 from burdocklead.connection.http_messages import find_header
+from burdocklead.connection.upstream_request import UpstreamRequest
 
 HEAD_END = '\r\n\r\n'
 BODY = 'the whole answer'
--- a/tests/steps/endless_answer_steps.py
+++ b/tests/steps/endless_answer_steps.py
@@ -9,13 +9,14 @@
 
 from behave import given, then, when
 
-from burdocklead.connection.answer_reader import AnswerLimits, UpstreamRequest
+from burdocklead.connection.answer_reader import AnswerLimits
 from burdocklead.connection.connection_pool import ConnectionPool
 from burdocklead.connection.http_client import (
     ConnectionBroken,
     OversizedAnswer,
 )
 from burdocklead.connection.http_messages import encode_request, find_header
+from burdocklead.connection.upstream_request import UpstreamRequest
 from burdocklead.values import Address
 
 HEAD = b'HTTP/1.1 200 OK\r\nId: 1\r\n'
--- a/tests/steps/http_client_steps.py
+++ b/tests/steps/http_client_steps.py
@@ -11,11 +11,11 @@
 from burdocklead.connection.answer_reader import (
     AnswerLimits,
     RawAnswer,
-    UpstreamRequest,
 )
 from burdocklead.connection.connection_pool import ConnectionPool
 from burdocklead.connection.http_client import ConnectionBroken, NotConnected
 from burdocklead.connection.http_messages import encode_request, find_header
+from burdocklead.connection.upstream_request import UpstreamRequest
 from burdocklead.values import Address
 
 KEEP_ALIVE_LINES = {
