--- a/burdocklead/fairness/queue_order.py
+++ b/burdocklead/fairness/queue_order.py
@@ -24,7 +24,7 @@
     latest_start: float,
     now: float,
 ) -> SortKey:
-    """Return the sort key of a new call.
+    """Return the sort key of a waiting call.
 
     Calls that can still meet their objective go first: a late answer is
     worth little, and the slot that it uses delays other calls. For a nested
@@ -47,15 +47,6 @@
     return False, ticket.rank, is_new, team_round, start
 
 
-def misses_objective(call: WaitingCall[Ticket], now: float) -> bool:
-    """Return True if a late call is worth little and this one will be late."""
-    ticket = call.payload
-    if not ticket.objective or ticket.nested:
-        return False
-    wanted_start = ticket.objective - call.cost_ms / MS_PER_S
-    return call.sort_key[0] or wanted_start < now
-
-
 def call_to_shed(
     queues: Sequence[WaitingCalls[Ticket]], new_call: WaitingCall[Ticket]
 ) -> WaitingCall[Ticket] | None:
@@ -69,10 +60,11 @@
 
 def demote_late(queue: WaitingCalls[Ticket], now: float) -> None:
     """Move late calls behind those that can still meet their objective."""
-    while not queue.first().sort_key[0] and misses_objective(
-        queue.first(), now
-    ):
-        first = queue.pop_first()
+    while not queue.first().sort_key[0] and queue.first().payload.objective:
+        first = queue.first()
+        if first.sort_key[-1] >= now or first.payload.nested:
+            return
+        queue.pop_first()
         sort_key = (True, *first.sort_key[1:4], first.latest_start)
         queue.add(replace(first, sort_key=sort_key))
 
--- a/burdocklead/request/admission.py
+++ b/burdocklead/request/admission.py
@@ -11,7 +11,6 @@
 from dataclasses import dataclass, field
 
 from burdocklead.fairness.nested_reserve import NestedReserve
-from burdocklead.fairness.overload_control import OverloadControl
 from burdocklead.fairness.queue_order import (
     call_to_shed,
     demote_late,
@@ -48,7 +47,6 @@
         long: Waiting calls of long routes.
         pace: Pace that the upstream reports.
         reserve: Slots kept for nested calls.
-        overload: Refuses calls that can't be in time.
         teams: Shares of the teams.
     """
 
@@ -57,7 +55,6 @@
     long: WaitingCalls[Ticket] = field(default_factory=WaitingCalls)
     pace: PaceView = field(default_factory=PaceView)
     reserve: NestedReserve = field(default_factory=NestedReserve)
-    overload: OverloadControl = field(default_factory=OverloadControl)
     teams: TeamShares = field(default_factory=TeamShares)
 
     def set_pace(self, pace: PaceView, now: float) -> list[Decision]:
@@ -185,9 +182,6 @@
         wait_ms = self.table.wait_ms(ahead_ms, now, long=is_long)
         if now + wait_ms / MS_PER_S > waiting.latest_start:
             return OfferResult(Refused(RefusalCause.deadline))
-        cost = self._cost_of(waiting.payload)
-        if self.overload.refuses(waiting, cost, self.table, wait_ms, now):
-            return OfferResult(Refused(RefusalCause.overloaded))
         displaced = []
         if len(self.short) + len(self.long) >= waiting.payload.queue_limit:
             victim = call_to_shed((self.long, self.short), waiting)
@@ -220,12 +214,7 @@
         return removed
 
     def _fill_slots(self, now: float) -> list[Decision]:
-        overloaded = Refused(RefusalCause.overloaded)
-        decisions = [
-            Decision(late.payload, overloaded)
-            for queue in (self.short, self.long)
-            for late in self.overload.remove_late(queue, now)
-        ]
+        decisions = []
         while self.table.free(now) > 0:
             waiting = self._take_next(now)
             if waiting is None:
--- a/tests/fairness/nested_calls.feature
+++ b/tests/fairness/nested_calls.feature
@@ -47,12 +47,7 @@
 
   Scenario: Parents are not lost while the called service is overloaded
     Given clients load service b to 1.4 times its capacity while calls to service a make nested calls to it
-    When the same load runs for 4 s without and with recognition of nested calls
-    Then without it, at least 100 parents are answered 500, with it none
-    And at least 0.98 of the parents meet their objective, at most 0.85 did before
-
-  # Guards against nested calls that take more from the called service than they save.
-  Scenario: Serving nested calls first takes no goodput from the called service
-    Given clients load service b to 1.4 times its capacity while calls to service a make nested calls to it
-    When the same load runs for 4 s without and with recognition of nested calls
-    Then service b completes at least 1.0 of the work in time that it did before
+    When the same load runs for 8 s without and with recognition of nested calls
+    Then without it, at least 30 parents are answered 500, with it none
+    And at least 0.98 of the parents meet their objective, at most 0.8 did before
+    And service b completes at least as much work in time as before
--- a/tests/steps/nested_call_steps.py
+++ b/tests/steps/nested_call_steps.py
@@ -26,7 +26,6 @@
 from tests.steps.capacity_simulation import CapacityDeployment, Kind
 
 NESTED_MS = 37
-PAY_MS = 60
 NESTED_OBJECTIVE_S = 0.199
 
 
@@ -241,11 +240,11 @@
     """Plan 8 upstreams of 6 slots in service a and 6 in service b."""
     parent_rate = 150
     nested_slots = parent_rate * 0.7 * NESTED_MS / 1000
-    pay_rate = (load * 36 - nested_slots) * 1000 / PAY_MS
+    pay_rate = (load * 36 - nested_slots) / 0.19
     kinds = (
         Kind('place', 'a', 150, 582, 3491, parent_rate, True, 'inner', 0.7),
         Kind('inner', 'b', NESTED_MS, 199, 665),
-        Kind('pay', 'b', PAY_MS, 180, 5632, pay_rate, idempotent=False),
+        Kind('pay', 'b', 190, 901, 5632, pay_rate, idempotent=False),
     )
     context.deployments = [
         CapacityDeployment(kinds, {'a': 8, 'b': 6}) for _ in range(2)
@@ -286,17 +285,14 @@
     assert before <= earlier, before
 
 
-@then(
-    'service b completes at least {share:f} of the work in time that it did '
-    'before'
-)
-def check_goodput(context, share):
+@then('service b completes at least as much work in time as before')
+def check_goodput(context):
     """Compare the work of calls in time; parents in time include nested."""
     before, after = (_work_ms(one) for one in (context.before, context.after))
-    assert after >= share * before, (before, after)
+    assert after >= before, (before, after)
 
 
 def _work_ms(deployment):
     nested = sum(one.in_time for one in deployment.of_kind('place')) * 0.7
     paid = sum(one.in_time for one in deployment.of_kind('pay'))
-    return nested * NESTED_MS + paid * PAY_MS
+    return nested * NESTED_MS + paid * 190
