--- a/review/6/case.py
+++ b/review/6/case.py
@@ -25,6 +25,7 @@
 APPLY_S = 2.0  # configApplyMs.
 JOIN_LIMIT_S = 12.0
 AFTER_S = 5.0
+CHANGE_AFTER_S = 2.5  # Once all machines run again.
 
 
 async def read_version(deployment, core):
@@ -100,11 +101,12 @@
     thaws_at = stopped_at + LONG_FREEZE_S
     code = HELD
     thawed = not trouble
+    changed = 0
     while time.monotonic() < thaws_at + AFTER_S:
         if not thawed and time.monotonic() > thaws_at:
             deployment.send_signal(f'core-{HOLDER}', signal.SIGCONT)
             thawed = True
-        cores = [WIPED, BEHIND, *([HOLDER] if thawed else [])]
+        cores = [WIPED, BEHIND, *([HOLDER] if changed else [])]
         for core in cores:
             asked_at = time.monotonic()
             version = await read_version(deployment, core)
@@ -117,6 +119,18 @@
                         'acknowledgement'
                     )
                 code = BROKEN
+        since_thaw = time.monotonic() - thaws_at
+        if code == BROKEN and not changed and since_thaw > CHANGE_AFTER_S:
+            # Another operator, who builds on the version that was answered.
+            third = configuration(3, {'r': route('beta')}, ['alpha', 'beta'])
+            changed, _ = await asyncio.to_thread(
+                deployment.operate, 'config.replace', third, 1, BEHIND
+            )
+            if changed == 200:
+                record.write(
+                    'BROKEN: versions 2 and 3 are acknowledged on top of '
+                    'version 1, and version 2 is lost'
+                )
         await asyncio.sleep(0.3)
     return code
 
