--- a/review/stand_ins_2/deployment.py
+++ b/review/stand_ins_2/deployment.py
@@ -491,8 +491,14 @@
     return answer
 
 
+def _stop(*_):
+    """End the case and its processes on a signal from outside."""
+    raise SystemExit(NOT_RUN)
+
+
 def run_case(folder, case):
     """Run a case; its result is the exit code."""
+    signal.signal(signal.SIGTERM, _stop)
     record = Record(folder)
     deployment = Deployment(record)
     code = NOT_RUN
