Wait for the second daemon's routes before the replicas are killed

After all processes are started again, daemon 21 could learn of daemon 20 before daemon 20 had found its upstream; when the replicas were killed before the next heartbeat, it answered 503 for as long as none was there. The scenario now waits until daemon 21 serves the route. What it checks without replicas is unchanged.

--- a/tests/steps/team_platform_steps.py
+++ b/tests/steps/team_platform_steps.py
@@ -159,6 +159,19 @@
 )
 def check_eventually(context, key, path, daemon, status):
     """Send calls until one is answered; none may be refused for its key."""
+    _wait_for_status(context, key, path, daemon, status)
+
+
+@then(
+    'a call without a key to "{path}" at daemon {daemon:d} is answered '
+    '{status:d} in the end'
+)
+def check_keyless_eventually(context, path, daemon, status):
+    """Send calls until one is answered; none may be refused."""
+    _wait_for_status(context, '', path, daemon, status)
+
+
+def _wait_for_status(context, key, path, daemon, status):
     seen = set()
 
     def is_answered():
--- a/tests/teams/platform_processes.feature
+++ b/tests/teams/platform_processes.feature
@@ -25,6 +25,8 @@
     When every process is killed and started again
     Then a call with the key "sEcret-2" to "/keyed/7" at daemon 20 is answered 200 in the end
     And a call with the key "sEcret-1" to "/keyed/7" at daemon 20 is answered 401
+    # Only replicas tell a daemon which upstreams the others serve.
+    And a call without a key to "/view/7" at daemon 21 is answered 200 in the end
     When a patch to version 5 with a key "sEcret 3" is answered 400
     Then the log of daemon 20 has a call that was refused with "cause=unknown-api-key"
     And the metrics of VM 20 contain "burdocklead_refusals_total{cause="unknown-api-key"}"
