Interrupt test: don't depend on how the tests were started

The test now starts the program with the handler that it has on a terminal; what is checked is unchanged.

--- a/tests/steps/operator_steps.py
+++ b/tests/steps/operator_steps.py
@@ -199,7 +199,10 @@
     replica = stub_replica(context, 'a')
     address = f'a=127.0.0.1:{replica.server_address[1]}'
     launcher = (
-        'import sys; from burdocklead.programs.operator import main; '
+        'import signal, sys; '
+        'from burdocklead.programs.operator import main; '
+        # A shell starts background jobs with interrupts ignored.
+        'signal.signal(signal.SIGINT, signal.default_int_handler); '
         'sys.exit(main())'
     )
     process = subprocess.Popen(
