Refuse configurations that not every process can read; live with the others

Every daemon and replica ended, and again after each start, and no later configuration could be sent.

Cause: the check decoded the field by itself, while the stored text nests one level deeper; how deep a decoder reads depends on the calls above it. And an unreadable version ended a supervised task, which stops its process.

Change: what is stored is decoded as its readers do and must give the same deployment; extensions nest 32 levels at most; the text has 8 MiB at most. A process that can't read a newer version logs it, counts it and keeps the one before; replicas answer a read of it 503 and a patch of it 400. Register values that this release can't decode are errors of their step. Related inputs are refused: repeated fields, a name of the limits, health paths that are no part of a request line, names that end with a line break. The message for a service name shows the stricter pattern, so one expected text changed with it.

--- a/burdocklead/allowance/lease.py
+++ b/burdocklead/allowance/lease.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from burdocklead.allowance.limits import AllowanceRules
+from burdocklead.durable.register_values import decode_value
 
 LEASE_KEY = 'allowance'
 
@@ -41,7 +42,7 @@
     """Return the lease encoded in a register value."""
     if not value:
         return NO_LEASE
-    return msgspec.msgpack.decode(value, type=Lease)
+    return decode_value(value, Lease, LEASE_KEY)
 
 
 @dataclass(slots=True)
--- a/burdocklead/allowance/lease_holder.py
+++ b/burdocklead/allowance/lease_holder.py
@@ -22,8 +22,12 @@
 from burdocklead.allowance.roster import Roster
 from burdocklead.clock import boot_time_s
 from burdocklead.durable.configuration import AcceptedFile
-from burdocklead.exceptions import ControlError
-from burdocklead.log_events import GRANT_LEASE_GAINED, GRANT_LEASE_LOST
+from burdocklead.exceptions import ConfigurationError, ControlError
+from burdocklead.log_events import (
+    GRANT_LEASE_GAINED,
+    GRANT_LEASE_LOST,
+    VERSION_NOT_USED,
+)
 from burdocklead.metrics import GRANTED, MetricSet
 from burdocklead.process.register_service import RegisterService
 from burdocklead.settings import ControlSettings
@@ -121,10 +125,10 @@
         if not self.limits:
             await self.release()
             return
-        lease = decode_lease(self.read_local(LEASE_KEY))
-        self.state.observe(lease, now)
         cause = 'another replica took the lease'
         try:
+            lease = decode_lease(self.read_local(LEASE_KEY))
+            self.state.observe(lease, now)
             await self._take_or_renew(now)
         except ControlError as error:
             cause = error.reason
@@ -185,7 +189,11 @@
         if file.version == self.version:
             return
         self.version = file.version
-        deployment = decode_deployment(file.text) if file.text else None
+        try:
+            deployment = decode_deployment(file.text) if file.text else None
+        except ConfigurationError as error:
+            VERSION_NOT_USED.write(version=file.version, cause=error.reason)
+            return
         self.limits = team_limits(deployment)
         if self.book is not None:
             self.book.use_limits(self.limits, self.version, now)
--- a/burdocklead/durable/claims.py
+++ b/burdocklead/durable/claims.py
@@ -7,6 +7,8 @@
 
 import msgspec
 
+from burdocklead.durable.register_values import decode_value
+
 CLAIM_PREFIX = 'claim/'
 
 
@@ -105,7 +107,7 @@
     """Return the claim encoded in a register value, None if empty."""
     if not value:
         return None
-    return msgspec.msgpack.decode(value, type=Claim)
+    return decode_value(value, Claim, 'claims')
 
 
 def start_claim(current: Claim | None, request: ClaimStart) -> Claim:
--- a/burdocklead/durable/configuration.py
+++ b/burdocklead/durable/configuration.py
@@ -7,13 +7,14 @@
 
 import msgspec
 
+from burdocklead.durable.register_values import decode_value
 from burdocklead.exceptions import ConfigurationError
 from burdocklead.version.configuration_file import (
-    check_deployment,
+    check_size,
     decode_change,
     decode_deployment,
     digest_of,
-    encode_deployment,
+    encode_checked,
 )
 from burdocklead.version.deployment import Deployment
 from burdocklead.version.patch import DeploymentPatch, PatchFile, apply_patch
@@ -96,7 +97,7 @@
     """Return the accepted file encoded in a register value."""
     if not value:
         return NO_FILE
-    return msgspec.msgpack.decode(value, type=AcceptedFile)
+    return decode_value(value, AcceptedFile, CONFIGURATION_KEY)
 
 
 def parse_proposal(
@@ -143,8 +144,8 @@
     later versions have replaced it.
 
     Raises:
-        ConfigurationError: If there is nothing to patch, or a patch gives
-            a configuration that is not valid.
+        ConfigurationError: If there is nothing to patch, a patch gives a
+            configuration that is not valid, or the text is too large.
     """
     version, digest = proposal.version, proposal.digest
     if version == current.version and digest == current.digest:
@@ -161,6 +162,7 @@
             reason = f'version {version} is in force with another content'
         return current, _refused(current, reason, Refusal.old_version)
     text = text_after_change(current, proposal.content)
+    check_size(text)
     accepted = AcceptedFile(version, digest, text, _history_after(current))
     return accepted, ApplyResult(True, version, digest)
 
@@ -187,9 +189,8 @@
             if not current.text:
                 problem = 'there is no configuration to patch'
                 raise ConfigurationError((problem,), step=STEP)
-            patched = apply_patch(decode_deployment(current.text), content)
-            check_deployment(patched)
-            return encode_deployment(patched)
+            base = decode_deployment(current.text, f'version {current.version}')
+            return encode_checked(apply_patch(base, content))
     assert_never(content)
 
 
--- a/burdocklead/durable/drains.py
+++ b/burdocklead/durable/drains.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from burdocklead.durable.register_values import decode_value
+
 DRAINS_KEY = 'drains'
 
 
@@ -26,7 +28,7 @@
     """Return the list encoded in a register value."""
     if not value:
         return NO_DRAINS
-    return msgspec.msgpack.decode(value, type=DrainList)
+    return decode_value(value, DrainList, DRAINS_KEY)
 
 
 def decide_drain(
--- a/burdocklead/durable/set_change.py
+++ b/burdocklead/durable/set_change.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from burdocklead.durable.register_values import decode_value
 from burdocklead.durable.replica_set import (
     Replica,
     ReplicaSet,
@@ -40,7 +41,7 @@
     """Return the newer of the set in a register value and the known set."""
     if not value:
         return known
-    held = msgspec.msgpack.decode(value, type=ReplicaSet)
+    held = decode_value(value, ReplicaSet, REPLICA_SET_KEY)
     return max(held, known, key=lambda replica_set: replica_set.epoch)
 
 
--- a/burdocklead/durable/store.py
+++ b/burdocklead/durable/store.py
@@ -6,6 +6,8 @@
 from collections.abc import Mapping
 from pathlib import Path
 
+import msgspec
+
 from burdocklead.durable.files import FileLayer, replace_file
 from burdocklead.durable.records import decode_file, encode_record
 from burdocklead.durable.register import EMPTY_REGISTER, Register
@@ -52,7 +54,10 @@
         self.compactions = 0
         self.failure = ''
         content = layer.read(self.path) or b''
-        decoded = decode_file(content)
+        try:
+            decoded = decode_file(content)
+        except msgspec.DecodeError as error:
+            raise self._error(f'a record can not be read: {error}') from error
         if decoded.damaged_at is not None:
             raise self._error(f'damaged record at offset {decoded.damaged_at}')
         self.registers = decoded.registers
--- a/burdocklead/evacuation/evacuation_http.py
+++ b/burdocklead/evacuation/evacuation_http.py
@@ -12,7 +12,7 @@
 from burdocklead.exceptions import (
     BurdockleadError,
     ConfigurationError,
-    QuorumError,
+    ControlError,
 )
 from burdocklead.process.json_responses import error_response, json_response
 
@@ -59,6 +59,6 @@
         except ConfigurationError as error:
             refusal = BurdockleadError(error.reason, step=STEP)
             return error_response(refusal, BAD_REQUEST)
-        except QuorumError as error:
+        except ControlError as error:
             return error_response(error, UNAVAILABLE)
         return json_response(accepted)
--- a/burdocklead/evacuation/operator_evacuations.py
+++ b/burdocklead/evacuation/operator_evacuations.py
@@ -125,8 +125,8 @@
         """
         while True:
             self.collect_names()
-            if self._holds_newer():
-                with contextlib.suppress(ControlError):
+            with contextlib.suppress(ControlError):
+                if self._holds_newer():
                     await self.recover()
             await asyncio.sleep(CHECK_INTERVAL_S)
 
--- a/burdocklead/evacuation/zone_list.py
+++ b/burdocklead/evacuation/zone_list.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from burdocklead.durable.register_values import decode_value
+
 EVACUATIONS_KEY = 'evacuations'
 MAX_ZONE_NAME = 253
 
@@ -44,7 +46,7 @@
     """Return the content of a register value."""
     if not value:
         return EMPTY_REGISTER
-    return msgspec.msgpack.decode(value, type=EvacuationRegister)
+    return decode_value(value, EvacuationRegister, EVACUATIONS_KEY)
 
 
 def decide_evacuation(
--- a/burdocklead/exceptions.py
+++ b/burdocklead/exceptions.py
@@ -75,6 +75,10 @@
     """No quorum of control replicas answered in time."""
 
 
+class UnreadableValueError(ControlError):
+    """A register holds a value that this release can't read."""
+
+
 class StorageError(BurdockleadError):
     """A file of the data folder is unusable or could not be written."""
 
--- a/burdocklead/log_events.py
+++ b/burdocklead/log_events.py
@@ -286,6 +286,13 @@
     'a daemon starts to use a newer configuration',
     'version',
 )
+VERSION_NOT_USED = _declare(
+    'configuration not used',
+    'directory',
+    Level.error,
+    'a process can not read a newer configuration and keeps the one before',
+    'version cause',
+)
 VERSION_ACCEPTED = _declare(
     'configuration accepted',
     'control',
--- a/burdocklead/metrics.py
+++ b/burdocklead/metrics.py
@@ -115,6 +115,9 @@
 CONTROL_UNPROVED = _counter(
     'control_unproved', 'Control messages without proof of the cluster key.'
 )
+VERSIONS_NOT_USED = _counter(
+    'versions_not_used', 'Configuration versions that could not be read.'
+)
 CONTROL_BAD = _counter('control_bad', 'Control messages not decoded.')
 INTERNAL_ERRORS = _counter('internal_errors', 'Calls that failed within.')
 LATE_RESULTS = _counter('late_results', 'Results that nobody waited for.')
--- a/burdocklead/process/control_agent.py
+++ b/burdocklead/process/control_agent.py
@@ -90,7 +90,7 @@
         message = Heartbeat(
             member,
             self.cursor,
-            self.directory.version,
+            self.directory.known_version,
             self.clock.issue(),
             self.known_epoch,
         )
@@ -111,10 +111,11 @@
         if reply.quorum_age_ms > QUORUM_AGE_LIMIT_MS:
             self._leave_replica(client.name, 'cut off from its quorum')
             return
-        # The replica had heard of newer versions from a quorum by then.
-        quorum_age_s = reply.quorum_age_ms / MS_PER_S
-        self.directory.keys.confirmed_at = sent_at - quorum_age_s
         self._apply_reply(reply)
+        if self.directory.known_version == self.directory.version:
+            # The replica had heard of newer versions from a quorum by then.
+            quorum_age_s = reply.quorum_age_ms / MS_PER_S
+            self.directory.keys.confirmed_at = sent_at - quorum_age_s
 
     def _apply_reply(self, reply: HeartbeatReply) -> None:
         self.clock.observe(reply.time)
--- a/burdocklead/process/control_http.py
+++ b/burdocklead/process/control_http.py
@@ -10,7 +10,11 @@
 
 from burdocklead.durable.configuration import parse_proposal
 from burdocklead.evacuation.evacuation_http import EvacuationHandlers
-from burdocklead.exceptions import ConfigurationError, QuorumError, RefusedError
+from burdocklead.exceptions import (
+    ConfigurationError,
+    ControlError,
+    RefusedError,
+)
 from burdocklead.process.admin_http import (
     BAD_REQUEST,
     UNAVAILABLE,
@@ -83,7 +87,7 @@
         except ConfigurationError as error:
             content = {'problems': error.problems, 'step': error.step}
             return json_response(content, BAD_REQUEST)
-        except QuorumError as error:
+        except ControlError as error:
             return error_response(error, UNAVAILABLE)
         return json_response(result, 200 if result.accepted else CONFLICT)
 
@@ -108,7 +112,7 @@
             drains = await self.replica.drains.change(
                 daemon_id, drained=drained
             )
-        except QuorumError as error:
+        except ControlError as error:
             return error_response(error, UNAVAILABLE)
         return json_response(drains)
 
@@ -136,9 +140,14 @@
         block_list = BlockList('')
         for member in members:
             block_list.merge(member.crashes)
-        text = self.replica.file.text
-        limits = decode_deployment(text).crashes if text else Crashes()
-        return block_list.blocked(limits, time.time())
+        return block_list.blocked(self._crash_limits(), time.time())
+
+    def _crash_limits(self) -> Crashes:
+        """Return the limits in the accepted file, or the default ones."""
+        try:
+            return decode_deployment(self.replica.file.text).crashes
+        except ConfigurationError:
+            return Crashes()
 
 
 def _base_version(request: web.Request) -> int | None:
--- a/burdocklead/process/control_replica.py
+++ b/burdocklead/process/control_replica.py
@@ -303,6 +303,4 @@
         value = await self.registers.change(
             message.key, update, maybe_new=isinstance(message, ClaimStart)
         )
-        return ClaimReply(
-            msgspec.msgpack.decode(value, type=type(message.claim))
-        )
+        return ClaimReply(decode_claim(value) or message.claim)
--- a/burdocklead/process/directory.py
+++ b/burdocklead/process/directory.py
@@ -14,14 +14,15 @@
 from burdocklead.durable.configuration import AcceptedFile
 from burdocklead.evacuation.daemon_evacuations import DaemonEvacuations
 from burdocklead.events import EventKind, EventRing
-from burdocklead.exceptions import LinkError
+from burdocklead.exceptions import ConfigurationError, LinkError
 from burdocklead.log_events import (
     MEMBER_DRAINING,
     MEMBER_JOINED,
     MEMBER_LEFT,
     VERSION_IN_FORCE,
+    VERSION_NOT_USED,
 )
-from burdocklead.metrics import MetricSet
+from burdocklead.metrics import VERSIONS_NOT_USED, MetricSet
 from burdocklead.request.attempt_runner import Link
 from burdocklead.request.local_link import LocalLink
 from burdocklead.request.routing import Candidates, Router
@@ -46,6 +47,8 @@
             not listed yet.
         evacuations: Evacuated zones, whose upstreams get no new work.
         table: Route table of the configuration in force, None without one.
+        known_version: Newest version received; it is not in force if it
+            can't be read.
         keys: API keys of the configuration in force.
     """
 
@@ -70,6 +73,7 @@
         self.unconfirmed: set[str] = set()
         self.links: dict[str, PeerLink] = {}
         self.table: RouteTable | None = None
+        self.known_version = 0
         self.keys = CurrentKeys()
         self.evacuations = DaemonEvacuations(
             settings.zone,
@@ -167,10 +171,22 @@
             self._update_candidates()
 
     def install_file(self, file: AcceptedFile) -> None:
-        """Put a configuration file in force if it is newer."""
-        if file.version <= self.version:
+        """Put a newer configuration file in force.
+
+        If it can't be read, the one before stays in force.
+        """
+        if file.version <= self.known_version:
+            return
+        self.known_version = file.version
+        try:
+            deployment = decode_deployment(file.text)
+        except ConfigurationError as error:
+            self.metrics.count(VERSIONS_NOT_USED)
+            self.events.record(
+                EventKind.version_refused, detail=f'version {file.version}'
+            )
+            VERSION_NOT_USED.write(version=file.version, cause=error.reason)
             return
-        deployment = decode_deployment(file.text)
         table = RouteTable(deployment)
         self.keys.use(deployment)
         self.table = table
--- a/burdocklead/process/register_service.py
+++ b/burdocklead/process/register_service.py
@@ -29,6 +29,7 @@
     Register,
     merge_registers,
 )
+from burdocklead.durable.register_values import decode_value
 from burdocklead.durable.replica_set import Replica, ReplicaSet
 from burdocklead.durable.store import RegisterStore
 from burdocklead.exceptions import ControlError, QuorumError
@@ -266,7 +267,7 @@
 def _initial_set(store: RegisterStore, settings: ControlSettings) -> ReplicaSet:
     value = store.read(LOCAL_SET_KEY).value
     if value:
-        return msgspec.msgpack.decode(value, type=ReplicaSet)
+        return decode_value(value, ReplicaSet, LOCAL_SET_KEY)
     return ReplicaSet(
         replicas=tuple(
             Replica(name, address)
--- a/burdocklead/process/replica_set_http.py
+++ b/burdocklead/process/replica_set_http.py
@@ -7,11 +7,12 @@
 import msgspec
 from aiohttp import web
 
+from burdocklead.decoding import decode_outside
 from burdocklead.durable.replica_set import Replica, ReplicaSet
 from burdocklead.durable.set_change import SetChange
 from burdocklead.exceptions import (
     ConfigurationError,
-    QuorumError,
+    ControlError,
     SetChangeError,
 )
 from burdocklead.options import SocketAddress
@@ -38,6 +39,9 @@
     address: str = ''
 
 
+REQUEST_DECODER = msgspec.json.Decoder(SetRequest)
+
+
 class SetResponse(msgspec.Struct, frozen=True):
     """Body of the responses about the replica set.
 
@@ -94,7 +98,7 @@
         ConfigurationError: If the body is invalid or does not fit the action.
     """
     try:
-        request = msgspec.json.decode(body, type=SetRequest)
+        request = decode_outside(REQUEST_DECODER.decode, body)
         address = SocketAddress().parse(request.address or '0.0.0.0:0')
     except (msgspec.DecodeError, ValueError) as error:
         raise ConfigurationError((str(error),), step=STEP) from None
@@ -112,7 +116,7 @@
         replica_set = await change
     except SetChangeError as error:
         return error_response(error, CONFLICT)
-    except QuorumError as error:
+    except ControlError as error:
         return error_response(error, UNAVAILABLE)
     status = ACCEPTED if replica_set.following else 200
     return json_response(_set_response(replica_set), status)
--- a/burdocklead/version/configuration_file.py
+++ b/burdocklead/version/configuration_file.py
@@ -12,11 +12,14 @@
 from burdocklead.decoding import decode_outside
 from burdocklead.exceptions import ConfigurationError
 from burdocklead.version.deployment import Deployment, HostRoute, Route, Service
+from burdocklead.version.extensions import find_extension_problems
 from burdocklead.version.patch import PatchFile
 
 STEP = 'check'
 PATCH_KEY = 'base'  # Only a patch has a base version.
 JSON_START = b'{'
+# Half of the largest control message, which holds other state beside it.
+MAX_TEXT_BYTES = 8388608
 TABLES_DECODER = msgspec.json.Decoder(dict[str, Any])
 
 
@@ -72,13 +75,32 @@
     return convert_deployment(tables, peer)
 
 
-def check_deployment(deployment: Deployment, peer: str = '') -> None:
-    """Check types, bounds and the rules between keys.
+def encode_checked(deployment: Deployment) -> bytes:
+    """Return the text to store, after decoding it as its readers do.
 
     Raises:
-        ConfigurationError: With every problem found.
+        ConfigurationError: With every problem found, or if the text does not
+            describe the same deployment.
+    """
+    problems = tuple(find_extension_problems(deployment))
+    if problems:
+        raise ConfigurationError(problems, step=STEP)
+    text = encode_deployment(deployment)
+    if decode_deployment(text) != deployment:
+        problem = 'the configuration would change when it is stored as JSON'
+        raise ConfigurationError((problem,), step=STEP)
+    return text
+
+
+def check_size(text: bytes) -> None:
+    """Check that replicas and daemons can send a text to each other.
+
+    Raises:
+        ConfigurationError: If it is too large.
     """
-    convert_deployment(msgspec.to_builtins(deployment), peer)
+    if len(text) > MAX_TEXT_BYTES:
+        problem = f'has {len(text)} bytes, more than {MAX_TEXT_BYTES}'
+        raise ConfigurationError((problem,), step=STEP)
 
 
 def encode_deployment(deployment: Deployment) -> bytes:
@@ -91,6 +113,9 @@
 ) -> TableT:
     try:
         return msgspec.convert(tables, table)
+    except RecursionError:
+        problems: tuple[str, ...] = ('nested too deeply',)
+        raise ConfigurationError(problems, step=STEP, peer=peer) from None
     except msgspec.ValidationError as error:
         # msgspec stops at the first problem; report all of them at once.
         problems = tuple(_type_problems(tables, table, '')) or (str(error),)
@@ -112,7 +137,7 @@
 
 def find_problems(deployment: Deployment) -> tuple[str, ...]:
     """Return every violated rule that types and bounds do not cover."""
-    problems: list[str] = []
+    problems = list(find_extension_problems(deployment))
     for name, service in deployment.services.items():
         location = f'services.{name}'
         if not service.routes and not deployment.host_routes:
--- a/burdocklead/version/deployment.py
+++ b/burdocklead/version/deployment.py
@@ -11,10 +11,10 @@
 
 from msgspec import UNSET, Meta, Struct, UnsetType, field
 
-Name = Annotated[str, Meta(pattern='^[a-z][a-z0-9-]{0,62}$')]
+Name = Annotated[str, Meta(pattern=r'^[a-z][a-z0-9-]{0,62}\Z')]
 Label = Annotated[str, Meta(min_length=1, max_length=253)]
-Prefix = Annotated[str, Meta(pattern='^/([^ ?#]*/)?$')]
-ApiKey = Annotated[str, Meta(pattern='^[!-~]{1,256}$')]
+Prefix = Annotated[str, Meta(pattern=r'^/([^ ?#]*/)?\Z')]
+ApiKey = Annotated[str, Meta(pattern=r'^[!-~]{1,256}\Z')]
 CallRate = Annotated[float, Meta(ge=0, le=1000000)]
 Extensions = Annotated[
     dict[str, Any],
@@ -52,7 +52,7 @@
 
     name: Annotated[Name, Meta(description='Name in metrics and events.')]
     method: Annotated[
-        str, Meta(pattern='^[A-Z]{1,16}$', description='HTTP method.')
+        str, Meta(pattern=r'^[A-Z]{1,16}\Z', description='HTTP method.')
     ]
     path: Annotated[
         str,
@@ -118,7 +118,8 @@
         Meta(description='True to hedge calls that take longer than most.'),
     ] = False
     health_path: Annotated[
-        str, Meta(pattern='^/', description='Path of the health check.')
+        str,
+        Meta(pattern=r'^/[!-~]*\Z', description='Path of the health check.'),
     ] = '/'
     max_connections: Annotated[
         int,
--- a/tests/platform/configuration.feature
+++ b/tests/platform/configuration.feature
@@ -50,3 +50,48 @@
     Given the platform's configuration with a team, an upload and a download
     When a patch sends a team "red" with the key "k-9" and removes the team "blue"
     Then the patched configuration has the team "red" with the key "k-9" only
+
+  # Guards against values that no reader decodes, and against those that are
+  # stored and read back as something else.
+  Scenario Outline: What can't be stored as sent is refused with its reason
+    Given the platform's configuration with a team, an upload and a download
+    When <change>
+    Then the platform's configuration is refused: "<reason>"
+    And the refusal contains no key
+
+    Examples:
+      | change                                                                | reason                            |
+      | a field "note" of the entry 0 is nested 33 levels deep                | host_routes.r-up.extensions       |
+      | a field "note" of the entry 2 is nested 400 levels deep               | services.orders.extensions        |
+      | a field "note" of the entry 3 is nested 980 levels deep               | deep                              |
+      | a field "note" of the entry 4 is nested 33 levels deep                | limits.extensions                 |
+      | a field "note" of the entry 4 is nested 100000 levels deep            | deep                              |
+      | a field "note" of a share of the entry 0 is nested 33 levels deep     | host_routes.r-up.split[0]         |
+      | the field "healthPath" of the entry 2 is "/a b"                       | services.orders.health_path       |
+      | the field "healthPath" of the entry 2 is "/a\r\nX-Key: b"             | services.orders.health_path       |
+      | the field "pathPrefix" of the entry 0 is "/a/\n"                      | host_routes.r-up.path_prefix      |
+      | the field "apiKeys" of the entry 3 is ["sEcret-key\n"]                | regex                             |
+      | the entry 4 has the name "all"                                        | limits: have no name              |
+      | the field "note" is given twice in the entry 1                        | the field 'note' is given twice   |
+      | the field "version" is given twice                                    | the field 'version' is given twice |
+
+  # Shows that the limit on nesting is what keeps versions readable.
+  Scenario: Each configuration that is accepted is read back by every process
+    When the fuzzer of configurations runs 300 examples with seed 1
+    Then the fuzzer found no invariant violation
+    When extensions may nest 100000 levels deep
+    And the fuzzer of configurations runs 100 examples with seed 1
+    Then the fuzzer found an invariant violation
+
+  # Guards against a text that is stored although no message can carry it: the
+  # register could then never be changed again.
+  Scenario Outline: A configuration is refused if it is too large to be sent on
+    Given a configuration of <size> bytes in force
+    When <change> makes it <larger> bytes
+    Then the change is <result>
+
+    Examples:
+      | size    | change        | larger   | result                        |
+      | 1000    | a new version | 8388608  | accepted                      |
+      | 1000    | a new version | 8388609  | refused: more than 8388608    |
+      | 8388000 | a patch       | 8389000  | refused: more than 8388608    |
--- a/tests/steps/heartbeat_steps.py
+++ b/tests/steps/heartbeat_steps.py
@@ -96,6 +96,7 @@
         local = ChangingMember()
         directory = SimpleNamespace(
             version=1,
+            known_version=1,
             apply_updates=lambda updates, **flags: None,
             evacuations=SimpleNamespace(learn=lambda update: None),
             keys=CurrentKeys(),
--- a/tests/steps/host_route_steps.py
+++ b/tests/steps/host_route_steps.py
@@ -10,8 +10,8 @@
 
 from burdocklead.exceptions import ConfigurationError
 from burdocklead.version.configuration_file import (
-    check_deployment,
     decode_deployment,
+    encode_checked,
     encode_deployment,
 )
 from burdocklead.version.deployment import (
@@ -90,7 +90,7 @@
 def create_valid_configuration(context):
     """Store a configuration of one route."""
     context.routes = {'main': host_route()}
-    check_deployment(deployment_of(context.routes))
+    encode_checked(deployment_of(context.routes))
 
 
 def _change_route(context, **changes):
@@ -140,7 +140,7 @@
 def check_refused(context, reason):
     """Check the reason of the refusal."""
     try:
-        check_deployment(deployment_of(context.routes))
+        encode_checked(deployment_of(context.routes))
     except ConfigurationError as error:
         assert reason in str(error), error
     else:
@@ -159,7 +159,7 @@
         removed_host_routes=(removed, 'unknown'),
     )
     context.patched = apply_patch(deployment_of(context.routes), patch)
-    check_deployment(context.patched)
+    encode_checked(context.patched)
 
 
 @then('the configuration has version {version:d} and the routes "{names}"')
--- a/tests/steps/platform_configuration_steps.py
+++ b/tests/steps/platform_configuration_steps.py
@@ -3,16 +3,25 @@
 from __future__ import annotations
 
 import json
+from unittest import mock
 
 from behave import given, then, when
 
+from burdocklead.durable.configuration import (
+    NO_FILE,
+    decide_change,
+    parse_proposal,
+)
 from burdocklead.exceptions import ConfigurationError
+from burdocklead.version import extensions
 from burdocklead.version.configuration_file import (
-    check_deployment,
     decode_deployment,
+    encode_checked,
     encode_deployment,
 )
 from burdocklead.version.patch import apply_patch
+from devtools.fuzz import configurations
+from tests.steps.fuzz_steps import first_violation
 from tests.steps.platform_modules import import_platform_module
 
 decoder = import_platform_module('configuration_decoder')
@@ -84,7 +93,7 @@
 
 def _decode(context):
     deployment = decoder.decode_configuration(context.sent_text.encode())
-    check_deployment(deployment)
+    encode_checked(deployment)
     return deployment
 
 
@@ -208,6 +217,128 @@
     """Apply the patch and compare the teams."""
     patch = decoder.decode_patch(json.dumps(context.patch).encode())
     patched = apply_patch(_decode(context), patch)
-    check_deployment(patched)
+    encode_checked(patched)
     assert list(patched.teams) == [name], patched.teams
     assert patched.teams[name].keys == (key,), patched.teams
+
+
+def _nested_text(depth):
+    return '[' * depth + ']' * depth
+
+
+def _replace_text(context, old, new):
+    """Change the sent text, for values that the encoder can't write."""
+    assert context.sent_text.count(old) == 1, context.sent_text
+    context.sent_text = context.sent_text.replace(old, new)
+
+
+@when('a field "{name}" of the entry {index:d} is nested {depth:d} levels deep')
+def nest_field(context, name, index, depth):
+    """Add a field to the spec of an entry."""
+    context.sent['resources'][index]['spec'][name] = '@'
+    context.sent_text = json.dumps(context.sent)
+    _replace_text(context, '"@"', _nested_text(depth))
+
+
+@when(
+    'a field "{name}" of a share of the entry {index:d} is nested {depth:d} '
+    'levels deep'
+)
+def nest_share_field(context, name, index, depth):
+    """Split the calls of a route and add a field to its share."""
+    spec = context.sent['resources'][index]['spec']
+    share = {'service': spec.pop('service'), 'weight': 1, name: '@'}
+    spec['trafficSplit'] = [share]
+    context.sent_text = json.dumps(context.sent)
+    _replace_text(context, '"@"', _nested_text(depth))
+
+
+@when('the field "{name}" is given twice in the entry {index:d}')
+def repeat_field(context, name, index):
+    """Add a field to a spec twice."""
+    context.sent['resources'][index]['spec']['@'] = 1
+    context.sent_text = json.dumps(context.sent)
+    _replace_text(context, '"@": 1', f'"{name}": 1, "{name}": 2')
+
+
+@when('the field "{name}" is given twice')
+def repeat_top_field(context, name):
+    """Repeat a field of the whole configuration."""
+    value = json.dumps(context.sent[name])
+    context.sent_text = f'{context.sent_text[:-1]}, "{name}": {value}}}'
+
+
+@when('extensions may nest {depth:d} levels deep')
+def lift_limit(context, depth):
+    """Raise the limit until the end of the scenario."""
+    patch = mock.patch.object(extensions, 'MAX_DEPTH', depth)
+    patch.start()
+    context.add_cleanup(patch.stop)
+
+
+@when('the fuzzer of configurations runs {count:d} examples with seed {seed:d}')
+def run_configuration_fuzzer(context, count, seed):
+    """Run the fuzzer and keep the first violation."""
+    context.violation = first_violation(configurations, count, seed)
+
+
+def _product_text(version, size):
+    """Return a configuration of the product with a number of bytes."""
+    head = (
+        f'{{"version":{version},"services":{{"orders":{{"routes":[{{'
+        '"name":"r","method":"GET","path":"/","idempotent":true}]}},'
+        '"extensions":{"note":"'
+    )
+    tail = '"}}'
+    return f'{head}{"x" * (size - len(head) - len(tail))}{tail}'.encode()
+
+
+@given('a configuration of {size:d} bytes in force')
+def accept_sized(context, size):
+    """Accept a file."""
+    proposal = parse_proposal(_product_text(1, size))
+    file, result = decide_change(NO_FILE, proposal)
+    assert result.accepted, result
+    context.file = file
+
+
+@when('a new version makes it {size:d} bytes')
+def propose_sized(context, size):
+    """Propose a complete file."""
+    context.proposal = parse_proposal(_product_text(2, size))
+
+
+@when('a patch makes it {size:d} bytes')
+def patch_sized(context, size):
+    """Propose a patch that adds a service with an extension."""
+    note = 'x' * (size - len(context.file.text))
+    patch = f"""
+    base = 1
+    version = 2
+    [services.more]
+    extensions = {{note = "{note}"}}
+    [[services.more.routes]]
+    name = "r"
+    method = "GET"
+    path = "/"
+    idempotent = true
+    """
+    context.proposal = parse_proposal(patch.encode())
+
+
+@then('the change is accepted')
+def check_size_accepted(context):
+    """Decide the change."""
+    result = decide_change(context.file, context.proposal)[1]
+    assert result.accepted, result
+
+
+@then('the change is refused: {reason}')
+def check_size_refused(context, reason):
+    """Decide the change."""
+    try:
+        decide_change(context.file, context.proposal)
+    except ConfigurationError as error:
+        assert reason in str(error), error
+    else:
+        raise AssertionError('it was accepted')
--- a/tests/version/configuration_file.feature
+++ b/tests/version/configuration_file.feature
@@ -42,7 +42,7 @@
       """
       colour: is not a known key
       version: expected `int`, got `str`
-      services.Archive: expected `str` matching regex '^[a-z][a-z0-9-]{0,62}$'
+      services.Archive: expected `str` matching regex '^[a-z][a-z0-9-]{0,62}\\Z'
       services.Archive.routes: expected `array`, got `int`
       services.sheets.routes[0].idempotent: expected `bool`, got `str`
       services.sheets.routes[0].priority: Invalid enum value 'urgent'
