--- a/tests/platform/unreadable_versions.feature
+++ b/tests/platform/unreadable_versions.feature
@@ -34,3 +34,19 @@
     Then after 2 s a request to "/view/1" at daemon 20 is answered by "orders"
     And the configuration is read back as sent at every replica
     And every process of the platform runs
+
+  # Guards against processes that end when a register holds a value that another
+  # release wrote.
+  Scenario Outline: A register that can't be read ends no process
+    Given a platform with the services "sheets", "orders"
+    When version 3 routes "/view/" to "sheets"
+    And all replicas are killed and started with a value of "<register>" that can't be read
+    Then after 4 s a request to "/view/1" at daemon 21 is answered by "sheets"
+    And every process of the platform runs
+
+    Examples:
+      | register      |
+      | configuration |
+      | allowance     |
+      | evacuations   |
+      | drains        |
--- a/tests/steps/unreadable_version_steps.py
+++ b/tests/steps/unreadable_version_steps.py
@@ -8,11 +8,7 @@
 import requests
 from behave import then, when
 
-from burdocklead.durable.configuration import (
-    CONFIGURATION_KEY,
-    AcceptedFile,
-    decode_accepted_file,
-)
+from burdocklead.durable.configuration import CONFIGURATION_KEY, AcceptedFile
 from burdocklead.durable.files import OsFileLayer
 from burdocklead.durable.register import Ballot, Register
 from burdocklead.durable.store import RegisterStore
@@ -132,16 +128,19 @@
     assert not ended, ended
 
 
-def _store_unreadable(folder, version):
-    """Write an accepted file as a release with other keys would."""
-    store = RegisterStore(OsFileLayer(), folder)
-    register = store.read(CONFIGURATION_KEY)
-    assert decode_accepted_file(register.value).version < version
-    file = AcceptedFile(version, 'digest', b'{"key of a later release": 1}')
+def _store_in_all(context, key, value):
+    """Kill all replicas, change their data folders and start them again."""
+    platform = context.platform
+    for number in range(REPLICA_COUNT):
+        platform.kill(f'control-{number}')
     ballot = Ballot(1000, 1, 'a')
-    value = msgspec.msgpack.encode(file)
-    store.commit({CONFIGURATION_KEY: Register(ballot, ballot, value)})
-    store.close()
+    for number in range(REPLICA_COUNT):
+        folder = platform.folder / f'data-{number}'
+        store = RegisterStore(OsFileLayer(), folder)
+        store.commit({key: Register(ballot, ballot, value)})
+        store.close()
+    for number in range(REPLICA_COUNT):
+        platform.start_control(number, bootstrap=False)
 
 
 @when(
@@ -149,14 +148,18 @@
     "can't be read"
 )
 def replace_stored(context, version):
-    """Change the data folders while no replica runs."""
-    platform = context.platform
-    for number in range(REPLICA_COUNT):
-        platform.kill(f'control-{number}')
-    for number in range(REPLICA_COUNT):
-        _store_unreadable(platform.folder / f'data-{number}', version)
-    for number in range(REPLICA_COUNT):
-        platform.start_control(number, bootstrap=False)
+    """Store an accepted file with keys that this release doesn't know."""
+    file = AcceptedFile(version, 'digest', b'{"key of a later release": 1}')
+    _store_in_all(context, CONFIGURATION_KEY, msgspec.msgpack.encode(file))
+
+
+@when(
+    'all replicas are killed and started with a value of "{key}" that '
+    "can't be read"
+)
+def store_unreadable(context, key):
+    """Store a text where each release stores a table or an array."""
+    _store_in_all(context, key, msgspec.msgpack.encode('another format'))
 
 
 @then('within {limit:d} s the log of each daemon has "{text}"')
