Name the data folder that a vote or a page is requested from

Cause: during a replacement the set has one address under two names, and messages named the address only. The empty replica voted for the one whose disk was lost, and counted itself as a source of its catch-up.

Change: batches of phases and requests for pages name the identity of the data folder; any other replica refuses them. Exchange replies carry the identity and count as heard only from the member. The first set is formed only after each replica has confirmed that it runs and has no set. A set is used once it is synced, not before.

Sets that are written before use are mended by reading.

--- a/burdocklead/connection/control_messages.py
+++ b/burdocklead/connection/control_messages.py
@@ -22,10 +22,13 @@
         epoch: Epoch of the sender's replica set; a replica with another epoch
             refuses the batch.
         phases: Phases in the order in which they are handled.
+        recipient: Identity of the data folder whose vote is requested. Another
+            replica may have taken over the address.
     """
 
     epoch: int
     phases: tuple[Phase, ...]
+    recipient: str = ''
 
 
 class InstallSet(msgspec.Struct, frozen=True, tag=True, array_like=True):
@@ -51,10 +54,17 @@
 
 
 class CatchUp(msgspec.Struct, frozen=True, tag=True, array_like=True):
-    """Request the registers whose keys follow a key, in key order."""
+    """Request the registers whose keys follow a key, in key order.
+
+    Attributes:
+        epoch: Epoch of the sender's replica set.
+        after: Last key received, empty for the first page.
+        recipient: Identity of the data folder to read, as in ``Phases``.
+    """
 
     epoch: int
     after: str
+    recipient: str = ''
 
 
 class CatchUpPage(msgspec.Struct, frozen=True, tag=True, array_like=True):
@@ -133,6 +143,7 @@
         is_settled: False if the replica started a short time ago and may not
             have heard all daemons yet.
         evacuations: Evacuated zones, None if the replica doesn't know them.
+        identity: Identity of the replica's data folder.
     """
 
     cursor: Cursor
@@ -145,6 +156,7 @@
     drains: DrainList = NO_DRAINS
     is_settled: bool = True
     evacuations: EvacuatedZones | None = None
+    identity: str = ''
 
 
 class Exchange(msgspec.Struct, frozen=True, tag=True, array_like=True):
--- a/burdocklead/durable/replica_set.py
+++ b/burdocklead/durable/replica_set.py
@@ -76,6 +76,11 @@
                 return replica
         return None
 
+    def identity_of(self, replica_id: str) -> str:
+        """Return the identity of a replica, empty if it is not in the set."""
+        replica = self.find(replica_id)
+        return replica.identity if replica else ''
+
     def addresses(self) -> tuple[tuple[str, Address], ...]:
         """Return names and addresses of the replicas after any change."""
         return tuple(
--- a/burdocklead/process/control_replica.py
+++ b/burdocklead/process/control_replica.py
@@ -286,6 +286,7 @@
             drains=self.drains.current,
             is_settled=self.members.is_settled,
             evacuations=self.evacuations.current,
+            identity=self.registers.identity.identity,
         )
 
     async def _change_claim(
--- a/burdocklead/process/register_service.py
+++ b/burdocklead/process/register_service.py
@@ -31,6 +31,7 @@
 )
 from burdocklead.durable.register_values import decode_value
 from burdocklead.durable.replica_set import Replica, ReplicaSet
+from burdocklead.durable.set_change import decode_set
 from burdocklead.durable.store import RegisterStore
 from burdocklead.exceptions import ControlError, QuorumError
 from burdocklead.log_events import REPLICA_SET
@@ -58,7 +59,9 @@
         Raises:
             ControlError: If the replica is in another epoch or did not answer.
         """
-        message = Phases(self.service.replica_set.epoch, phases)
+        replica_set = self.service.replica_set
+        recipient = replica_set.identity_of(self.client.name)
+        message = Phases(replica_set.epoch, phases, recipient)
         reply = await self.client.request(message, PHASE_TIMEOUT_S)
         if isinstance(reply, PhaseReplies):
             return reply.replies
@@ -136,11 +139,12 @@
         A batch of another epoch is refused: the reply is the set known here.
 
         Raises:
-            ControlError: If this replica is not in the set.
+            ControlError: If this replica is not in the set, or the batch is
+                for the one that had its address before.
         """
         if message.epoch != self.replica_set.epoch:
             return self.describe()
-        self._check_member()
+        self._check_recipient(message)
         return PhaseReplies(await self.local.reply_to(message.phases))
 
     def describe(self) -> SetReply:
@@ -153,12 +157,24 @@
         )
 
     async def install(self, replica_set: ReplicaSet) -> None:
-        """Adopt a set if it is newer; it is synced to disk on return."""
-        if replica_set.epoch <= self.replica_set.epoch:
+        """Adopt a set if it is newer, once it is synced to disk.
+
+        A replica that answered in an epoch must not return to an older one
+        when it starts again.
+
+        Raises:
+            StorageError: If it could not be written; the set stays in use.
+        """
+        written = decode_set(
+            self.commits.read(LOCAL_SET_KEY).value, self.replica_set
+        )
+        if replica_set.epoch <= written.epoch:
             return
-        self._use_set(replica_set)
         value = msgspec.msgpack.encode(replica_set)
         await self.commits.write({LOCAL_SET_KEY: Register(value=value)})
+        if replica_set.epoch <= self.replica_set.epoch:
+            return
+        self._use_set(replica_set)
         names = ', '.join(sorted(replica_set.names))
         REPLICA_SET.write(epoch=replica_set.epoch, replicas=names)
 
@@ -197,10 +213,13 @@
 
         Changes accepted in an earlier epoch are synced before the page is
         built, because they were written before the set of this epoch.
+
+        Raises:
+            ControlError: As for a batch.
         """
         if message.epoch != self.replica_set.epoch:
             return self.describe()
-        self._check_member()
+        self._check_recipient(message)
         await self.commits.write({})
         registers = self.store.registers
         keys = sorted(
@@ -232,9 +251,13 @@
         if not self.is_member:
             raise QuorumError('this replica is not in the set', step=STEP)
 
-    def _check_member(self) -> None:
+    def _check_recipient(self, message: Phases | CatchUp) -> None:
+        reason = ''
         if not self.is_member:
             reason = 'this replica is not in the set; add it under a new name'
+        elif message.recipient != self.identity.identity:
+            reason = 'another replica had this address before'
+        if reason:
             raise ControlError(reason, step=STEP, peer=self.settings.replica_id)
 
     def _use_set(self, replica_set: ReplicaSet) -> None:
--- a/burdocklead/process/replica_exchange.py
+++ b/burdocklead/process/replica_exchange.py
@@ -93,8 +93,7 @@
             await self.registers.install(reply.replica_set)
         now = time.monotonic()
         self.replica.clock.observe(reply.time)
-        # After losing its disk, a replica has a new name at the same address.
-        self._record_reply(reply.cursor.replica_id, now)
+        self._record_reply(reply, now)
         self.cursors[peer.name] = reply.cursor
         sender = reply.cursor.replica_id
         self.replica.members.merge(reply.updates, now, sender)
@@ -105,10 +104,17 @@
         if reply.file is not None:
             self.replica.learn_file(reply.file)
 
-    def _record_reply(self, replica_id: str, now: float) -> None:
-        """Record a reply; forget replicas that left the set long ago."""
+    def _record_reply(self, reply: HeartbeatReply, now: float) -> None:
+        """Record a reply; forget replicas that left the set long ago.
+
+        A replica that lost its disk may answer under its old name or, at its
+        old address, under a new one. It is no member until it has joined.
+        """
         last_reply_at = self.replica.set_manager.last_reply_at
-        last_reply_at[replica_id] = now
+        replica_id = reply.cursor.replica_id
+        expected = self.registers.replica_set.identity_of(replica_id)
+        if expected in {'', reply.identity}:
+            last_reply_at[replica_id] = now
         oldest = now - REPLY_MEMORY_S
         for name, at in tuple(last_reply_at.items()):
             if at < oldest and name not in self.registers.clients:
--- a/burdocklead/process/replica_set_manager.py
+++ b/burdocklead/process/replica_set_manager.py
@@ -15,6 +15,10 @@
     InstallSet,
     SetReply,
 )
+from burdocklead.connection.replica_description import (
+    describe_replica,
+    is_without_set,
+)
 from burdocklead.durable.replica_set import (
     Replica,
     ReplicaSet,
@@ -116,9 +120,9 @@
         decided = await self._update_set(update)
         target_names = names_of(decided.following or decided.replicas)
         if joining is not None and joining.replica_id not in target_names:
-            self._raise_superseded()
+            _raise_superseded()
         if change.leaving in target_names:
-            self._raise_superseded()
+            _raise_superseded()
         return decided
 
     async def cancel(self) -> ReplicaSet:
@@ -198,7 +202,23 @@
             return
         if replicas[0].replica_id != self.settings.replica_id:
             return
-        await self.registers.install(ReplicaSet(FIRST_EPOCH, replicas))
+        if await self._all_without_set(replicas):
+            await self.registers.install(ReplicaSet(FIRST_EPOCH, replicas))
+
+    async def _all_without_set(self, replicas: tuple[Replica, ...]) -> bool:
+        """Return True if every replica still runs and is in no set.
+
+        One that was discovered earlier may have formed a set since with a
+        replica that then lost its disk and was discovered again.
+        """
+        credentials = self.registers.credentials
+        asked = [
+            is_without_set(replica, credentials)
+            for replica in replicas
+            if replica != self.registers.own_replica
+        ]
+        without_set = await asyncio.gather(*asked)
+        return all(without_set) and not self.registers.replica_set.epoch
 
     async def _finish(self, epoch: int) -> None:
         def update(current: ReplicaSet) -> ReplicaSet:
@@ -250,7 +270,7 @@
                     peer=replica.replica_id,
                 )
             try:
-                await self._read_all(client, replica_set.epoch)
+                await self._read_all(client, replica_set)
             except ControlError as error:
                 CATCH_UP_FAILED.write(peer=client.name, cause=str(error))
                 continue
@@ -261,10 +281,14 @@
         self.caught_up_epoch = replica_set.epoch
         CAUGHT_UP.write(epoch=replica_set.epoch, replicas=len(read))
 
-    async def _read_all(self, client: ControlClient, epoch: int) -> None:
+    async def _read_all(
+        self, client: ControlClient, replica_set: ReplicaSet
+    ) -> None:
+        recipient = replica_set.identity_of(client.name)
         after = ''
         while True:
-            reply = await client.request(CatchUp(epoch, after), PAGE_TIMEOUT_S)
+            message = CatchUp(replica_set.epoch, after, recipient)
+            reply = await client.request(message, PAGE_TIMEOUT_S)
             if isinstance(reply, SetReply):
                 await self.registers.reconcile_sets(client, reply.replica_set)
             if not isinstance(reply, CatchUpPage):
@@ -283,33 +307,19 @@
             SetChangeError: If the replica can't be reached or has another
                 name.
         """
-        client = ControlClient(
-            joining.replica_id, joining.address, self.registers.credentials
-        )
         try:
-            reply = await client.request(
-                InstallSet(ReplicaSet()), INSTALL_TIMEOUT_S
-            )
+            reply = await describe_replica(joining, self.registers.credentials)
         except ControlError as error:
             reason = f'can not be reached: {error.reason}'
             raise SetChangeError(
                 reason, step=STEP, peer=joining.replica_id
             ) from error
-        finally:
-            client.close()
-        if not isinstance(reply, SetReply):
-            reason = 'unexpected reply'
-        elif reply.replica_id != joining.replica_id:
+        if reply.replica_id != joining.replica_id:
             reason = f'{reply.replica_id} answers at {joining.address}'
-        else:
-            return msgspec.structs.replace(
-                joining, identity=reply.identity, zone=reply.zone
-            )
-        raise SetChangeError(reason, step=STEP, peer=joining.replica_id)
-
-    def _raise_superseded(self) -> None:
-        reason = 'another change was decided first'
-        raise SetChangeError(reason, step=STEP)
+            raise SetChangeError(reason, step=STEP, peer=joining.replica_id)
+        return msgspec.structs.replace(
+            joining, identity=reply.identity, zone=reply.zone
+        )
 
     def _reachable(self) -> frozenset[str]:
         limit = time.monotonic() - REACHABLE_AGE_S
@@ -329,3 +339,8 @@
     for replica, heard_at in tuple(candidates.items()):
         if heard_at < oldest:
             candidates.pop(replica)
+
+
+def _raise_superseded() -> None:
+    reason = 'another change was decided first'
+    raise SetChangeError(reason, step=STEP)
