--- a/review/stand_ins_3/deployment.py
+++ b/review/stand_ins_3/deployment.py
@@ -223,6 +223,7 @@
         self.processes[name] = subprocess.Popen(
             ['python3', program], cwd=ROOT, env=environment,
             stdin=subprocess.DEVNULL, stdout=log, stderr=log,
+            preexec_fn=_default_signals,
         )
         self.record.write(f'{name} started')
 
@@ -289,6 +290,11 @@
         raise CannotRun(f'sidecar-{number} is not ready')
 
 
+def _default_signals() -> None:
+    """Undo what the shell of this script ignores (``nohup``)."""
+    signal.signal(signal.SIGHUP, signal.SIG_DFL)
+
+
 def route(prefix, kind, service, timeout_ms, attempts=2):
     """Return the spec of a route."""
     return {
