--- a/review/stand_ins_3/deployment.py
+++ b/review/stand_ins_3/deployment.py
@@ -63,6 +63,10 @@
     ('vancouver', 'victoria', 'nanaimo'), 'coastal', 300, 0.86, 1,
     ('syncS=4', 'budgetMinRetries=62'),
 )
+GWD_MESH_GROWN = Site(
+    ('wien-a', 'wien-b', 'wien-c'), 'wien', 200, 0.43, 1,
+    ('syncS=6', 'budgetMinRetries=182'),
+)
 UMURAGE_MESH_GROWN = Site(
     ('kigali-a', 'kigali-b', 'kigali-c'), 'kigali', 200, 0.43, 1,
     (
