--- a/review/11/case.py
+++ b/review/11/case.py
@@ -134,4 +134,4 @@
     return broken
 
 
-run_case(play, FOLDER, CEDARLINE_SHEETS)
+run_case(play, FOLDER / 'record.txt', CEDARLINE_SHEETS)
--- a/review/12/case.py
+++ b/review/12/case.py
@@ -61,4 +61,4 @@
     return True
 
 
-run_case(play, FOLDER, GWD_MESH_GROWN)
+run_case(play, FOLDER / 'record.txt', GWD_MESH_GROWN)
--- a/review/stand_ins_3/deployment.py
+++ b/review/stand_ins_3/deployment.py
@@ -1,7 +1,7 @@
 """Starts the project's programs as the platform does, on loopback addresses.
 
 Each machine has an address of its own. Everything that is seen is written to
-``record.txt`` in the folder of the case.
+the record that the case names.
 """
 
 from __future__ import annotations
@@ -483,9 +483,9 @@
     raise CannotRun(f'no request is served through sidecar-{number}')
 
 
-def run_case(play, folder: Path, site: Site, limit_s: float = 110) -> None:
-    """Play a case and exit as the issue says."""
-    record = Record(folder / 'record.txt')
+def run_case(play, path: Path, site: Site, limit_s: float = 110) -> None:
+    """Play a case, write its record to a path, and exit as the issue says."""
+    record = Record(path)
     trouble = os.environ.get('TROUBLE', '1') != '0'
     record.write(f'trouble: {"yes" if trouble else "no"}')
     deployment = Deployment(record, site)
