Declare bodies as what they are; decide configurations of every size

Cause: a body of more than 262,144 bytes is a memoryview, a smaller one bytes. A cast in HeldBytes.finish and two ignored errors in large_frames declared all of them as bytes, so mypy could not see that the check for repeated fields calls decode, which a memoryview doesn't have.

Change: Body = bytes | memoryview in all that takes a body, without a cast or an ignored error; frames are generic in the type of their body. mypy then named each user: config.replace and config.patch, heartbeats, fingerprints of crashes, answers of upstreams, the fuzzer's network.

A fixture of the stand-in upstream is split so that a heartbeat can be padded.

--- a/burdocklead/connection/answer_reader.py
+++ b/burdocklead/connection/answer_reader.py
@@ -27,6 +27,7 @@
 from burdocklead.connection.upstream_request import UpstreamRequest
 from burdocklead.memory.body_intake import BodyIntake, IntakeState
 from burdocklead.memory.budget import SMALL_BYTES, MemoryBudget, Use
+from burdocklead.values import Body
 
 # A chunk of one byte takes five bytes of framing.
 FRAMING_BYTES_PER_BODY_BYTE = 8
@@ -69,7 +70,7 @@
 
     status: int
     headers: Headers
-    body: bytes
+    body: Body
 
 
 @dataclass(slots=True)
@@ -311,7 +312,7 @@
             self.clean = False
         self.ended = True
         if partial.large is None:
-            body = bytes(partial.body)
+            body: Body = bytes(partial.body)
         else:
             partial.flush()
             body = partial.large.body.finish()
--- a/burdocklead/connection/frames.py
+++ b/burdocklead/connection/frames.py
@@ -4,20 +4,24 @@
 
 import enum
 import struct
-from typing import Protocol
+from typing import Generic, Protocol
 
 import msgspec
+from typing_extensions import TypeVar
 
 from burdocklead.clock import HybridTime
 from burdocklead.decoding import decode_outside
 from burdocklead.exceptions import LinkError
 from burdocklead.teams.key_proof import KeyProof
-from burdocklead.values import CrashReport, LoadReport, RefusalCause
+from burdocklead.values import Body, CrashReport, LoadReport, RefusalCause
 
 # Length of the payload in bytes, then the sender's hybrid time.
 HEADER = struct.Struct('>IQI')
 MAX_FRAME_BYTES = 80 * 1024 * 1024
 Headers = tuple[tuple[str, str], ...]
+# A decoder needs one type of body: bytes are copied out of the payload, a
+# memoryview refers to it. A frame that isn't decoded here may have either.
+BodyT = TypeVar('BodyT', bound=Body, default=Body, covariant=True)
 
 
 class AttemptState(enum.StrEnum):
@@ -60,7 +64,9 @@
     proof: bytes
 
 
-class Attempt(msgspec.Struct, frozen=True, tag='attempt', array_like=True):
+class Attempt(
+    msgspec.Struct, Generic[BodyT], frozen=True, tag='attempt', array_like=True
+):
     """Run one attempt of a call at the upstream.
 
     Attributes:
@@ -96,7 +102,7 @@
     method: str
     path: str
     headers: Headers
-    body: bytes
+    body: BodyT
     remaining_ms: float
     idempotent: bool
     rank: int
@@ -110,13 +116,15 @@
     key_proof: KeyProof | None = None
 
 
-class Answer(msgspec.Struct, frozen=True, tag='answer', array_like=True):
+class Answer(
+    msgspec.Struct, Generic[BodyT], frozen=True, tag='answer', array_like=True
+):
     """The upstream answered."""
 
     attempt_id: str
     status: int
     headers: Headers
-    body: bytes
+    body: BodyT
     load: LoadReport
 
 
@@ -166,7 +174,9 @@
     incarnation: int
 
 
-class Verdict(msgspec.Struct, frozen=True, tag='verdict', array_like=True):
+class Verdict(
+    msgspec.Struct, Generic[BodyT], frozen=True, tag='verdict', array_like=True
+):
     """Reply to a query or a cancel.
 
     Attributes:
@@ -180,7 +190,7 @@
     attempt_id: str
     incarnation: int
     state: AttemptState
-    result: Answer | Refusal | Lost | None = None
+    result: Answer[BodyT] | Refusal | Lost | None = None
 
 
 class Ping(msgspec.Struct, frozen=True, tag='ping', array_like=True):
@@ -203,24 +213,25 @@
 
 
 AttemptResult = Answer | Refusal | Lost
-Frame = (
+BodylessFrame = (
     Hello
     | Welcome
     | Proof
-    | Attempt
-    | Answer
     | Refusal
     | Lost
     | Cancel
     | Query
-    | Verdict
     | Ping
     | Pong
     | CrashNotice
 )
+Frame = Attempt | Answer | Verdict | BodylessFrame
+SmallFrame = Attempt[bytes] | Answer[bytes] | Verdict[bytes] | BodylessFrame
 
 _encoder = msgspec.msgpack.Encoder()
-_decoder: msgspec.msgpack.Decoder[Frame] = msgspec.msgpack.Decoder(Frame)
+_decoder: msgspec.msgpack.Decoder[SmallFrame] = msgspec.msgpack.Decoder(
+    SmallFrame
+)
 
 
 def encode_frame(frame: Frame, time: HybridTime) -> bytes:
--- a/burdocklead/connection/http_messages.py
+++ b/burdocklead/connection/http_messages.py
@@ -7,6 +7,7 @@
 from http import HTTPStatus
 
 from burdocklead.connection.frames import Headers
+from burdocklead.values import Body
 
 ENCODING = 'latin-1'
 NO_BODY_STATUSES = frozenset((204, 304))
@@ -30,7 +31,7 @@
     method: str
     target: str
     headers: Headers
-    body: bytes
+    body: Body
     arrived: float
 
     def find(self, name: str) -> str | None:
@@ -51,7 +52,7 @@
 
     status: int
     headers: Headers = ()
-    body: bytes = b''
+    body: Body = b''
     close: bool = False
 
 
@@ -65,7 +66,7 @@
 
 
 def encode_request(
-    method: str, target: str, headers: Headers, body: bytes
+    method: str, target: str, headers: Headers, body: Body
 ) -> bytes:
     """Return an encoded request with a Content-Length if one is needed."""
     return encode_request_head(method, target, headers, len(body)) + body
--- a/burdocklead/connection/large_frames.py
+++ b/burdocklead/connection/large_frames.py
@@ -39,20 +39,10 @@
 UNKNOWN_LOAD = LoadReport(0, 0, 0)
 
 
-class LargeAttempt(Attempt, frozen=True, tag='attempt', array_like=True):
-    """An attempt whose body refers to the received bytes."""
-
-    body: memoryview  # type: ignore[assignment]
-
-
-class LargeAnswer(Answer, frozen=True, tag='answer', array_like=True):
-    """An answer whose body refers to the received bytes."""
-
-    body: memoryview  # type: ignore[assignment]
-
-
 _encoder = msgspec.msgpack.Encoder()
-LargeFrame = LargeAttempt | LargeAnswer | Verdict | CrashNotice
+LargeFrame = (
+    Attempt[memoryview] | Answer[memoryview] | Verdict[memoryview] | CrashNotice
+)
 _decoder: msgspec.msgpack.Decoder[LargeFrame] = msgspec.msgpack.Decoder(
     LargeFrame
 )
@@ -85,24 +75,17 @@
 
 def encode_for_link(frame: Frame, time: HybridTime) -> bytes | FramePieces:
     """Return an encoded frame, in pieces if it has a large body."""
-    match frame:
-        case Attempt(body=body) | Answer(body=body):
-            if len(body) > SMALL_BYTES:
-                return _encode_pieces(frame, body, time)
-        case Verdict(result=Answer() as answer):
-            # Not sent on the usual path: a copy of the body.
-            whole = msgspec.structs.replace(answer, body=bytes(answer.body))
-            frame = msgspec.structs.replace(frame, result=whole)
+    if isinstance(frame, Attempt | Answer) and len(frame.body) > SMALL_BYTES:
+        return _encode_pieces(frame, time)
     return encode_frame(frame, time)
 
 
-def _encode_pieces(
-    frame: Attempt | Answer, body: bytes, time: HybridTime
-) -> FramePieces:
+def _encode_pieces(frame: Attempt | Answer, time: HybridTime) -> FramePieces:
     """Encode the elements of a frame around its body.
 
     The encoding of an array is its head and then that of each element.
     """
+    body = frame.body
     names = frame.__struct_fields__
     position = names.index('body')
     tag = str(frame.__struct_config__.tag)
--- a/burdocklead/connection/request_memory.py
+++ b/burdocklead/connection/request_memory.py
@@ -12,6 +12,7 @@
 from burdocklead.memory.body_intake import BodyIntake, IntakeState
 from burdocklead.memory.budget import SMALL_BYTES, MemoryBudget, Shed, Use
 from burdocklead.memory.shed_log import record_shed
+from burdocklead.values import Body
 
 HEADER_OBJECT_BYTES = 256  # Python objects of a header besides its text.
 HEADER_TIMEOUT = HttpResponse(408, close=True)
@@ -117,7 +118,7 @@
             partial.expects_continue = False
             self._reserve(partial)
 
-    def finish(self, partial: PartialRequest) -> bytes:
+    def finish(self, partial: PartialRequest) -> Body:
         """Return the body of a complete request."""
         if partial.held_bytes:
             self.budget.free_call(partial.held_bytes)
--- a/burdocklead/connection/upstream_request.py
+++ b/burdocklead/connection/upstream_request.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 
 from burdocklead.connection.frames import Headers
+from burdocklead.values import Body
 
 AnswerIdReader = Callable[[Headers], str | None]
 
@@ -30,4 +31,4 @@
     content: bytes
     answer_id: str = ''
     read_answer_id: AnswerIdReader = read_no_id
-    body: bytes = b''
+    body: Body = b''
--- a/burdocklead/decoding.py
+++ b/burdocklead/decoding.py
@@ -7,7 +7,9 @@
 
 import msgspec
 
-ContentT = TypeVar('ContentT', bytes, str)
+from burdocklead.values import Body
+
+ContentT = TypeVar('ContentT', bound=Body | str)
 MessageT = TypeVar('MessageT')
 
 
--- a/burdocklead/memory/held_bytes.py
+++ b/burdocklead/memory/held_bytes.py
@@ -4,7 +4,6 @@
 
 import weakref
 from array import array
-from typing import cast
 
 from burdocklead.memory.budget import MemoryBudget, Use, Waiter
 
@@ -75,11 +74,7 @@
         """Add a chunk at the end."""
         self.content.frombytes(chunk)
 
-    def finish(self) -> bytes:
-        """Return the complete body, which reserves what it takes.
-
-        It is a memoryview. The users of bodies only send, hash and decode
-        them, all of which take any bytes-like object.
-        """
+    def finish(self) -> memoryview:
+        """Return the complete body, which reserves what it takes."""
         self.reservation.settle(len(self.content))
-        return cast(bytes, memoryview(self.content))
+        return memoryview(self.content)
--- a/burdocklead/request/block_list.py
+++ b/burdocklead/request/block_list.py
@@ -16,7 +16,7 @@
 
 import msgspec
 
-from burdocklead.values import CrashReport, Member
+from burdocklead.values import Body, CrashReport, Member
 from burdocklead.version.deployment import Crashes
 
 EXPIRY_INTERVAL_S = 1
@@ -33,10 +33,11 @@
     blocked = 'blocked'
 
 
-def fingerprint_of(service: str, method: str, path: str, body: bytes) -> str:
+def fingerprint_of(service: str, method: str, path: str, body: Body) -> str:
     """Return a digest that identifies equal requests."""
     head = f'{service}\n{method}\n{path}\n'
-    digest = hashlib.sha256(head.encode(errors='surrogateescape') + body)
+    digest = hashlib.sha256(head.encode(errors='surrogateescape'))
+    digest.update(body)
     return digest.hexdigest()[:FINGERPRINT_HEX_DIGITS]
 
 
--- a/burdocklead/request/call.py
+++ b/burdocklead/request/call.py
@@ -17,7 +17,7 @@
 from burdocklead.durable.claims import StoredAnswer
 from burdocklead.request.headers import ANSWER_HEADER
 from burdocklead.teams.key_proof import KeyProof
-from burdocklead.values import Outcome, RefusalCause
+from burdocklead.values import Body, Outcome, RefusalCause
 from burdocklead.version.route_table import RouteMatch
 
 STATUS_BY_CAUSE = {
@@ -65,7 +65,7 @@
     match: RouteMatch
     method: str
     headers: Headers
-    body: bytes
+    body: Body
     key: str
     deadline: float
     objective: float = 0
@@ -92,7 +92,7 @@
     outcome: Outcome
     status: int
     headers: Headers = ()
-    body: bytes = b''
+    body: Body = b''
     cause: str = ''
     detail: str = ''
     retry_after_s: float = 0
--- a/burdocklead/request/keyed_call.py
+++ b/burdocklead/request/keyed_call.py
@@ -245,7 +245,9 @@
     """Return a digest that identifies resends of the same call."""
     rules = call.match
     head = f'{rules.service_name}\n{call.method}\n{rules.path}\n'
-    return hashlib.sha256(head.encode() + call.body).hexdigest()
+    digest = hashlib.sha256(head.encode())
+    digest.update(call.body)
+    return digest.hexdigest()
 
 
 def _claim_key_of(call: Call) -> str:
--- a/burdocklead/request/upstream_client.py
+++ b/burdocklead/request/upstream_client.py
@@ -6,7 +6,7 @@
 from typing import Protocol
 
 from burdocklead.connection.frames import Attempt, Headers
-from burdocklead.values import Address, RefusalCause
+from burdocklead.values import Address, Body, RefusalCause
 
 
 @dataclass(frozen=True, slots=True)
@@ -34,7 +34,7 @@
 
     status: int
     headers: Headers
-    body: bytes
+    body: Body
 
 
 @dataclass(frozen=True, slots=True)
--- a/burdocklead/values.py
+++ b/burdocklead/values.py
@@ -6,6 +6,9 @@
 
 import msgspec
 
+# A large body refers to the memory in which it was received.
+Body = bytes | memoryview
+
 
 class Address(msgspec.Struct, frozen=True, array_like=True, order=True):
     """An IP address and a port.
--- a/devtools/fuzz/request_simulation.py
+++ b/devtools/fuzz/request_simulation.py
@@ -107,7 +107,8 @@
 
     def record_result(self, call: Call, result: CallResult) -> None:
         """Record a result returned to a caller."""
-        self.results_by_payload.setdefault(call.body, []).append(result)
+        payload = bytes(call.body)
+        self.results_by_payload.setdefault(payload, []).append(result)
         if result.outcome is Outcome.not_run:
             self.not_run.add(call.call_id)
 
@@ -146,7 +147,7 @@
         non_idempotent: bool,
     ) -> None:
         bodies = {
-            result.body
+            bytes(result.body)
             for result in results
             if result.outcome is Outcome.answered
         }
@@ -179,15 +180,16 @@
             return UpstreamRefused(RefusalCause.upstream_unreachable)
         if rng.random() < REFUSAL_PROBABILITY:
             return UpstreamRefused(RefusalCause.upstream_refused)
-        self.simulation.oracle.runs_by_payload[attempt.body] += 1
+        payload = bytes(attempt.body)
+        self.simulation.oracle.runs_by_payload[payload] += 1
         self.simulation.oracle.runs_by_call[attempt.call_id] += 1
-        count = self.simulation.oracle.runs_by_payload[attempt.body]
+        count = self.simulation.oracle.runs_by_payload[payload]
         duration = rng.choice(RUN_TIMES_S)
         try:
             async with asyncio.timeout(duration):
                 await self.crashed.wait()
         except TimeoutError:
-            return UpstreamAnswer(200, (), attempt.body + b'|%d' % count)
+            return UpstreamAnswer(200, (), payload + b'|%d' % count)
         return UpstreamLost('closed', crash_suspected=True)
 
     async def close(self) -> None:
--- a/tests/platform/stand_in.py
+++ b/tests/platform/stand_in.py
@@ -100,8 +100,13 @@
 
     def send_heartbeat(self, **changes):
         """Send a heartbeat; return its status."""
+        body = json.dumps(self.heartbeat(**changes))
+        return self.call('instances.heartbeat', body)
+
+    def heartbeat(self, **changes):
+        """Return the content of the next heartbeat."""
         self.number += 1
-        body = {
+        return {
             'service': self.service,
             'address': f'{self.ip}:{APP_PORT}',
             'zone': 'vancouver',
@@ -113,7 +118,6 @@
             'born': 1000,
             **changes,
         }
-        return self.call('instances.heartbeat', json.dumps(body))
 
     def send_heartbeat_if_ready(self):
         """Send a heartbeat if ready; ignore errors, as others follow."""
