--- a/tests/platform/body_sizes.feature
+++ b/tests/platform/body_sizes.feature
@@ -48,8 +48,8 @@
       | replace |
       | patch   |
 
-  # Guards against large bodies that are answered 500 although they are invalid.
-  Scenario: A large body that is no configuration is refused
+  # Guards against bodies that are answered 500 although they are invalid.
+  Scenario: A body that is no configuration is refused at every size
     Given a platform with the services "sheets", "orders"
     When version 3 routes "/view/" to "sheets"
     Then bodies of 200000 and 300000 bytes are refused with 400 by each change
@@ -58,6 +58,10 @@
       | a truncated configuration       |
       | a field given twice             |
       | a field nested 100000 deep      |
+      | a field that isn't UTF-8        |
+      | an escape that is no character  |
+      | a number out of range           |
+      | a number of 5000 digits         |
     And no process has logged an unexpected error
 
   # Guards against calls without a body that fail if one is sent.
--- a/tests/steps/body_size_steps.py
+++ b/tests/steps/body_size_steps.py
@@ -52,6 +52,15 @@
 MAX_PIECES = 40
 MAX_ANSWER_BYTES = 16777216
 UNAVAILABLE = 503
+BAD_FIELDS = {
+    'a field given twice': b'"note": 1',
+    'a field nested 100000 deep': b'"deep": %b%b'
+    % (b'[' * 100000, b']' * 100000),
+    "a field that isn't UTF-8": b'"odd": "\xff"',
+    'an escape that is no character': r'"odd": "\ud800"'.encode(),
+    'a number out of range': b'"odd": 1e400',
+    'a number of 5000 digits': b'"odd": %b' % (b'1' * 5000),
+}
 
 
 @dataclass(frozen=True)
@@ -285,14 +294,7 @@
             return b'1' * size
         case 'a truncated configuration':
             return text[:-1]
-        case 'a field given twice':
-            return text.replace(b'"note":', b'"note": 1, "note":', 1)
-        case "a field that isn't UTF-8":
-            return text.replace(b'"note": "', b'"note": "\xff', 1)
-        case 'a field nested 100000 deep':
-            nested = b'[' * 100000 + b']' * 100000
-            return text.replace(b'"note":', b'"deep": %b, "note":' % nested, 1)
-    raise ValueError(content)
+    return text.replace(b'"note":', b'%b, "note":' % BAD_FIELDS[content], 1)
 
 
 @then(
