Reserve no more for a chunked body than the largest one takes

What callers saw: a chunked request of 67,108,864 bytes, the limit of the configuration, was refused 503 by a daemon with 200 MB of memory, and one byte more got 503 instead of 413; with an announced length both were right. Found by the new test of requests at every size.

Cause: a body of unknown size reserves twice what has arrived, which from half of the limit on is more than any body can take, and more than requests may reserve in such a daemon.

Change: the reservation ends at the largest size that is allowed, and the size is checked before a chunk is added.

Evidence: the scenario failed before at 67,108,864 bytes in 100 pieces (503 after 0.1 s). It passes now, with all 131 scenarios of memory, connection and platform/body_sizes.

--- a/burdocklead/connection/answer_reader.py
+++ b/burdocklead/connection/answer_reader.py
@@ -327,13 +327,17 @@
         """
         if size <= SMALL_BYTES or partial.foreign:
             return
+        most = self.limits.max_body_bytes
         intake = BodyIntake(
-            self.budget, Use.answers, self.loop.time, self.sink.resume_body
+            self.budget,
+            Use.answers,
+            most,
+            self.loop.time,
+            self.sink.resume_body,
         )
         partial.large = intake
         partial.flush_at = PIECE_BYTES
         partial.flush()
-        most = self.limits.max_body_bytes
         known = partial.announced_bytes() or most
         ceiling = self.budget.limits.ceiling(Use.answers)
         match intake.reserve(min(known, most, ceiling)):
--- a/burdocklead/connection/request_memory.py
+++ b/burdocklead/connection/request_memory.py
@@ -45,6 +45,7 @@
 
     Attributes:
         started: Loop time in s of its first byte.
+        max_body_bytes: Largest size of its body.
         body_started: Loop time in s at which its body could be read.
         large: Its body if that is large, None otherwise.
         length: Announced size of its body in bytes.
@@ -53,6 +54,7 @@
     """
 
     started: float
+    max_body_bytes: int
     body_started: float = 0
     target: bytearray = field(default_factory=bytearray)
     headers: list[tuple[str, str]] = field(default_factory=list)
@@ -114,7 +116,7 @@
         partial.body.append(chunk)
         if partial.body_bytes > SMALL_BYTES:
             # Its size was not announced.
-            partial.length = 2 * partial.body_bytes
+            partial.length = min(2 * partial.body_bytes, partial.max_body_bytes)
             partial.expects_continue = False
             self._reserve(partial)
 
@@ -185,6 +187,7 @@
         intake = BodyIntake(
             self.budget,
             Use.requests,
+            partial.max_body_bytes,
             self.loop.time,
             bind(self._on_room, partial),
         )
--- a/burdocklead/connection/request_reader.py
+++ b/burdocklead/connection/request_reader.py
@@ -138,7 +138,9 @@
 
     def on_message_begin(self) -> None:
         """Start a new request."""
-        self.partial = PartialRequest(self.loop.time())
+        self.partial = PartialRequest(
+            self.loop.time(), self.limits().max_body_bytes
+        )
         self.in_headers = True
 
     def on_url(self, url: bytes) -> None:
@@ -178,8 +180,9 @@
         partial = self.partial
         if partial is None:
             return
-        self.memory.add_chunk(partial, chunk)
-        self._check_body_size(partial.body_bytes)
+        self._check_body_size(partial.body_bytes + len(chunk))
+        if self.partial is partial:
+            self.memory.add_chunk(partial, chunk)
 
     def on_message_complete(self) -> None:
         """Pass the complete request to the sink."""
--- a/burdocklead/memory/body_intake.py
+++ b/burdocklead/memory/body_intake.py
@@ -27,6 +27,7 @@
         state: Whether it may be read.
         since: Time in s at which the state began.
         room: Bytes up to which the body may grow as it is reserved.
+        max_bytes: Largest size of the body.
         clock: Returns the time in s.
         on_room: Called once a waiting body may be read.
     """
@@ -38,6 +39,7 @@
         'state',
         'since',
         'room',
+        'max_bytes',
         'clock',
         'on_room',
     )
@@ -46,6 +48,7 @@
         self,
         budget: MemoryBudget,
         use: Use,
+        max_bytes: int,
         clock: Callable[[], float],
         on_room: Callable[[], None],
     ) -> None:
@@ -56,6 +59,7 @@
         self.state = IntakeState.reading
         self.since = float(0)
         self.room = float(0)
+        self.max_bytes = max_bytes
         self.clock = clock
         self.on_room = on_room
 
@@ -84,12 +88,16 @@
     def append(self, chunk: bytes) -> bool:
         """Add a chunk; return False if there is no room for it.
 
-        A body of unknown size reserves twice as much each time.
+        A body of unknown size reserves twice as much each time, but no more
+        than the largest one takes.
         """
         # Called for each chunk, and an upstream may send chunks of one byte.
         content = self.body.content
         content.frombytes(chunk)
-        return len(content) <= self.room or self._grow(2 * len(content))
+        size = len(content)
+        if size <= self.room:
+            return True
+        return self._grow(max(size, min(2 * size, self.max_bytes)))
 
     def is_waiting(self) -> bool:
         """Return True while the body has to stay unread."""
--- a/tests/platform/body_sizes.feature
+++ b/tests/platform/body_sizes.feature
@@ -105,5 +105,9 @@
       | 1048576  | 30     | length  | 200    |
       | 16777216 | 1      | length  | 200    |
       | 67108864 | 1      | length  | 200    |
+      | 16777217 | 50     | chunks  | 200    |
+      | 60000000 | 100    | chunks  | 200    |
+      | 67108864 | 100    | chunks  | 200    |
       | 67108865 | 1      | length  | 413    |
+      | 67108865 | 100    | chunks  | 413    |
     And no process has logged an unexpected error
