Serve what a quorum decided, whatever becomes of its proposer

Cause: a replica serves copies of register values (configuration, drains) that change only when the proposer announces a decision in an exchange. Others of the majority hold the value in their registers, but never look at them. What a register holds is accepted, not decided, so it can't be served as it is.

Change: a copy beside the register has to exist, because a later value that was only accepted overwrites it there; but there is one kind of it now. DecidedRegister holds the newest decided value of a register. Every 0.25 s it compares the register of the replica with it; a newer value that is there twice in a row is read from a quorum, which proves it or runs a round. Configuration, evacuations and drains are served from it; the check that evacuations had for themselves is gone. Likewise a replica installs a replica set that its register holds once a quorum confirms it. Drains are announced at once, in exchanges. Claims have no copy; a lease that is only accepted makes a replica wait longer. burdocklead_values_confirmed_total and "value confirmed" tell when it happens.

--- a/burdocklead/connection/control_messages.py
+++ b/burdocklead/connection/control_messages.py
@@ -168,6 +168,7 @@
             data folder.
         evacuations: Evacuated zones known to the sender, None if it knows
             none yet.
+        drains: Daemons drained by operators, as known to the sender.
     """
 
     replica_id: str
@@ -178,6 +179,7 @@
     known_digest: str = ''
     sender: Replica | None = None
     evacuations: EvacuatedZones | None = None
+    drains: DrainList = NO_DRAINS
 
 
 class Failure(msgspec.Struct, frozen=True, tag=True, array_like=True):
--- a/burdocklead/evacuation/operator_evacuations.py
+++ b/burdocklead/evacuation/operator_evacuations.py
@@ -3,31 +3,26 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 from collections.abc import Callable
 
 import msgspec
 
+from burdocklead.durable.decided_register import DecidedRegister
 from burdocklead.evacuation.zone_list import (
     EVACUATIONS_KEY,
     MAX_ZONE_NAME,
     EvacuatedZones,
     decide_evacuation,
     decode_evacuations,
-    is_newer,
 )
 from burdocklead.events import EventKind, EventRing
-from burdocklead.exceptions import (
-    ConfigurationError,
-    ControlError,
-    QuorumError,
-)
+from burdocklead.exceptions import ConfigurationError, QuorumError
 from burdocklead.log_events import EVACUATION_DECIDED, EVACUATIONS_CHANGED
 from burdocklead.process.membership import MembershipView
 from burdocklead.process.register_service import RegisterService
 
 STEP = 'evacuate'
-CHECK_INTERVAL_S = 0.25
+COLLECT_INTERVAL_S = 0.25
 # All daemons send a heartbeat to a replica that has just started within 3 s.
 NAME_TIMEOUT_S = 3.0
 NAME_POLL_S = 0.1
@@ -37,7 +32,7 @@
     """Keeps the newest list of evacuated zones and changes the register.
 
     Attributes:
-        current: Newest accepted list that this replica knows, None before it
+        decided: Newest decided list that this replica knows, None before it
             has read the register or heard from another replica.
         zone_names: Zones of all processes seen since the start.
     """
@@ -65,9 +60,16 @@
         self.events = events
         self.is_settled = is_settled
         self.on_accepted = on_accepted
-        self.current: EvacuatedZones | None = None
+        self.decided = DecidedRegister(
+            EVACUATIONS_KEY, _decode_list, _revision_of, self._note
+        )
         self.zone_names: set[str] = set()
 
+    @property
+    def current(self) -> EvacuatedZones | None:
+        """Return the newest decided list, None before it is known."""
+        return self.decided.current
+
     async def change(self, zone: str, *, evacuate: bool) -> EvacuatedZones:
         """Start or end an evacuation and return the accepted list.
 
@@ -93,42 +95,15 @@
         EVACUATION_DECIDED.write(
             zone=zone, evacuated=evacuate, number=accepted.revision
         )
-        self.learn(accepted)
+        self.decided.learn(accepted)
         self.on_accepted()
         return accepted
 
-    async def recover(self) -> None:
-        """Load the list from a quorum.
-
-        Raises:
-            ControlError: If no quorum answered.
-        """
-        value = await self.registers.read(EVACUATIONS_KEY)
-        self.learn(decode_evacuations(value).evacuated)
-
-    def learn(self, update: EvacuatedZones | None) -> None:
-        """Adopt an accepted list if it is newer than the current one."""
-        if update is None or not is_newer(update, self.current):
-            return
-        self.current = update
-        if update.revision:
-            names = ', '.join(update.zones) or 'none'
-            self.events.record(EventKind.evacuations_changed, detail=names)
-            EVACUATIONS_CHANGED.write(zones=names)
-
     async def run_forever(self) -> None:
-        """Collect names of zones and recover missed changes until cancelled.
-
-        The replica that had a change accepted may stop before it tells the
-        others. Each replica of the quorum then holds a newer value than the
-        one that it serves.
-        """
+        """Collect names of zones until cancelled."""
         while True:
             self.collect_names()
-            with contextlib.suppress(ControlError):
-                if self._holds_newer():
-                    await self.recover()
-            await asyncio.sleep(CHECK_INTERVAL_S)
+            await asyncio.sleep(COLLECT_INTERVAL_S)
 
     def collect_names(self) -> None:
         """Add the zones of the processes that are known now."""
@@ -139,14 +114,11 @@
         self.zone_names.update(replica.zone for replica in replicas)
         self.zone_names.add(self.registers.settings.zone)
 
-    def _holds_newer(self) -> bool:
-        """Return True if the own register holds a list that is not served.
-
-        It may not have been accepted by a quorum.
-        """
-        stored = self.registers.commits.read(EVACUATIONS_KEY)
-        held = decode_evacuations(stored.value).evacuated
-        return is_newer(held, self.current)
+    def _note(self, update: EvacuatedZones) -> None:
+        if update.revision:
+            names = ', '.join(update.zones) or 'none'
+            self.events.record(EventKind.evacuations_changed, detail=names)
+            EVACUATIONS_CHANGED.write(zones=names)
 
     async def _is_known(self, zone: str) -> bool:
         """Return True if a process of a zone was seen or it was evacuated.
@@ -169,3 +141,11 @@
                 reason = 'this replica has just started and knows no such zone'
                 raise QuorumError(reason, step=STEP, peer=zone)
             await asyncio.sleep(NAME_POLL_S)
+
+
+def _decode_list(value: bytes) -> EvacuatedZones:
+    return decode_evacuations(value).evacuated
+
+
+def _revision_of(update: EvacuatedZones) -> int:
+    return update.revision
--- a/burdocklead/log_events.py
+++ b/burdocklead/log_events.py
@@ -46,6 +46,7 @@
     'peer': 'the other process: a daemon, a replica or an address',
     'process': 'name of the process',
     'rank': 'priority rank of the call; 0 is shed last',
+    'register': 'key of a register',
     'replicas': 'names or number of replicas',
     'requests': 'requests of callers without a response',
     'route': 'name of the route',
@@ -300,6 +301,14 @@
     'a replica learns of a newer configuration',
     'version',
 )
+VALUE_CONFIRMED = _declare(
+    'value confirmed',
+    'registers',
+    Level.info,
+    'a replica found a newer value in its own register and read it from a '
+    'quorum',
+    'register',
+)
 CHANGE_DECIDED = _declare(
     'change decided',
     'control',
--- a/burdocklead/metrics.py
+++ b/burdocklead/metrics.py
@@ -118,6 +118,11 @@
 VERSIONS_NOT_USED = _counter(
     'versions_not_used', 'Configuration versions that could not be read.'
 )
+VALUES_CONFIRMED = _counter(
+    'values_confirmed',
+    'Newer values that a replica found in its own register and confirmed.',
+    'register',
+)
 CONTROL_BAD = _counter('control_bad', 'Control messages not decoded.')
 INTERNAL_ERRORS = _counter('internal_errors', 'Calls that failed within.')
 LATE_RESULTS = _counter('late_results', 'Results that nobody waited for.')
--- a/burdocklead/process/control_http.py
+++ b/burdocklead/process/control_http.py
@@ -83,7 +83,7 @@
         text = await request.read()
         try:
             proposal = parse_proposal(text, _base_version(request))
-            result = await self.replica.propose(proposal)
+            result = await self.replica.configuration.propose(proposal)
         except ConfigurationError as error:
             content = {'problems': error.problems, 'step': error.step}
             return json_response(content, BAD_REQUEST)
@@ -93,7 +93,7 @@
 
     async def show(self, request: web.Request) -> web.Response:
         """Return the accepted configuration file."""
-        file = self.replica.file
+        file = self.replica.configuration.current
         return web.Response(
             body=file.text, headers={'Burdocklead-Version': str(file.version)}
         )
@@ -121,7 +121,7 @@
         members = self.replica.members.live()
         content = {
             'replica': self.replica.settings.replica_id,
-            'version': self.replica.file.version,
+            'version': self.replica.configuration.current.version,
             'quorum': not self.replica.not_ready(),
             'members': members,
             'blocked': self._blocked(members),
@@ -145,7 +145,9 @@
     def _crash_limits(self) -> Crashes:
         """Return the limits in the accepted file, or the default ones."""
         try:
-            return decode_deployment(self.replica.file.text).crashes
+            return decode_deployment(
+                self.replica.configuration.current.text
+            ).crashes
         except ConfigurationError:
             return Crashes()
 
--- a/burdocklead/process/control_replica.py
+++ b/burdocklead/process/control_replica.py
@@ -29,20 +29,11 @@
     finish_claim,
     start_claim,
 )
-from burdocklead.durable.configuration import (
-    CONFIGURATION_KEY,
-    AcceptedFile,
-    ApplyResult,
-    Proposal,
-    decide_change,
-    decode_accepted_file,
-    without_history,
-)
+from burdocklead.durable.operator_configuration import OperatorConfiguration
 from burdocklead.durable.replica_set import NO_QUORUM_AGE_S, Replica
 from burdocklead.evacuation.operator_evacuations import OperatorEvacuations
 from burdocklead.events import EventKind, EventRing
-from burdocklead.exceptions import ControlError
-from burdocklead.log_events import LEASE_RAN_OUT, VERSION_ACCEPTED
+from burdocklead.log_events import LEASE_RAN_OUT
 from burdocklead.memory.budget import BudgetLimits, MemoryBudget
 from burdocklead.metrics import MetricSet
 from burdocklead.process.membership import MembershipView
@@ -60,7 +51,7 @@
     """State of one replica and its message handlers.
 
     Attributes:
-        file: Newest configuration file known to be accepted.
+        configuration: Configuration that operators change.
         grants: Grants calls of teams while this replica holds the lease.
         exchange_requested: Set to run an exchange with the other replicas at
             once.
@@ -78,9 +69,16 @@
         self.members = MembershipView(
             settings.replica_id, time.time_ns(), settings.member_lease
         )
-        self.file = AcceptedFile()
-        self.drains = OperatorDrains(self.registers, self.events)
         self.exchange_requested = asyncio.Event()
+        self.configuration = OperatorConfiguration(
+            self.registers,
+            self.registers.commits.read,
+            self.events,
+            self.exchange_requested.set,
+        )
+        self.drains = OperatorDrains(
+            self.registers, self.events, self.exchange_requested.set
+        )
         self.evacuations = OperatorEvacuations(
             self.registers,
             self.members,
@@ -89,7 +87,10 @@
             on_accepted=self.exchange_requested.set,
         )
         self.grants = create_grant_service(
-            settings, self.registers, lambda: self.file, self.metrics
+            settings,
+            self.registers,
+            lambda: self.configuration.current,
+            self.metrics,
         )
         self.set_manager = ReplicaSetManager(self.registers, {})
         self.registers.proposer.all_reachable = self.all_peers_responsive
@@ -112,8 +113,11 @@
                 reply = self._heartbeat_reply(message)
             case Exchange():
                 self._note_candidate(message)
-                self.evacuations.learn(message.evacuations)
-                self._learn_newer_file(message)
+                self.evacuations.decided.learn(message.evacuations)
+                self.drains.decided.learn(message.drains)
+                self.configuration.learn_announced(
+                    message.known_version, message.known_digest
+                )
                 reply = self._heartbeat_reply(message)
             case ClaimStart() | ClaimFinish():
                 reply = await self._change_claim(message)
@@ -121,50 +125,6 @@
                 reply = self.grants.handle(message)
         return reply
 
-    async def propose(self, proposal: Proposal) -> ApplyResult:
-        """Propose a configuration change and return the decision.
-
-        Raises:
-            ConfigurationError: If a patch yields an invalid configuration.
-            QuorumError: If no quorum answered; the change may still be
-                accepted later.
-        """
-        results: list[ApplyResult] = []
-
-        def update(value: bytes) -> bytes:
-            updated, result = decide_change(
-                decode_accepted_file(value), proposal
-            )
-            results.append(result)
-            return msgspec.msgpack.encode(updated)
-
-        value = await self.registers.change(CONFIGURATION_KEY, update)
-        self.learn_file(decode_accepted_file(value))
-        if results[-1].accepted:
-            self.exchange_requested.set()
-        return results[-1]
-
-    async def read_file(self) -> AcceptedFile:
-        """Return the newest accepted file, read from a quorum.
-
-        Raises:
-            QuorumError: If no quorum answered.
-        """
-        value = await self.registers.read(CONFIGURATION_KEY)
-        file = decode_accepted_file(value)
-        self.learn_file(file)
-        return file
-
-    def learn_file(self, file: AcceptedFile) -> None:
-        """Serve an accepted file if it is newer than the current one."""
-        if file.version <= self.file.version:
-            return
-        self.file = without_history(file)
-        self.events.record(
-            EventKind.version_accepted, detail=f'version {file.version}'
-        )
-        VERSION_ACCEPTED.write(version=file.version)
-
     def quorum_age(self) -> float:
         """Return the time in s since a quorum last replied."""
         if not self.registers.is_member:
@@ -207,18 +167,6 @@
             for name in self.registers.clients
         )
 
-    async def recover_state(self) -> None:
-        """Read the evacuations, configuration and drains; retry on failure."""
-        while True:
-            try:
-                await self.evacuations.recover()
-                await self.read_file()
-                await self.drains.recover()
-            except ControlError:
-                await asyncio.sleep(self.settings.exchange_interval)
-                continue
-            return
-
     async def expire_forever(self) -> None:
         """Mark daemons whose lease expired, until cancelled.
 
@@ -242,23 +190,6 @@
             self.events.record(EventKind.member_left, peer=member.daemon_id)
             LEASE_RAN_OUT.write(peer=member.daemon_id)
 
-    def _learn_newer_file(self, message: Exchange) -> None:
-        """Adopt a newer file that another replica knows to be accepted.
-
-        The register of this replica usually holds the content already,
-        because the round that accepted it brought it here.
-        """
-        if message.known_version <= self.file.version:
-            return
-        stored = decode_accepted_file(
-            self.registers.commits.read(CONFIGURATION_KEY).value
-        )
-        same_version = stored.version == message.known_version
-        if same_version and stored.digest == message.known_digest:
-            self.learn_file(stored)
-        else:
-            self.exchange_requested.set()
-
     def _note_candidate(self, message: Exchange) -> None:
         """Record a replica that may join the set."""
         sender = message.sender
@@ -270,7 +201,8 @@
         is_snapshot, updates = self.members.updates_since(
             message.cursor, time.monotonic()
         )
-        newer = self.file.version > message.known_version
+        file = self.configuration.current
+        newer = file.version > message.known_version
         # A daemon that has just started must not serve without the list.
         newer = newer and self.evacuations.current is not None
         replica_set = self.registers.replica_set
@@ -279,7 +211,7 @@
             cursor=self.members.cursor,
             is_snapshot=is_snapshot,
             updates=updates,
-            file=self.file if newer else None,
+            file=file if newer else None,
             quorum_age_ms=self.quorum_age() * MS_PER_S,
             time=self.clock.issue(),
             replica_set=replica_set if newer_set else None,
--- a/burdocklead/process/operator_drains.py
+++ b/burdocklead/process/operator_drains.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import msgspec
 
+from burdocklead.durable.decided_register import DecidedRegister
 from burdocklead.durable.drains import (
     DRAINS_KEY,
     NO_DRAINS,
@@ -20,14 +23,33 @@
     """Keeps the newest drain list and changes it through the register.
 
     Attributes:
-        current: Newest accepted list that this replica knows.
+        decided: Newest decided list that this replica knows.
     """
 
-    def __init__(self, registers: RegisterService, events: EventRing) -> None:
-        """Start with an empty list."""
+    def __init__(
+        self,
+        registers: RegisterService,
+        events: EventRing,
+        on_accepted: Callable[[], None],
+    ) -> None:
+        """Start with an empty list.
+
+        Args:
+            registers: Registers of this replica.
+            events: Ring for changes of the list.
+            on_accepted: Called when a change was accepted.
+        """
         self.registers = registers
         self.events = events
-        self.current = NO_DRAINS
+        self.on_accepted = on_accepted
+        self.decided = DecidedRegister(
+            DRAINS_KEY, decode_drains, _revision_of, self._note, NO_DRAINS
+        )
+
+    @property
+    def current(self) -> DrainList:
+        """Return the newest decided list."""
+        return self.decided.current or NO_DRAINS
 
     async def change(self, daemon_id: str, *, drained: bool) -> DrainList:
         """Start or end the drain of a daemon and return the accepted list.
@@ -44,23 +66,15 @@
 
         value = await self.registers.change(DRAINS_KEY, update)
         accepted = decode_drains(value)
-        self.learn(accepted)
+        self.decided.learn(accepted)
+        self.on_accepted()
         return accepted
 
-    async def recover(self) -> None:
-        """Load the list from a quorum.
-
-        Raises:
-            ControlError: If no quorum answered.
-        """
-        value = await self.registers.change(DRAINS_KEY, bytes)
-        self.learn(decode_drains(value))
-
-    def learn(self, drains: DrainList) -> None:
-        """Adopt a list if it is newer than the current one."""
-        if drains.revision <= self.current.revision:
-            return
-        self.current = drains
+    def _note(self, drains: DrainList) -> None:
         names = ', '.join(drains.daemons) or 'none'
         self.events.record(EventKind.drains_changed, detail=names)
         DRAINS_CHANGED.write(daemons=names)
+
+
+def _revision_of(drains: DrainList) -> int:
+    return drains.revision
--- a/burdocklead/process/replica_exchange.py
+++ b/burdocklead/process/replica_exchange.py
@@ -77,12 +77,13 @@
         message = Exchange(
             self.settings.replica_id,
             self.cursors.get(peer.name, Cursor()),
-            self.replica.file.version,
+            self.replica.configuration.current.version,
             self.replica.clock.issue(),
             self.registers.replica_set.epoch,
-            self.replica.file.digest,
+            self.replica.configuration.current.digest,
             self.registers.own_replica,
             self.replica.evacuations.current,
+            self.replica.drains.current,
         )
         reply = await peer.request(message, EXCHANGE_TIMEOUT_S)
         if not isinstance(reply, HeartbeatReply):
@@ -99,10 +100,10 @@
         self.replica.members.merge(reply.updates, now, sender)
         self.replica.members.renew_leases(sender, now)
         self.replica.members.is_settled |= reply.is_settled
-        self.replica.drains.learn(reply.drains)
-        self.replica.evacuations.learn(reply.evacuations)
+        self.replica.drains.decided.learn(reply.drains)
+        self.replica.evacuations.decided.learn(reply.evacuations)
         if reply.file is not None:
-            self.replica.learn_file(reply.file)
+            self.replica.configuration.decided.learn(reply.file)
 
     def _record_reply(self, reply: HeartbeatReply, now: float) -> None:
         """Record a reply; forget replicas that left the set long ago.
--- a/burdocklead/process/replica_measurements.py
+++ b/burdocklead/process/replica_measurements.py
@@ -22,7 +22,7 @@
 
 def measure_replica(metrics: MetricSet, replica: ControlReplica) -> None:
     """Update all metrics of a control replica."""
-    metrics.set(VERSION, replica.file.version)
+    metrics.set(VERSION, replica.configuration.current.version)
     evacuated = replica.evacuations.current
     metrics.set(EVACUATED_ZONES, len(evacuated.zones) if evacuated else 0)
     metrics.set(QUORUM_AGE, min(replica.quorum_age(), MAX_QUORUM_AGE_S))
--- a/burdocklead/process/replica_process.py
+++ b/burdocklead/process/replica_process.py
@@ -8,6 +8,7 @@
 
 from burdocklead.connection.control_server import ControlServer
 from burdocklead.connection.http_server import HttpServer
+from burdocklead.durable.decided_register import DecidedRegisters
 from burdocklead.process.control_replica import ControlReplica
 from burdocklead.process.lifecycle import Lifecycle
 from burdocklead.process.metrics_http import MetricsSource, start_metrics_server
@@ -101,13 +102,27 @@
     await operator_server.close()
 
 
+def decided_registers(replica: ControlReplica) -> DecidedRegisters:
+    """Return the registers whose values a replica hands to daemons."""
+    return DecidedRegisters(
+        replica.registers,
+        replica.registers.commits.read,
+        (
+            replica.evacuations.decided,
+            replica.configuration.decided,
+            replica.drains.decided,
+        ),
+        replica.metrics,
+    )
+
+
 def start_replica_tasks(
     replica: ControlReplica, supervisor: Supervisor
 ) -> list[asyncio.Task[None]]:
     """Start the background tasks of a replica."""
     return [
         supervisor.start('expire', replica.expire_forever()),
-        supervisor.start('recover', replica.recover_state()),
+        supervisor.start('registers', decided_registers(replica).run_forever()),
         supervisor.start('evacuations', replica.evacuations.run_forever()),
         supervisor.start('exchange', ReplicaExchange(replica).run_forever()),
         supervisor.start('replica set', replica.set_manager.run_forever()),
--- a/burdocklead/process/replica_set_manager.py
+++ b/burdocklead/process/replica_set_manager.py
@@ -144,6 +144,10 @@
             return
         if not self.registers.is_member:
             return
+        newer = await _read_newer_set(self.registers)
+        if newer is not None:
+            await self._install(newer)
+            return
         if self.settings.target_size:
             await self._maintain_size(replica_set)
         if not replica_set.following:
@@ -237,11 +241,12 @@
 
         value = await self.registers.change(REPLICA_SET_KEY, update_value)
         decided = decode_set(value, known)
-        await self.registers.install(decided)
-        await self._broadcast(decided)
+        await self._install(decided)
         return decided
 
-    async def _broadcast(self, replica_set: ReplicaSet) -> None:
+    async def _install(self, replica_set: ReplicaSet) -> None:
+        """Install a decided set here and at the other replicas."""
+        await self.registers.install(replica_set)
         requests = [
             client.request(InstallSet(replica_set), INSTALL_TIMEOUT_S)
             for client in self.registers.clients.values()
@@ -330,6 +335,20 @@
         return frozenset(reachable)
 
 
+async def _read_newer_set(registers: RegisterService) -> ReplicaSet | None:
+    """Return a newer set that was decided, if the own register holds one.
+
+    The replica that had it decided may have stopped before it announced it.
+    What the register holds may not be decided.
+    """
+    known = registers.replica_set
+    held = registers.commits.read(REPLICA_SET_KEY)
+    if decode_set(held.value, known).epoch <= known.epoch:
+        return None
+    decided = decode_set(await registers.read(REPLICA_SET_KEY), known)
+    return decided if decided.epoch > known.epoch else None
+
+
 def _forget_silent(candidates: dict[Replica, float]) -> None:
     """Drop candidates that are silent for long.
 
--- a/tests/steps/evacuation_steps.py
+++ b/tests/steps/evacuation_steps.py
@@ -24,6 +24,7 @@
     decode_evacuations,
 )
 from burdocklead.events import EventRing
+from burdocklead.process.replica_process import decided_registers
 from burdocklead.request.admission import AdmissionQueue
 from burdocklead.request.slot_gate import SlotGate
 from burdocklead.request.slot_table import SlotTable
@@ -119,25 +120,26 @@
     )
 
     async def read(key):
-        return value
+        return value if key == EVACUATIONS_KEY else b''
 
     context.replica.registers.read = read
+    context.replica.evacuations.decided.is_read = True
 
 
 @given('the control replica knows a configuration')
 def learn_configuration(context):
     """Let the replica serve a file."""
-    context.replica.learn_file(AcceptedFile(1, 'digest', b'x'))
+    context.replica.configuration.decided.learn(AcceptedFile(1, 'digest', b'x'))
 
 
 @when('the control replica checks its register')
 def check_register(context):
-    """Run the periodic check once."""
+    """Run the periodic check twice: what is new must still be there."""
 
     async def run():
-        task = asyncio.create_task(context.replica.evacuations.run_forever())
-        await asyncio.sleep(0.01)
-        task.cancel()
+        registers = decided_registers(context.replica)
+        await registers.check()
+        await registers.check()
 
     asyncio.run(run())
 
--- a/tests/steps/set_policy_steps.py
+++ b/tests/steps/set_policy_steps.py
@@ -10,6 +10,7 @@
 from behave import given, then
 
 from burdocklead.connection.control_messages import CatchUpPage
+from burdocklead.durable.register import EMPTY_REGISTER
 from burdocklead.durable.replica_set import Replica, ReplicaSet
 from burdocklead.durable.set_change import SetChange
 from burdocklead.durable.set_policy import (
@@ -105,6 +106,7 @@
         )
         self.own_replica = own
         self.is_member = True
+        self.commits = SimpleNamespace(read=lambda key: EMPTY_REGISTER)
         self.use(replica_set)
 
     def use(self, replica_set):
--- a/tests/steps/spreading_steps.py
+++ b/tests/steps/spreading_steps.py
@@ -70,7 +70,8 @@
 @then('the control replica serves version {version:d}')
 def check_served(context, version):
     """Compare the version that is sent to daemons."""
-    assert context.replica.file.version == version, context.replica.file
+    file = context.replica.configuration.current
+    assert file.version == version, file
 
 
 @then('the control replica starts no early exchange')
