Tell a decided configuration by its text, not by the request for it

What could happen: a patch is accepted at one replica on top of a version that then loses to another content of the same version, and is decided elsewhere on top of that. Both files have the version and the digest of the request, so the replica took its own for the decided one and served a configuration that no quorum had decided.

Change: an exchange names the digest of the text. A replica of the release before sends another digest; the file is then requested, as for any other content.

Evidence: the new scenario of durable/spreading failed before (version 3 served from the own register) and passes now.

--- a/burdocklead/connection/control_messages.py
+++ b/burdocklead/connection/control_messages.py
@@ -163,7 +163,8 @@
     """Request of a replica to another one for its changes.
 
     Attributes:
-        known_digest: Digest of the configuration known to the sender.
+        known_digest: SHA-256 digest of the text of the configuration known to
+            the sender.
         sender: The sending replica with its address and the identity of its
             data folder.
         evacuations: Evacuated zones known to the sender, None if it knows
--- a/burdocklead/durable/operator_configuration.py
+++ b/burdocklead/durable/operator_configuration.py
@@ -23,6 +23,7 @@
 from burdocklead.durable.register import Register
 from burdocklead.events import EventKind, EventRing
 from burdocklead.log_events import VERSION_ACCEPTED
+from burdocklead.version.configuration_file import digest_of
 
 
 class OperatorConfiguration:
@@ -30,6 +31,7 @@
 
     Attributes:
         decided: Newest decided file that this replica knows.
+        text_digest: SHA-256 digest of its text, empty before the first.
     """
 
     def __init__(
@@ -55,6 +57,8 @@
             CONFIGURATION_KEY, _decode_file, _version_of, self._note, NO_FILE
         )
 
+        self.text_digest = ''
+
     @property
     def current(self) -> AcceptedFile:
         """Return the newest decided file, without its history."""
@@ -93,21 +97,24 @@
         self.decided.learn(file)
         return file
 
-    def learn_announced(self, version: int, digest: str) -> None:
+    def learn_announced(self, version: int, text_digest: str) -> None:
         """Adopt a newer file that another replica knows to be decided.
 
         The register of this replica usually holds the content already,
-        because the round that accepted it brought it here.
+        because the round that accepted it brought it here. The digest in the
+        file doesn't tell: it is that of the request, which may have patched
+        another version here.
         """
         if version <= self.current.version:
             return
         held = _decode_file(self.read_local(CONFIGURATION_KEY).value)
-        if held.version == version and held.digest == digest:
+        if held.version == version and digest_of(held.text) == text_digest:
             self.decided.learn(held)
         else:
             self.request_exchange()
 
     def _note(self, file: AcceptedFile) -> None:
+        self.text_digest = digest_of(file.text)
         self.events.record(
             EventKind.version_accepted, detail=f'version {file.version}'
         )
--- a/burdocklead/process/replica_exchange.py
+++ b/burdocklead/process/replica_exchange.py
@@ -80,7 +80,7 @@
             self.replica.configuration.current.version,
             self.replica.clock.issue(),
             self.registers.replica_set.epoch,
-            self.replica.configuration.current.digest,
+            self.replica.configuration.text_digest,
             self.registers.own_replica,
             self.replica.evacuations.current,
             self.replica.drains.current,
--- a/tests/durable/spreading.feature
+++ b/tests/durable/spreading.feature
@@ -17,6 +17,14 @@
       | 3       | y    |
       | 4       | x    |
 
+  # Guards against a patch that was accepted on a version that lost: the request
+  # is the same as the one that was decided, the configuration is another one.
+  Scenario: A replica that patched another version requests the file at once
+    Given a control replica whose register holds version 3 as "x"
+    When another replica sends an exchange with version 3 as "y", from the same request
+    Then the control replica serves version 0
+    And the control replica starts an exchange at once
+
   Scenario: An exchange with an older version changes nothing
     Given a control replica whose register holds version 3 as "x"
     When another replica sends an exchange with version 3 as "x"
--- a/tests/steps/spreading_steps.py
+++ b/tests/steps/spreading_steps.py
@@ -20,7 +20,11 @@
     seal_reply,
     seal_request,
 )
-from burdocklead.durable.configuration import CONFIGURATION_KEY, AcceptedFile
+from burdocklead.durable.configuration import (
+    CONFIGURATION_KEY,
+    AcceptedFile,
+    decode_accepted_file,
+)
 from burdocklead.durable.register import Register
 from burdocklead.exceptions import ControlError
 from burdocklead.options import read_settings
@@ -67,6 +71,21 @@
     asyncio.run(replica.handle(message))
 
 
+@when(
+    'another replica sends an exchange with version {version:d} as "{text}", '
+    'from the same request'
+)
+def send_exchange_of_request(context, version, text):
+    """Let the register have the digest of the request, as patches have."""
+    commits = context.replica.registers.commits
+    held = decode_accepted_file(commits.read(CONFIGURATION_KEY).value)
+    patched = msgspec.structs.replace(held, digest=digest_of(text.encode()))
+    commits.waiting[CONFIGURATION_KEY] = Register(
+        value=msgspec.msgpack.encode(patched)
+    )
+    send_exchange(context, version, text)
+
+
 @then('the control replica serves version {version:d}')
 def check_served(context, version):
     """Compare the version that is sent to daemons."""
