Model check which values replicas serve

The model explores one change, the end of its proposer at any moment with its messages late or lost, and the confirmations and announcements of the others, with the production functions.

--- a/Makefile
+++ b/Makefile
@@ -25,6 +25,7 @@
 
 model-check: $(STAMP)
 	$(PYTHON) -m devtools.model_check
+	$(PYTHON) -m devtools.serving_model
 
 lint: $(STAMP)
 	$(VENV)/bin/ruff check --select I burdocklead devtools platform tests
--- a/tests/durable/model_check.feature
+++ b/tests/durable/model_check.feature
@@ -7,3 +7,9 @@
     Then the model "first ballots" holds
     And the model "first ballots alone" holds
     And the model "chained applies race" holds
+
+  # Guards against values that are served undecided, or decided and never served.
+  Scenario: Replicas serve decided values only, and in the end all of them
+    Then the model "serving" has both properties
+    And the model "serving, no confirmation" lacks "what was acknowledged is served by all replicas in the end"
+    And the model "serving, no quorum read" lacks "only decided values are served"
