--- a/burdocklead/durable/operator_configuration.py
+++ b/burdocklead/durable/operator_configuration.py
@@ -56,7 +56,6 @@
         self.decided = DecidedRegister(
             CONFIGURATION_KEY, _decode_file, _version_of, self._note, NO_FILE
         )
-
         self.text_digest = ''
 
     @property
--- a/burdocklead/process/replica_set_manager.py
+++ b/burdocklead/process/replica_set_manager.py
@@ -136,12 +136,11 @@
 
     async def _reconcile(self) -> None:
         replica_set = self.registers.replica_set
-        if replica_set.epoch:
-            self.discovered.clear()
         _forget_silent(self.candidates)
         if not replica_set.epoch:
             await self._form_first_set(replica_set)
             return
+        self.discovered.clear()
         if not self.registers.is_member:
             return
         newer = await _read_newer_set(self.registers)
--- a/devtools/serving_model.py
+++ b/devtools/serving_model.py
@@ -12,7 +12,7 @@
 import sys
 import time
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from dataclasses import dataclass
 from functools import lru_cache
 from typing import Any
@@ -211,7 +211,7 @@
         yield f'{task.name} lost a round', _restarted(state, index)
 
 
-def _advanced(state: State, index: int, agreed: list[PhaseReply]) -> State:
+def _advanced(state: State, index: int, agreed: Sequence[PhaseReply]) -> State:
     """Return the state after the latest phase of a task has won."""
     task = state.tasks[index]
     match task.sent:
