--- a/tests/durable/decided_values.feature
+++ b/tests/durable/decided_values.feature
@@ -23,6 +23,10 @@
       | version 3, a drain     | frozen  | version 3, the drain      |
       | a change of the set    | killed  | epoch 2                   |
       | a change of the set    | frozen  | epoch 2                   |
+      | version 3              | cut off | version 3                 |
+      | a patch to version 3   | cut off | version 3                 |
+      | an evacuation, a drain | cut off | the evacuation, the drain |
+      | a change of the set    | cut off | epoch 2                   |
 
   # Guards against a value that is lost although a majority has it: one of them
   # was out of reach when it was decided.
--- a/tests/steps/decided_value_steps.py
+++ b/tests/steps/decided_value_steps.py
@@ -288,11 +288,13 @@
 
 
 async def _decide_and_end(running, changes, end):
-    running.stop_tasks()
+    if end != 'cut off':
+        running.stop_tasks()
     # Requests of the others are lost, the change itself still passes.
     running.is_cut = True
     for change in changes.split(', '):
         await _decide(running.replica, change)
+    running.cut_off()
     if end == 'killed':
         await running.kill()
 
