--- a/tests/steps/decided_value_steps.py
+++ b/tests/steps/decided_value_steps.py
@@ -8,11 +8,7 @@
 import msgspec
 from behave import given, then, when
 
-from burdocklead.connection.control_messages import (
-    Cursor,
-    Heartbeat,
-    Phases,
-)
+from burdocklead.connection.control_messages import Phases
 from burdocklead.connection.control_server import ControlServer
 from burdocklead.durable.configuration import (
     CONFIGURATION_KEY,
@@ -40,9 +36,9 @@
 from burdocklead.process.replica_process import start_replica_tasks
 from burdocklead.process.supervision import Supervisor
 from burdocklead.settings import ControlSettings
-from burdocklead.values import Address, Member
+from burdocklead.values import Address
 from devtools.processes import port_of_socket, reserve_port
-from tests.steps.evacuation_steps import order_of
+from tests.steps.evacuation_steps import first_heartbeat, order_of
 
 NAMES = ('c1', 'c2', 'c3')
 START_LIMIT_S = 20
@@ -141,22 +137,10 @@
     raise ControlError('no answer in time', step='cut')
 
 
-def _heartbeat(replica):
-    member = Member(
-        daemon_id='d1',
-        incarnation=1,
-        revision=0,
-        zone='north',
-        link=UNUSED,
-        http=UNUSED,
-    )
-    return Heartbeat(member, Cursor(), 0, replica.clock.issue())
-
-
 async def _handed(running):
     """Return what a daemon that starts now gets."""
     replica = running.replica
-    reply = await replica.handle(_heartbeat(replica))
+    reply = await replica.handle(first_heartbeat(replica))
     zones = reply.evacuations.zones if reply.evacuations else ()
     return {
         f'version {reply.file.version if reply.file else 0}',
--- a/tests/steps/evacuation_steps.py
+++ b/tests/steps/evacuation_steps.py
@@ -166,6 +166,12 @@
 
 def heartbeat_reply(context):
     """Return the reply to a daemon that has just started."""
+    replica = context.replica
+    return asyncio.run(replica.handle(first_heartbeat(replica)))
+
+
+def first_heartbeat(replica):
+    """Return the heartbeat of a daemon that has just started."""
     member = Member(
         daemon_id='d1',
         incarnation=1,
@@ -174,8 +180,7 @@
         link=ADDRESS,
         http=ADDRESS,
     )
-    message = Heartbeat(member, Cursor(), 0, context.replica.clock.issue())
-    return asyncio.run(context.replica.handle(message))
+    return Heartbeat(member, Cursor(), 0, replica.clock.issue())
 
 
 @given('a daemon in "{zone}" with one running and two waiting calls')
